Lay out the workspace, the design and the shared crates

The kernel holds ids, error kinds, settings, inventory and rules; rpc holds the messages between processes; http bridges xitca-web workers to the shared runtime; policy defines placement and routing plug-ins.

--- /dev/null
+++ b/crates/wasabipoint_http/src/lib.rs
@@ -0,0 +1,11 @@
+//! HTTP for all programs: an `xitca-web` server whose handlers run on the shared runtime, and a
+//! `hyper-util` client that never repeats a request by itself.
+
+mod client;
+mod server;
+
+pub use client::{ClientError, HttpClient, ResponseBody};
+pub use server::{
+    BodyError, HttpHandler, HttpRequest, HttpResponse, HttpServer, HttpServerHandle, OutgoingBody,
+    RequestBody, StreamAborted, json_response, refusal_response, text_response,
+};
--- /dev/null
+++ b/crates/wasabipoint_kernel/src/clock.rs
@@ -0,0 +1,31 @@
+//! Monotonic time of one process.
+
+use tokio::time::Instant;
+
+/// Milliseconds since the start of this process, on the runtime's clock.
+///
+/// Tests pause and advance it with `tokio::time`.
+#[derive(Debug, Clone, Copy)]
+pub struct MonotonicClock {
+    origin: Instant,
+}
+
+impl MonotonicClock {
+    /// Starts a clock at zero.
+    pub fn new() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+
+    /// Returns the milliseconds since the clock was created.
+    pub fn now_ms(&self) -> u64 {
+        self.origin.elapsed().as_millis() as u64
+    }
+}
+
+impl Default for MonotonicClock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_kernel/src/id.rs
@@ -0,0 +1,118 @@
+//! Identifiers. Names are text chosen by operators; numbers are assigned by the system.
+
+use std::fmt;
+
+use crate::plain_data;
+
+macro_rules! text_id {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(String);
+
+        impl $name {
+            /// Creates the identifier from its text.
+            pub fn new(text: impl Into<String>) -> Self {
+                Self(text.into())
+            }
+
+            /// Returns the identifier's text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl std::borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+    )*};
+}
+
+macro_rules! number_id {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        plain_data! {
+            copy
+            $(#[$doc])*
+            #[derive(Default)]
+            #[serde(transparent)]
+            pub struct $name(pub $inner);
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+    )*};
+}
+
+text_id! {
+    /// A model in the inventory.
+    ModelName;
+    /// An adapter of a model in the inventory.
+    AdapterName;
+    /// A customer, whose rate and burst are counted across the fleet.
+    CustomerId;
+    /// A model engine or plain service that requests are routed to.
+    EndpointId;
+    /// An entry process.
+    EntryId;
+    /// A virtual machine of the platform.
+    VmId;
+    /// A group of VMs that can fail together.
+    FailureDomain;
+    /// The public name of a caller's key; never the key itself.
+    KeyId;
+    /// An operator's identifier of one change, reused when the change is resent.
+    ChangeId;
+    /// A named route to a plain service.
+    RouteName;
+    /// A plain service that several endpoints provide.
+    ServiceName;
+}
+
+number_id! {
+    /// A control process in the replicated log. A VM that lost its disk gets a new one.
+    MemberId(u64);
+    /// One run of a process; a restarted process has a larger one.
+    Incarnation(u64);
+    /// The order of grants; an engine that checks it refuses smaller ones.
+    FencingToken(u64);
+    /// The version of inventory and rules; it only grows.
+    ConfigVersion(u64);
+}
+
+plain_data! {
+    copy
+    /// One caller request, unique across the fleet.
+    pub struct RequestId(pub u128);
+}
+
+impl RequestId {
+    /// Creates a random identifier.
+    pub fn random() -> Self {
+        Self(rand::random())
+    }
+
+    /// Parses the form that `Display` prints.
+    pub fn parse(text: &str) -> Option<Self> {
+        (text.len() == 32)
+            .then(|| u128::from_str_radix(text, 16).ok().map(Self))
+            .flatten()
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_kernel/src/lib.rs
@@ -0,0 +1,40 @@
+//! Shared foundation of all wasabipoint programs: identifiers, the closed list of error kinds,
+//! INI settings, inventory and rules, key digests, logs, metrics and process lifecycle helpers.
+
+extern crate self as wasabipoint_kernel;
+
+mod clock;
+mod derive;
+mod error;
+mod id;
+mod ini_document;
+mod inventory;
+mod key;
+mod log;
+mod metrics;
+mod rules;
+mod settings;
+mod shutdown;
+
+pub use clock::MonotonicClock;
+pub use error::{ErrorAnswer, ErrorKind, Refusal, RetryAdvice, RunState};
+pub use id::{
+    AdapterName, ChangeId, ConfigVersion, CustomerId, EndpointId, EntryId, FailureDomain,
+    FencingToken, Incarnation, KeyId, MemberId, ModelName, RequestId, RouteName, ServiceName, VmId,
+};
+pub use ini_document::{IniDocument, IniEntry, IniSection, SettingError, SettingErrors};
+pub use inventory::{Adapter, Customer, Inventory, InventoryChange, Model};
+pub use key::{KeyDigest, KeyDigester};
+pub use log::{LogFormat, build_logger};
+pub use metrics::Metrics;
+pub use rules::{
+    AdmissionRules, PlacementRules, RouteAccess, RouteRule, RoutingRules, Rules, StoreRules,
+};
+pub use settings::{
+    AGENT_SETTINGS, CLI_SETTINGS, CONTROL_SETTINGS, ENTRY_SETTINGS, SettingForm, SettingSpec,
+    Settings, render_reference,
+};
+pub use shutdown::wait_for_termination;
+
+#[doc(hidden)]
+pub use serde as __serde;
--- /dev/null
+++ b/crates/wasabipoint_kernel/src/settings/agent.rs
@@ -0,0 +1,24 @@
+//! Settings of `wasabipoint-agent`.
+
+use super::{SettingForm, SettingSpec};
+
+/// Keys of the section `[agent]`.
+pub const AGENT_SETTINGS: &[SettingSpec] = &[
+    SettingSpec::new("endpoint", SettingForm::Name, "Name of the endpoint beside this agent, unique in the fleet."),
+    SettingSpec::new("vm", SettingForm::Name, "Name of the VM in the platform's list."),
+    SettingSpec::new("failure_domain", SettingForm::Name, "Failure domain of this VM."),
+    SettingSpec::new("kind", SettingForm::Choice(&["engine", "service"]), "Whether the endpoint is a model engine or a plain service."),
+    SettingSpec::new("service", SettingForm::Name, "Service that a plain endpoint provides; unused for engines.").with_default("none"),
+    SettingSpec::new("endpoint_address", SettingForm::Address, "Address of the endpoint itself."),
+    SettingSpec::new("listen", SettingForm::Address, "Address for entry processes, health checks and metrics."),
+    SettingSpec::new("control", SettingForm::Addresses, "Rpc addresses of the control members."),
+    SettingSpec::new("fencing", SettingForm::Choice(&["checked", "ignored"]), "Whether the engine refuses old fencing tokens.").with_default("checked"),
+    SettingSpec::new("memory_mib", SettingForm::Integer { min: 0, max: 16_777_216 }, "Accelerator memory of the endpoint in MiB.").with_default("0"),
+    SettingSpec::new("kv_reserve_mib", SettingForm::Integer { min: 0, max: 16_777_216 }, "Memory kept free for KV cache in MiB.").with_default("0"),
+    SettingSpec::new("accelerators", SettingForm::Integer { min: 0, max: 64 }, "Accelerators of the endpoint.").with_default("0"),
+    SettingSpec::new("concurrency", SettingForm::Integer { min: 1, max: 4_096 }, "Requests that run at the endpoint at once.").with_default("32"),
+    SettingSpec::new("workers", SettingForm::Integer { min: 1, max: 64 }, "HTTP worker threads.").with_default("1"),
+    SettingSpec::new("predecessor_wait_ms", SettingForm::Integer { min: 0, max: 60_000 }, "Wait before the first command after a start, in which connections of an earlier agent end, in milliseconds.").with_default("1000"),
+    SettingSpec::new("log_format", SettingForm::Choice(&["text", "json"]), "Form of log records.").with_default("text"),
+    SettingSpec::new("log_level", SettingForm::Choice(&["error", "warning", "info", "debug"]), "Least severe level that is logged.").with_default("info"),
+];
--- /dev/null
+++ b/crates/wasabipoint_kernel/src/settings/entry.rs
@@ -0,0 +1,20 @@
+//! Settings of `wasabipoint-entry`.
+
+use super::{SettingForm, SettingSpec};
+
+/// Keys of the section `[entry]`.
+pub const ENTRY_SETTINGS: &[SettingSpec] = &[
+    SettingSpec::new("entry", SettingForm::Name, "Name of this entry process, unique in the fleet."),
+    SettingSpec::new("listen", SettingForm::Address, "Address for callers, health checks and metrics."),
+    SettingSpec::new("control", SettingForm::Addresses, "Rpc addresses of the control members."),
+    SettingSpec::new("failure_domain", SettingForm::Name, "Failure domain of this VM."),
+    SettingSpec::new("key_secret", SettingForm::Text, "Secret of the keyed digest of callers' keys, the same on control and entry."),
+    SettingSpec::new("operator_token", SettingForm::Text, "Bearer token of `explain request`."),
+    SettingSpec::new("workers", SettingForm::Integer { min: 1, max: 64 }, "HTTP worker threads.").with_default("2"),
+    SettingSpec::new("body_bytes", SettingForm::Integer { min: 1_024, max: 67_108_864 }, "Largest accepted request body in bytes.").with_default("4194304"),
+    SettingSpec::new("freshness_bound_ms", SettingForm::Integer { min: 500, max: 60_000 }, "Age of the last confirmation by control beyond which keyed requests are refused, in milliseconds.").with_default("5000"),
+    SettingSpec::new("silence_bound_ms", SettingForm::Integer { min: 100, max: 60_000 }, "Time without a frame after which a connection to an agent counts as silent, in milliseconds.").with_default("2000"),
+    SettingSpec::new("drain_grace_ms", SettingForm::Integer { min: 0, max: 600_000 }, "Time after SIGTERM in which new requests are still accepted, in milliseconds.").with_default("5000"),
+    SettingSpec::new("log_format", SettingForm::Choice(&["text", "json"]), "Form of log records.").with_default("text"),
+    SettingSpec::new("log_level", SettingForm::Choice(&["error", "warning", "info", "debug"]), "Least severe level that is logged.").with_default("info"),
+];
--- /dev/null
+++ b/crates/wasabipoint_kernel/src/settings/form.rs
@@ -0,0 +1,92 @@
+//! Accepted forms of values.
+
+use std::net::SocketAddr;
+
+/// The accepted form of a value.
+#[derive(Debug, Clone, Copy)]
+pub enum SettingForm {
+    /// Any text that is not empty.
+    Text,
+    /// A name: letters, digits, `.`, `_` and `-`, at most 64 characters.
+    Name,
+    /// A whole number within bounds.
+    Integer {
+        /// Smallest accepted number.
+        min: u64,
+        /// Largest accepted number.
+        max: u64,
+    },
+    /// `IP:PORT`.
+    Address,
+    /// A comma-separated list of `IP:PORT`, not empty.
+    Addresses,
+    /// A comma-separated list of `ID=IP:PORT`, not empty.
+    Members,
+    /// A comma-separated list of names, which may be empty.
+    Names,
+    /// `yes` or `no`.
+    Flag,
+    /// One of the listed words.
+    Choice(&'static [&'static str]),
+    /// A file or folder name.
+    Path,
+}
+
+impl SettingForm {
+    /// Tells whether a value has the form.
+    pub fn accepts(&self, value: &str) -> bool {
+        match self {
+            Self::Text | Self::Path => !value.is_empty(),
+            Self::Name => is_name(value),
+            Self::Integer { min, max } => value
+                .parse::<u64>()
+                .is_ok_and(|number| (*min..=*max).contains(&number)),
+            Self::Address => value.parse::<SocketAddr>().is_ok(),
+            Self::Addresses => {
+                !value.is_empty()
+                    && value
+                        .split(',')
+                        .all(|item| item.trim().parse::<SocketAddr>().is_ok())
+            }
+            Self::Members => {
+                !value.is_empty()
+                    && value
+                        .split(',')
+                        .all(|item| parse_member(item.trim()).is_some())
+            }
+            Self::Names => value.is_empty() || value.split(',').all(|item| is_name(item.trim())),
+            Self::Flag => matches!(value, "yes" | "no"),
+            Self::Choice(words) => words.contains(&value),
+        }
+    }
+
+    /// Describes the form for errors and for the reference page.
+    pub fn describe(&self) -> String {
+        match self {
+            Self::Text => "text".to_owned(),
+            Self::Name => {
+                "a name of letters, digits, `.`, `_` and `-`, at most 64 characters".to_owned()
+            }
+            Self::Integer { min, max } => format!("a whole number from {min} to {max}"),
+            Self::Address => "IP:PORT".to_owned(),
+            Self::Addresses => "a comma-separated list of IP:PORT".to_owned(),
+            Self::Members => "a comma-separated list of ID=IP:PORT".to_owned(),
+            Self::Names => "a comma-separated list of names".to_owned(),
+            Self::Flag => "yes or no".to_owned(),
+            Self::Choice(words) => format!("one of {}", words.join(", ")),
+            Self::Path => "a file or folder name".to_owned(),
+        }
+    }
+}
+
+pub(crate) fn is_name(value: &str) -> bool {
+    (1..=64).contains(&value.len())
+        && value
+            .bytes()
+            .all(|byte| byte.is_ascii_alphanumeric() || b"._-".contains(&byte))
+}
+
+pub(crate) fn parse_member(item: &str) -> Option<(u64, SocketAddr)> {
+    let (id, address) = item.split_once('=')?;
+    Some((id.trim().parse().ok()?, address.trim().parse().ok()?))
+}
--- /dev/null
+++ b/crates/wasabipoint_kernel/src/shutdown.rs
@@ -0,0 +1,16 @@
+//! Termination signals.
+
+use std::io;
+
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Waits for SIGTERM or SIGINT.
+pub async fn wait_for_termination() -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -0,0 +1,20 @@
+//! Placement and routing policies: pure functions over typed snapshots. A policy is one file that
+//! registers itself; the rules file names the policy in use.
+
+#![expect(
+    unsafe_code,
+    reason = "distributed slices place their elements in a link section"
+)]
+
+mod placement;
+mod routing;
+
+pub use placement::{
+    DemandSample, EndpointCapacity, GrantState, GrantView, ModelView, PLACEMENT_POLICIES,
+    PlacementDecision, PlacementPlugin, PlacementPolicy, PlacementView, StoreView,
+    build_placement_policy, placement_policy_names,
+};
+pub use routing::{
+    ROUTING_POLICIES, RoutingCandidate, RoutingChoice, RoutingPlugin, RoutingPolicy,
+    RoutingRequest, build_routing_policy, routing_policy_names,
+};
--- /dev/null
+++ b/crates/wasabipoint_policy/src/routing.rs
@@ -0,0 +1,100 @@
+//! Routing: which endpoint runs a request.
+
+mod least_loaded;
+
+use linkme::distributed_slice;
+use wasabipoint_kernel::{EndpointId, FailureDomain, plain_data};
+
+plain_data! {
+    data
+    /// What a routing decision knows of a request.
+    pub struct RoutingRequest {
+        /// Failure domain of the entry process.
+        pub failure_domain: FailureDomain,
+        /// Length of the prompt in blocks of the prefix cache.
+        pub prompt_blocks: u32,
+        /// Whether the request names an adapter.
+        pub has_adapter: bool,
+    }
+}
+
+plain_data! {
+    data
+    /// An endpoint that could run the request.
+    pub struct RoutingCandidate {
+        /// The endpoint.
+        pub endpoint: EndpointId,
+        /// Failure domain of its VM.
+        pub failure_domain: FailureDomain,
+        /// Requests of this entry process that run there.
+        pub local_in_flight: u32,
+        /// Running and waiting requests in the last load report.
+        pub reported_load: u32,
+        /// Age of the load report.
+        pub report_age_ms: u64,
+        /// Requests that the endpoint runs at once.
+        pub concurrency: u32,
+        /// Leading blocks of the prompt that the endpoint's cache is expected to hold.
+        pub cached_blocks: u32,
+        /// Whether the adapter of the request is loaded there.
+        pub has_adapter_loaded: bool,
+    }
+}
+
+plain_data! {
+    data
+    /// A routing decision with its reason, which is logged.
+    pub struct RoutingChoice {
+        /// Index into the candidates.
+        pub index: usize,
+        /// Why this endpoint.
+        pub reason: String,
+    }
+}
+
+/// A routing policy: a pure function over the candidates.
+pub trait RoutingPolicy: Send + Sync {
+    /// Chooses a candidate; `None` only when there is none. `tie_breaker` is a random number that
+    /// spreads equal candidates over the fleet's entry processes.
+    fn choose(
+        &self,
+        request: &RoutingRequest,
+        candidates: &[RoutingCandidate],
+        tie_breaker: u64,
+    ) -> Option<RoutingChoice>;
+}
+
+/// A registered routing policy.
+pub struct RoutingPlugin {
+    /// Name in the rules file.
+    pub name: &'static str,
+    /// One sentence for operators.
+    pub summary: &'static str,
+    /// Creates the policy.
+    pub build: fn() -> Box<dyn RoutingPolicy>,
+}
+
+/// All registered routing policies.
+#[distributed_slice]
+pub static ROUTING_POLICIES: [RoutingPlugin];
+
+/// Creates the policy of a name.
+pub fn build_routing_policy(name: &str) -> Option<Box<dyn RoutingPolicy>> {
+    ROUTING_POLICIES
+        .iter()
+        .find(|plugin| plugin.name == name)
+        .map(|plugin| (plugin.build)())
+}
+
+/// Lists the names of all routing policies.
+pub fn routing_policy_names() -> Vec<&'static str> {
+    ROUTING_POLICIES.iter().map(|plugin| plugin.name).collect()
+}
+
+impl RoutingCandidate {
+    /// Estimates the load: local requests are known exactly, those of other entry processes only
+    /// from the last report, which already holds some of the local ones.
+    pub fn estimated_load(&self) -> u32 {
+        self.local_in_flight.max(self.reported_load)
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_rpc/src/lib.rs
@@ -0,0 +1,30 @@
+//! Messages between the system's processes: tarpc services of the control members and the frame
+//! format of response streams from agent to entry.
+
+mod agent;
+mod client;
+mod config;
+mod entry;
+mod frame;
+mod service;
+
+pub use agent::{
+    AgentDirective, AgentReport, CheckpointTier, EndpointKind, FencingMode, Grant, ReplicaReport,
+    ReplicaState,
+};
+pub use client::{CallContext, ControlClient, ControlError, context_with_timeout};
+pub use config::{
+    EndpointView, FleetChange, FleetUpdate, FleetView, KeyRecord, WatchReply, WatchRequest,
+};
+pub use entry::{
+    ClaimHolder, ClaimOutcome, ClaimRequest, ColdEstimate, EntryDirective, EntryReport,
+    ModelDemand, QuotaExchange, QuotaGrants, QuotaItem, QuotaSlice, QuotaWait, SliceSettlement,
+};
+pub use frame::{
+    CacheEvent, DispatchRequest, Frame, FrameDecoder, FrameError, LoadReport, Outcome,
+    OutcomeRequest, StoredResponse, StreamFrame, decode_message, encode_frame, encode_message,
+};
+pub use service::{
+    ControlRefusal, ControlRpc, ControlRpcClient, PeerBatch, PeerRpc, PeerRpcClient,
+    RPC_FRAME_BYTES, connect_control, connect_peer, listen_rpc,
+};
