--- a/crates/wasabipoint_kernel/src/inventory.rs
+++ b/crates/wasabipoint_kernel/src/inventory.rs
@@ -1,4 +1,7 @@
 //! The operators' inventory: models, adapters, versions and the customers that use them.
+//!
+//! No key has a default, so that a truncated file is always refused: a file without its last lines
+//! lacks a key or a counted section.
 
 use std::collections::BTreeMap;
 
@@ -57,8 +60,7 @@
         "max_replicas",
         SettingForm::Integer { min: 1, max: 1_000 },
         "Largest number of replicas that placement may decide.",
-    )
-    .with_default("2"),
+    ),
     SettingSpec::new(
         "max_answer_tokens",
         SettingForm::Integer {
@@ -66,8 +68,7 @@
             max: 1_000_000,
         },
         "Largest answer in tokens; also the default when a request names none.",
-    )
-    .with_default("512"),
+    ),
 ];
 
 /// Keys of `[adapter NAME]`.
@@ -122,14 +123,12 @@
         "routes",
         SettingForm::Names,
         "Routes to plain services that the customer may use.",
-    )
-    .with_default(""),
+    ),
     SettingSpec::new(
         "priority",
         SettingForm::Integer { min: 0, max: 9 },
         "Priority given to engines; larger is served first.",
-    )
-    .with_default("5"),
+    ),
 ];
 
 plain_data! {
