--- /dev/null
+++ b/crates/wasabipoint_cli/src/api.rs
@@ -0,0 +1,160 @@
+//! Calls to the operator API.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use serde_json::Value;
+use tokio::time::Instant;
+use wasabipoint_http::{ClientError, HttpClient};
+use wasabipoint_kernel::{ErrorKind, Refusal, RunState, Settings};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time in which one member must answer before the next one is asked.
+const MEMBER_TIMEOUT: Duration = Duration::from_secs(5);
+
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+const MAX_RESPONSE_BYTES: usize = 64 * 1_024 * 1_024;
+
+/// A request to the operator API. It may be sent more than once: changes carry a change id.
+#[derive(Debug, Clone)]
+pub(crate) struct ApiRequest {
+    method: Method,
+    path: String,
+    headers: Vec<(&'static str, String)>,
+    body: Bytes,
+}
+
+impl ApiRequest {
+    pub(crate) fn new(method: Method, path: impl Into<String>) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Bytes::new(),
+        }
+    }
+
+    pub(crate) fn with_header(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    pub(crate) fn with_body(mut self, body: impl Into<Bytes>) -> Self {
+        self.body = body.into();
+        self
+    }
+}
+
+/// A client of the control members.
+pub(crate) struct Api {
+    client: HttpClient,
+    members: Vec<SocketAddr>,
+    token: String,
+    timeout: Duration,
+}
+
+impl Api {
+    pub(crate) fn new(settings: &Settings) -> Self {
+        Self {
+            client: HttpClient::new(CONNECT_TIMEOUT),
+            members: settings.addresses("control"),
+            token: settings.text("operator_token").to_owned(),
+            timeout: settings.duration_ms("timeout_ms"),
+        }
+    }
+
+    /// Sends a request to the leader: follows hints, tries the members in turn and repeats until
+    /// the timeout. A change whose answer is lost is reported with `RunState::Unknown`.
+    pub(crate) async fn send(&self, request: &ApiRequest) -> Result<Value, Refusal> {
+        let deadline = Instant::now() + self.timeout;
+        let mut hint = None;
+        let mut next_member = 0;
+        let mut last = Refusal::new(ErrorKind::Unavailable, "no control member answered");
+        while Instant::now() < deadline {
+            let address = hint.take().unwrap_or_else(|| {
+                next_member += 1;
+                self.members[(next_member - 1) % self.members.len()]
+            });
+            match self.send_to(address, request).await {
+                Ok(response) if response.status() == StatusCode::MISDIRECTED_REQUEST => {
+                    hint = leader_hint(&response);
+                }
+                Ok(response) if response.status() == StatusCode::SERVICE_UNAVAILABLE => {
+                    last = read_refusal(&response);
+                }
+                Ok(response) if response.status().is_success() => return Ok(read_value(&response)),
+                Ok(response) => return Err(read_refusal(&response)),
+                Err(error) => {
+                    let is_unknown = request.method != Method::GET
+                        && !matches!(error, ClientError::NotConnected(_));
+                    if is_unknown {
+                        last.run = RunState::Unknown;
+                    }
+                    last.detail = format!("{address}: {error}");
+                }
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+        Err(last)
+    }
+
+    /// Sends a request to one address.
+    pub(crate) async fn send_to(
+        &self,
+        address: SocketAddr,
+        request: &ApiRequest,
+    ) -> Result<Response<Bytes>, ClientError> {
+        let mut builder = Request::builder()
+            .method(request.method.clone())
+            .uri(format!("http://{address}{}", request.path))
+            .header("authorization", format!("Bearer {}", self.token));
+        for (name, value) in &request.headers {
+            builder = builder.header(*name, value);
+        }
+        let request = builder
+            .body(request.body.clone())
+            .map_err(|error| ClientError::NotConnected(error.to_string()))?;
+        self.client
+            .fetch(request, MAX_RESPONSE_BYTES, MEMBER_TIMEOUT)
+            .await
+    }
+}
+
+fn leader_hint(response: &Response<Bytes>) -> Option<SocketAddr> {
+    response
+        .headers()
+        .get("leader")?
+        .to_str()
+        .ok()?
+        .parse()
+        .ok()
+}
+
+pub(crate) fn read_value(response: &Response<Bytes>) -> Value {
+    serde_json::from_slice(response.body())
+        .unwrap_or_else(|_| Value::from(String::from_utf8_lossy(response.body()).into_owned()))
+}
+
+pub(crate) fn read_refusal(response: &Response<Bytes>) -> Refusal {
+    let value = read_value(response);
+    let name = value["error"]["kind"].as_str().unwrap_or_default();
+    let kind = ErrorKind::ALL
+        .iter()
+        .copied()
+        .find(|kind| kind.answer().name == name);
+    let detail = value["error"]["message"].as_str().map_or_else(
+        || format!("status {}", response.status().as_u16()),
+        str::to_owned,
+    );
+    let text = kind.map_or("", |kind| kind.answer().text);
+    let detail = detail
+        .strip_prefix(text)
+        .unwrap_or(&detail)
+        .trim_start_matches(": ")
+        .to_owned();
+    Refusal::new(kind.unwrap_or(ErrorKind::Internal), detail)
+}
