Add a test bed that runs the real programs on loopback, and the demo

Processes are child processes that are killed, paused and terminated by id; links between entry and control can be silenced.

--- /dev/null
+++ b/crates/wasabipoint_testbed/src/demo.rs
@@ -0,0 +1,234 @@
+//! The demo: a fleet of the Delta example, a few requests, and checks of their answers.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+use crate::caller::{Answer, Caller};
+use crate::fleet::{Fleet, FleetError};
+use crate::plan::FleetPlan;
+
+/// Endpoints of the Delta example.
+const ENGINES: usize = 10;
+const BOOKING_ENDPOINTS: usize = 4;
+
+/// Requests sent at once by the customer that exceeds its rate. Together they reserve several
+/// times its burst.
+const BURST_REQUESTS: usize = 24;
+
+/// Bound on the time until a withdrawn key is refused.
+const WITHDRAWAL_BOUND: Duration = Duration::from_secs(10);
+
+/// Why the demo failed.
+#[derive(Debug)]
+pub enum DemoError {
+    /// The fleet could not be operated.
+    Fleet(FleetError),
+    /// A request got no response.
+    NoResponse(String),
+    /// An answer was not the expected one.
+    WrongAnswer(String),
+}
+
+impl From<FleetError> for DemoError {
+    fn from(error: FleetError) -> Self {
+        Self::Fleet(error)
+    }
+}
+
+impl From<wasabipoint_http::ClientError> for DemoError {
+    fn from(error: wasabipoint_http::ClientError) -> Self {
+        Self::NoResponse(error.to_string())
+    }
+}
+
+impl std::fmt::Display for DemoError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Fleet(error) => write!(f, "{error}"),
+            Self::NoResponse(what) => write!(f, "no response: {what}"),
+            Self::WrongAnswer(what) => write!(f, "wrong answer: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for DemoError {}
+
+/// Runs the demo and prints what happens.
+pub async fn run_demo() -> Result<(), DemoError> {
+    let started = Instant::now();
+    let plan = FleetPlan::delta().with_endpoints(ENGINES, BOOKING_ENDPOINTS);
+    let fleet = Fleet::start(plan).await?;
+    println!(
+        "started {} in {:.1} s",
+        fleet.describe(),
+        started.elapsed().as_secs_f32()
+    );
+    println!("settings, data and logs: {}", fleet.folder().display());
+    let key = fleet.add_key("bucket-traders", "demo-key").await?;
+    fleet.wait_for_key(0, &key).await?;
+    println!("applied the Delta inventory and rules, added a key");
+    show_completion(&fleet.caller(0).with_key(&key)).await?;
+    show_booking(&fleet.caller(1).with_key(&key)).await?;
+    show_over_rate(&fleet).await?;
+    show_withdrawal(&fleet, &key).await?;
+    show_placement(&fleet).await?;
+    let folder = fleet.folder().to_owned();
+    fleet.stop().await?;
+    println!("stopped every process by id");
+    // A leftover folder is no fault of the demo.
+    let _ = std::fs::remove_dir_all(folder);
+    Ok(())
+}
+
+async fn show_completion(caller: &Caller) -> Result<(), DemoError> {
+    let prompt = "draft the round note for the hotels on the corniche";
+    let started = Instant::now();
+    let answer = caller.chat("rounds-small", prompt, 24, true).await?;
+    expect_status(&answer, StatusCode::OK, "streamed completion")?;
+    let events = answer
+        .events()
+        .ok_or_else(|| DemoError::WrongAnswer("the stream has no end".to_owned()))?;
+    let pieces: Vec<&str> = events
+        .iter()
+        .filter_map(|event| event["choices"][0]["delta"]["content"].as_str())
+        .collect();
+    if pieces.len() < 24 {
+        return Err(DemoError::WrongAnswer(format!(
+            "{} tokens of 24",
+            pieces.len()
+        )));
+    }
+    println!(
+        "streamed completion on a cold model: {} events in {:.1} s: {:.60}",
+        events.len(),
+        started.elapsed().as_secs_f32(),
+        pieces.concat()
+    );
+    Ok(())
+}
+
+async fn show_booking(caller: &Caller) -> Result<(), DemoError> {
+    let headers = [
+        ("content-type", "application/json"),
+        ("idempotency-key", "pickup-17"),
+    ];
+    let body = json!({"pickup": 17, "buckets": 4}).to_string();
+    let path = "/services/booking/pickups";
+    let first = caller
+        .send(Method::POST, path, &headers, body.clone())
+        .await?;
+    expect_status(&first, StatusCode::OK, "booking")?;
+    let second = caller.send(Method::POST, path, &headers, body).await?;
+    expect_status(&second, StatusCode::OK, "resent booking")?;
+    if first.body != second.body {
+        return Err(DemoError::WrongAnswer(
+            "the resent booking got another answer".to_owned(),
+        ));
+    }
+    println!(
+        "booking sent twice with one idempotency key, one answer: {}",
+        text(&first)
+    );
+    Ok(())
+}
+
+async fn show_over_rate(fleet: &Fleet) -> Result<(), DemoError> {
+    let key = fleet.add_key("door-vendors", "vendor-key").await?;
+    fleet.wait_for_key(0, &key).await?;
+    let caller = fleet.caller(0).with_key(&key);
+    let models = caller.get("/v1/models").await?.json();
+    let model = models["data"][0]["id"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned();
+    let tasks: Vec<_> = (0..BURST_REQUESTS)
+        .map(|_| {
+            let (caller, model) = (caller.clone(), model.clone());
+            tokio::spawn(async move { caller.chat(&model, "price of roses", 512, false).await })
+        })
+        .collect();
+    let mut served = 0;
+    let mut refusal = None;
+    for task in tasks {
+        let answer = task
+            .await
+            .map_err(|error| DemoError::NoResponse(error.to_string()))??;
+        match answer.error_kind().as_deref() {
+            Some("over_rate") => refusal = Some(answer),
+            None if answer.status == StatusCode::OK => served += 1,
+            _ => {
+                return Err(DemoError::WrongAnswer(format!(
+                    "burst: {} {}",
+                    answer.status,
+                    text(&answer)
+                )));
+            }
+        }
+    }
+    let refusal = refusal
+        .ok_or_else(|| DemoError::WrongAnswer("nothing was refused over the rate".to_owned()))?;
+    expect_status(&refusal, StatusCode::TOO_MANY_REQUESTS, "over-rate request")?;
+    if !refusal.is_not_run() || refusal.retry_after_s.is_none() || served == 0 {
+        return Err(DemoError::WrongAnswer(format!(
+            "{served} served, {}",
+            text(&refusal)
+        )));
+    }
+    println!(
+        "{BURST_REQUESTS} requests over the rate at once: {served} served, then: {}",
+        text(&refusal)
+    );
+    Ok(())
+}
+
+async fn show_withdrawal(fleet: &Fleet, key: &str) -> Result<(), DemoError> {
+    fleet.operate(&["keys", "withdraw", "demo-key"]).await?;
+    let withdrawn = Instant::now();
+    loop {
+        let answer = fleet.caller(0).with_key(key).get("/v1/models").await?;
+        if answer.error_kind().as_deref() == Some("invalid_key") {
+            expect_status(&answer, StatusCode::UNAUTHORIZED, "withdrawn key")?;
+            break;
+        }
+        if withdrawn.elapsed() > WITHDRAWAL_BOUND {
+            return Err(DemoError::WrongAnswer(
+                "the withdrawn key still works".to_owned(),
+            ));
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    println!(
+        "withdrawn key refused {} ms after the command returned",
+        withdrawn.elapsed().as_millis()
+    );
+    Ok(())
+}
+
+async fn show_placement(fleet: &Fleet) -> Result<(), DemoError> {
+    let explanation = fleet.operate(&["explain", "model", "rounds-small"]).await?;
+    if explanation == Value::Null {
+        return Err(DemoError::WrongAnswer(
+            "no explanation of rounds-small".to_owned(),
+        ));
+    }
+    println!("explain model rounds-small: {explanation}");
+    Ok(())
+}
+
+fn expect_status(answer: &Answer, status: StatusCode, what: &str) -> Result<(), DemoError> {
+    if answer.status == status {
+        return Ok(());
+    }
+    Err(DemoError::WrongAnswer(format!(
+        "{what}: {} {}",
+        answer.status,
+        text(answer)
+    )))
+}
+
+fn text(answer: &Answer) -> String {
+    String::from_utf8_lossy(&answer.body).into_owned()
+}
--- /dev/null
+++ b/crates/wasabipoint_testbed/src/lib.rs
@@ -0,0 +1,16 @@
+//! Runs the real programs and the stand-ins on loopback, for the demo and for tests with real
+//! kills, pauses and silent links.
+
+mod caller;
+mod demo;
+mod fleet;
+mod link;
+mod plan;
+mod process;
+
+pub use caller::{Answer, Caller};
+pub use demo::{DemoError, run_demo};
+pub use fleet::{Fleet, FleetError};
+pub use link::{Link, LinkState};
+pub use plan::{EngineFencing, FleetPlan};
+pub use process::{Process, StartError, program_path};
--- /dev/null
+++ b/crates/wasabipoint_testbed/src/plan.rs
@@ -0,0 +1,105 @@
+//! Which processes a fleet has.
+
+/// Whether the fleet's engines refuse old fencing tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineFencing {
+    /// Old tokens are refused.
+    Checked,
+    /// Every command is obeyed.
+    Ignored,
+}
+
+/// The processes of a fleet and the example that it serves.
+#[derive(Debug, Clone)]
+pub struct FleetPlan {
+    pub(crate) example: String,
+    pub(crate) rules: Option<String>,
+    pub(crate) failure_domains: Vec<String>,
+    pub(crate) controls: u64,
+    pub(crate) entries: usize,
+    pub(crate) engines: usize,
+    pub(crate) services: usize,
+    pub(crate) service_name: String,
+    pub(crate) engine_memory_mib: u64,
+    pub(crate) engine_token_ms: u64,
+    pub(crate) engine_load_ms: u64,
+    pub(crate) fencing: EngineFencing,
+    pub(crate) drain_grace_ms: u64,
+    pub(crate) has_entry_links: bool,
+}
+
+impl FleetPlan {
+    /// Plans a small fleet of the Delta example: 3 control members, 2 entry processes, 2 engines
+    /// and 1 booking endpoint.
+    pub fn delta() -> Self {
+        Self {
+            example: "delta".to_owned(),
+            rules: None,
+            failure_domains: ["Tanta", "Mansoura", "Zagazig", "Banha"]
+                .map(str::to_owned)
+                .to_vec(),
+            controls: 3,
+            entries: 2,
+            engines: 2,
+            services: 1,
+            service_name: "booking".to_owned(),
+            engine_memory_mib: 80_000,
+            engine_token_ms: 5,
+            engine_load_ms: 200,
+            fencing: EngineFencing::Checked,
+            drain_grace_ms: 500,
+            has_entry_links: false,
+        }
+    }
+
+    /// Sets the number of control members.
+    #[must_use]
+    pub fn with_controls(mut self, controls: u64) -> Self {
+        self.controls = controls;
+        self
+    }
+
+    /// Sets the number of engines and of service endpoints.
+    #[must_use]
+    pub fn with_endpoints(mut self, engines: usize, services: usize) -> Self {
+        self.engines = engines;
+        self.services = services;
+        self
+    }
+
+    /// Sets the number of entry processes.
+    #[must_use]
+    pub fn with_entries(mut self, entries: usize) -> Self {
+        self.entries = entries;
+        self
+    }
+
+    /// Replaces the rules of the example.
+    #[must_use]
+    pub fn with_rules(mut self, rules: &str) -> Self {
+        self.rules = Some(rules.to_owned());
+        self
+    }
+
+    /// Sets time per token and time per load of the engines.
+    #[must_use]
+    pub fn with_engine_pace(mut self, token_ms: u64, load_ms: u64) -> Self {
+        self.engine_token_ms = token_ms;
+        self.engine_load_ms = load_ms;
+        self
+    }
+
+    /// Sets whether engines refuse old fencing tokens.
+    #[must_use]
+    pub fn with_fencing(mut self, fencing: EngineFencing) -> Self {
+        self.fencing = fencing;
+        self
+    }
+
+    /// Puts a link that can be silenced between each entry process and each control member.
+    #[must_use]
+    pub fn with_entry_links(mut self) -> Self {
+        self.has_entry_links = true;
+        self
+    }
+}
