--- a/crates/wasabipoint_testbed/src/demo.rs
+++ b/crates/wasabipoint_testbed/src/demo.rs
@@ -75,11 +75,8 @@
     show_over_rate(&fleet).await?;
     show_withdrawal(&fleet, &key).await?;
     show_placement(&fleet).await?;
-    let folder = fleet.folder().to_owned();
     fleet.stop().await?;
     println!("stopped every process by id");
-    // A leftover folder is no fault of the demo.
-    let _ = std::fs::remove_dir_all(folder);
     Ok(())
 }
 
--- a/crates/wasabipoint_testbed/src/fleet.rs
+++ b/crates/wasabipoint_testbed/src/fleet.rs
@@ -190,11 +190,6 @@
         &self.folder
     }
 
-    /// Removes the folder of a run that succeeded.
-    pub fn remove_folder(&self) -> io::Result<()> {
-        std::fs::remove_dir_all(&self.folder)
-    }
-
     /// Returns a caller of an entry process.
     pub fn caller(&self, entry: usize) -> Caller {
         Caller::new(self.entries[entry].http_address())
@@ -439,6 +434,15 @@
     }
 }
 
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            // A leftover folder is no fault of the run.
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
 /// Chooses free ports of the fleet's own loopback address.
 fn reserve_ports(host: &str, count: usize) -> io::Result<Vec<SocketAddr>> {
     let listeners: Vec<TcpListener> = (0..count)
