Add the control member: replicated state, rpc service, placement driver and operator API

One member works end to end: inventory and rules by compare-and-set, keys, watch, agent reports that lead to grants, quota exchange and claims.

--- /dev/null
+++ b/crates/wasabipoint_control/src/api/report.rs
@@ -0,0 +1,188 @@
+//! Status and explanations for operators.
+
+use serde_json::{Value, json};
+use wasabipoint_consensus::{MemberStatus, Role};
+use wasabipoint_kernel::ModelName;
+use wasabipoint_rpc::EndpointKind;
+
+use crate::control::Control;
+use crate::office::Office;
+use crate::state::{ControlState, GrantPhase, GrantRecord};
+
+fn role_name(role: Role) -> &'static str {
+    match role {
+        Role::Learner => "learner",
+        Role::Follower => "follower",
+        Role::Candidate => "candidate",
+        Role::Leader => "leader",
+    }
+}
+
+fn phase_name(phase: GrantPhase) -> &'static str {
+    match phase {
+        GrantPhase::Loading => "loading",
+        GrantPhase::Loaded => "loaded",
+        GrantPhase::Revoked => "revoked",
+    }
+}
+
+/// Describes the cluster and the fleet as this member knows them.
+pub(super) fn status(control: &Control) -> Value {
+    let replica = control.member.replica().status();
+    let members: Vec<Value> = replica
+        .members
+        .iter()
+        .map(|member| describe_member(control, replica.leader, member))
+        .collect();
+    let mut value = json!({
+        "member": replica.member.0,
+        "failure_domain": control.failure_domain,
+        "role": role_name(replica.role),
+        "term": replica.term,
+        "leader": replica.leader.map(|leader| leader.0),
+        "commit_index": replica.commit_index,
+        "applied_index": replica.applied_index,
+        "remaining_redundancy": replica.remaining_redundancy,
+        "members": members,
+    });
+    let fleet = with_office(control, |office| {
+        control.member.read(|state| describe_fleet(state, office))
+    });
+    if let (Some(value), Value::Object(fleet)) = (value.as_object_mut(), fleet) {
+        value.extend(fleet);
+    }
+    value
+}
+
+/// Runs `work` with the memory of the term when this member leads.
+fn with_office<T>(control: &Control, work: impl FnOnce(Option<&Office>) -> T) -> T {
+    match control.member.leading_term() {
+        Some(term) => control.with_office(term, |office| work(Some(office))),
+        None => work(None),
+    }
+}
+
+fn describe_member(
+    control: &Control,
+    leader: Option<wasabipoint_kernel::MemberId>,
+    member: &MemberStatus,
+) -> Value {
+    let role = match (leader == Some(member.member), member.is_voter) {
+        (true, _) => "leader",
+        (false, true) => "voter",
+        (false, false) => "learner",
+    };
+    let rpc = control.member.rpc_address(member.member);
+    let http = control.member.http_address(member.member);
+    json!({
+        "member": member.member.0,
+        "role": role,
+        "rpc_address": rpc.map(|address| address.to_string()),
+        "http_address": http.map(|address| address.to_string()),
+        "match_index": member.match_index,
+        "is_responding": member.is_responding,
+    })
+}
+
+fn describe_fleet(state: &ControlState, office: Option<&Office>) -> Value {
+    let inventory = &state.view.inventory;
+    let endpoints: Vec<Value> = state
+        .fleet
+        .endpoints
+        .iter()
+        .map(|(endpoint, known)| {
+            let grants: Vec<Value> = state
+                .fleet
+                .grants_of(endpoint)
+                .map(|(token, grant)| describe_grant(token.0, grant, office))
+                .collect();
+            json!({
+                "endpoint": endpoint.as_str(),
+                "vm": known.vm.as_str(),
+                "failure_domain": known.failure_domain.as_str(),
+                "kind": match known.kind {
+                    EndpointKind::Engine => "engine",
+                    EndpointKind::Service => "service",
+                },
+                "service": known.service.as_str(),
+                "incarnation": known.incarnation.0,
+                "address": known.address.to_string(),
+                "memory_mib": known.memory_mib,
+                "granted_mib": state.fleet.counted_mib(endpoint),
+                "is_leaving": known.is_leaving,
+                "is_silent": office.map(|office| office.is_in_doubt(endpoint, known.incarnation)),
+                "grants": grants,
+            })
+        })
+        .collect();
+    let entries: Vec<Value> = office
+        .into_iter()
+        .flat_map(|office| office.entries.values())
+        .map(|entry| {
+            json!({
+                "entry": entry.report.entry.as_str(),
+                "address": entry.report.address.to_string(),
+                "report_age_ms": entry.received.elapsed().as_millis() as u64,
+            })
+        })
+        .collect();
+    json!({
+        "config_version": state.view.config_version.0,
+        "revision": state.view.revision,
+        "log_time_ms": state.time_ms,
+        "models": inventory.models.len(),
+        "adapters": inventory.adapters.len(),
+        "customers": inventory.customers.len(),
+        "keys": state.view.keys.len(),
+        "endpoints": endpoints,
+        "entries": entries,
+    })
+}
+
+fn describe_grant(token: u64, grant: &GrantRecord, office: Option<&Office>) -> Value {
+    let is_in_doubt = office.map(|office| office.is_in_doubt(&grant.endpoint, grant.incarnation));
+    json!({
+        "model": grant.model.as_str(),
+        "endpoint": grant.endpoint.as_str(),
+        "version": grant.version,
+        "fencing_token": token,
+        "memory_mib": grant.memory_mib,
+        "state": phase_name(grant.phase),
+        "is_in_doubt": is_in_doubt,
+        "is_replaced": grant.is_replaced,
+        "granted_log_time_ms": grant.granted_ms,
+    })
+}
+
+/// Describes a model with its demand, grants and last decisions; `None` when it is unknown.
+pub(super) fn explain_model(control: &Control, model: &ModelName) -> Option<Value> {
+    with_office(control, |office| {
+        let demand = office.and_then(|office| office.demand().get(model).copied());
+        let demand = demand.unwrap_or_default();
+        let decisions = office.map(|office| office.decisions(model));
+        let idle = office.and_then(|office| office.last_used.get(model));
+        control.member.read(|state| {
+            let listed = state.view.inventory.models.get(model)?;
+            let grants: Vec<Value> = state
+                .fleet
+                .grants
+                .iter()
+                .filter(|(_, grant)| grant.model == *model)
+                .map(|(token, grant)| describe_grant(token.0, grant, office))
+                .collect();
+            Some(json!({
+                "model": model.as_str(),
+                "version": listed.version,
+                "memory_mib": listed.memory_mib,
+                "max_replicas": listed.max_replicas,
+                "policy": state.view.rules.placement.policy,
+                "queued": demand.queued,
+                "in_flight": demand.in_flight,
+                "oldest_wait_ms": demand.oldest_wait_ms,
+                "idle_ms": idle.map(|used| used.elapsed().as_millis() as u64),
+                "grants": grants,
+                "decisions": decisions,
+            }))
+        })
+    })
+}
--- /dev/null
+++ b/crates/wasabipoint_control/src/control.rs
@@ -0,0 +1,68 @@
+//! What the services of one control member share.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+
+use slog::Logger;
+use tokio::sync::Notify;
+use wasabipoint_consensus::ProposeError;
+use wasabipoint_kernel::KeyDigester;
+
+use crate::member::Member;
+use crate::metrics::ControlMetrics;
+use crate::office::Office;
+use crate::state::Command;
+
+/// Shared parts of the services of one member.
+pub(crate) struct Control {
+    pub(crate) member: Member,
+    pub(crate) metrics: ControlMetrics,
+    pub(crate) logger: Logger,
+    /// Wakes placement when requests wait for a model without a replica.
+    pub(crate) wake_placement: Notify,
+    pub(crate) slice_lifetime_ms: u64,
+    pub(crate) key_digester: KeyDigester,
+    pub(crate) key_secret: String,
+    pub(crate) operator_token: String,
+    pub(crate) rpc_address: SocketAddr,
+    pub(crate) http_address: SocketAddr,
+    pub(crate) failure_domain: String,
+    pub(crate) office: Mutex<Option<Office>>,
+}
+
+impl Control {
+    /// Runs `work` on the memory of the term, which starts empty when the term is new.
+    pub(crate) fn with_office<T>(&self, term: u64, work: impl FnOnce(&mut Office) -> T) -> T {
+        let mut office = self.office.lock().unwrap_or_else(PoisonError::into_inner);
+        if office.as_ref().is_none_or(|known| known.term < term) {
+            *office = None;
+        }
+        work(office.get_or_insert_with(|| Office::new(term)))
+    }
+
+    /// Records this member's addresses, so that other members can name them as the leader's.
+    pub(crate) async fn announce(&self) -> Result<(), ProposeError> {
+        let member = self.member.id();
+        let is_known = self.member.read(|state| {
+            state.members.get(&member).is_some_and(|known| {
+                known.rpc == self.rpc_address && known.http == Some(self.http_address)
+            })
+        });
+        if is_known {
+            return Ok(());
+        }
+        let command = Command::PutMember {
+            member,
+            rpc: self.rpc_address,
+            http: Some(self.http_address),
+        };
+        self.member.propose(command).await.map(|_| ())
+    }
+
+    pub(crate) fn publish_gauges(&self) {
+        let (revision, grants) = self
+            .member
+            .read(|state| (state.view.revision, state.fleet.grants.len()));
+        self.metrics.set_state(revision, grants as u64);
+    }
+}
--- a/crates/wasabipoint_control/src/lib.rs
+++ b/crates/wasabipoint_control/src/lib.rs
@@ -1,1 +1,23 @@
-//! Placeholder.
+//! The control member: replicated state, rpc service, placement and the operator API.
+
+mod api;
+mod control;
+mod machine;
+mod member;
+mod metrics;
+mod office;
+mod peer;
+mod placement;
+mod platform;
+mod rpc;
+mod server;
+mod state;
+mod stream;
+
+pub use machine::ControlMachine;
+pub use server::{ControlConfig, ControlServer, ControlStartError};
+pub use state::{
+    Bucket, ClaimState, Command, ConfigApply, ConfigBody, ConfigState, ControlState, EntryQuota,
+    FleetState, GrantPhase, GrantRecord, GrantRequest, MemberAddress, Outcome, QuotaState,
+    Registration, SliceRecord, StampedCommand, VmState,
+};
--- /dev/null
+++ b/crates/wasabipoint_control/src/machine.rs
@@ -0,0 +1,83 @@
+//! Binding of the replicated state to the consensus crate.
+
+use tokio::sync::watch;
+use wasabipoint_consensus::{RestoreError, StateMachine};
+use wasabipoint_kernel::ErrorKind;
+
+use crate::state::{ControlState, Outcome, StampedCommand};
+
+/// Version of the snapshot encoding, its first byte.
+const SNAPSHOT_VERSION: u8 = 1;
+
+/// The replicated state with notices of its changes.
+pub struct ControlMachine {
+    state: ControlState,
+    revision: watch::Sender<u64>,
+}
+
+impl ControlMachine {
+    /// Creates the empty state.
+    pub fn new() -> Self {
+        Self {
+            state: ControlState::new(),
+            revision: watch::Sender::new(0),
+        }
+    }
+
+    /// Returns the state.
+    pub fn state(&self) -> &ControlState {
+        &self.state
+    }
+
+    /// Follows the revision of the fleet view.
+    pub fn watch_revision(&self) -> watch::Receiver<u64> {
+        self.revision.subscribe()
+    }
+
+    fn publish(&self) {
+        let revision = self.state.view.revision;
+        self.revision.send_if_modified(|published| {
+            let is_changed = *published != revision;
+            *published = revision;
+            is_changed
+        });
+    }
+}
+
+impl Default for ControlMachine {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl StateMachine for ControlMachine {
+    fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
+        // A command that this release cannot read is refused on every member alike.
+        let outcome = match postcard::from_bytes::<StampedCommand>(command) {
+            Ok(stamped) => self.state.apply(stamped),
+            Err(_) => Outcome::refused(ErrorKind::Internal, "the command cannot be decoded"),
+        };
+        self.publish();
+        encode(&outcome)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        let mut bytes = vec![SNAPSHOT_VERSION];
+        bytes.extend(encode(&self.state));
+        bytes
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        let Some((&SNAPSHOT_VERSION, encoded)) = snapshot.split_first() else {
+            return Err(RestoreError::new("unknown version of the encoding"));
+        };
+        self.state =
+            postcard::from_bytes(encoded).map_err(|error| RestoreError::new(error.to_string()))?;
+        self.publish();
+        Ok(())
+    }
+}
+
+pub(crate) fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_stdvec(value).expect("plain data encodes into memory")
+}
--- /dev/null
+++ b/crates/wasabipoint_control/src/member.rs
@@ -0,0 +1,146 @@
+//! Access to the replicated state of one member.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+
+use tokio::sync::watch;
+use tokio::time::Instant;
+use wasabipoint_consensus::{ProposeError, ReplicaHandle, Role};
+use wasabipoint_kernel::MemberId;
+use wasabipoint_rpc::ControlRefusal;
+
+use crate::machine::{ControlMachine, encode};
+use crate::state::{Command, ControlState, Outcome, StampedCommand};
+
+/// Log time of one term of office.
+#[derive(Debug, Clone, Copy)]
+struct LogClock {
+    term: u64,
+    base_ms: u64,
+    origin: Instant,
+}
+
+/// One member: its replica, the state and the clock of its terms as leader.
+pub(crate) struct Member {
+    id: MemberId,
+    replica: ReplicaHandle,
+    machine: Arc<Mutex<ControlMachine>>,
+    clock: Mutex<Option<LogClock>>,
+    first_addresses: BTreeMap<MemberId, SocketAddr>,
+}
+
+impl Member {
+    pub(crate) fn new(
+        id: MemberId,
+        replica: ReplicaHandle,
+        machine: Arc<Mutex<ControlMachine>>,
+        first_addresses: BTreeMap<MemberId, SocketAddr>,
+    ) -> Self {
+        Self {
+            id,
+            replica,
+            machine,
+            clock: Mutex::new(None),
+            first_addresses,
+        }
+    }
+
+    pub(crate) fn id(&self) -> MemberId {
+        self.id
+    }
+
+    pub(crate) fn replica(&self) -> &ReplicaHandle {
+        &self.replica
+    }
+
+    /// Reads the state as this member has applied it.
+    pub(crate) fn read<T>(&self, read: impl FnOnce(&ControlState) -> T) -> T {
+        let machine = self.machine.lock().unwrap_or_else(PoisonError::into_inner);
+        read(machine.state())
+    }
+
+    pub(crate) fn watch_revision(&self) -> watch::Receiver<u64> {
+        self.machine
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .watch_revision()
+    }
+
+    /// Returns the term in which this member leads.
+    pub(crate) fn leading_term(&self) -> Option<u64> {
+        let status = self.replica.status();
+        (status.role == Role::Leader).then_some(status.term)
+    }
+
+    /// Waits until the applied state holds everything that was acknowledged before the call.
+    pub(crate) async fn confirm(&self) -> Result<(), ProposeError> {
+        let index = self.replica.confirm_read().await?;
+        let mut status = self.replica.watch_status();
+        let applied = status.wait_for(|status| status.is_stopped || status.applied_index >= index);
+        match applied.await {
+            Ok(status) if !status.is_stopped => Ok(()),
+            _ => Err(ProposeError::Stopped),
+        }
+    }
+
+    /// Returns the log time: the last stamp of earlier leaders plus the time that has passed since
+    /// this leader read it, so it never runs faster than real time.
+    pub(crate) async fn log_time_ms(&self) -> Result<u64, ProposeError> {
+        let status = self.replica.status();
+        if status.role != Role::Leader {
+            return Err(ProposeError::NotLeader {
+                leader: status.leader,
+            });
+        }
+        if let Some(now_ms) = self.clock_ms(status.term) {
+            return Ok(now_ms);
+        }
+        self.confirm().await?;
+        let base_ms = self.read(|state| state.time_ms);
+        let mut clock = self.clock.lock().unwrap_or_else(PoisonError::into_inner);
+        if clock.is_none_or(|clock| clock.term < status.term) {
+            *clock = Some(LogClock {
+                term: status.term,
+                base_ms,
+                origin: Instant::now(),
+            });
+        }
+        Ok(base_ms)
+    }
+
+    fn clock_ms(&self, term: u64) -> Option<u64> {
+        let clock = self.clock.lock().unwrap_or_else(PoisonError::into_inner);
+        let clock = clock.filter(|clock| clock.term == term)?;
+        Some(clock.base_ms + clock.origin.elapsed().as_millis() as u64)
+    }
+
+    /// Proposes a command and waits for its outcome.
+    pub(crate) async fn propose(&self, command: Command) -> Result<Outcome, ProposeError> {
+        let time_ms = self.log_time_ms().await?;
+        let encoded = encode(&StampedCommand { time_ms, command });
+        let outcome = self.replica.propose(encoded).await?;
+        Ok(postcard::from_bytes(&outcome).expect("the state machine encodes outcomes"))
+    }
+
+    /// Returns the rpc address of a member.
+    pub(crate) fn rpc_address(&self, member: MemberId) -> Option<SocketAddr> {
+        let first = self.first_addresses.get(&member).copied();
+        first.or_else(|| self.read(|state| state.members.get(&member).map(|known| known.rpc)))
+    }
+
+    /// Returns the HTTP address of a member, once it has led.
+    pub(crate) fn http_address(&self, member: MemberId) -> Option<SocketAddr> {
+        self.read(|state| state.members.get(&member).and_then(|known| known.http))
+    }
+
+    /// Returns what a caller of the rpc service is told about an error.
+    pub(crate) fn refusal(&self, error: ProposeError) -> ControlRefusal {
+        match error {
+            ProposeError::NotLeader { leader } => ControlRefusal::NotLeader {
+                leader: leader.and_then(|leader| self.rpc_address(leader)),
+            },
+            _ => ControlRefusal::Unavailable,
+        }
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_control/src/metrics.rs
@@ -0,0 +1,118 @@
+//! Metrics of a control member.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram};
+use wasabipoint_kernel::Metrics;
+
+/// Bounds of the cold-start histogram in seconds; loads take from a second to several minutes.
+const COLD_START_BOUNDS_S: &[f64] = &[
+    0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 15.0, 30.0, 60.0, 120.0, 300.0, 600.0,
+];
+
+/// Instruments of a control member.
+pub(crate) struct ControlMetrics {
+    metrics: Metrics,
+    calls: Counter<u64>,
+    cold_start: Histogram<f64>,
+    idle_accelerators: Counter<f64>,
+    loads: Counter<u64>,
+    revision: Arc<AtomicU64>,
+    grants: Arc<AtomicU64>,
+    received: Arc<AtomicU64>,
+    sent: Arc<AtomicU64>,
+}
+
+impl ControlMetrics {
+    pub(crate) fn new() -> Self {
+        let metrics = Metrics::new("wasabipoint-control");
+        let meter = metrics.meter().clone();
+        let gauge = |name: &'static str, text: &'static str| {
+            let value = Arc::new(AtomicU64::new(0));
+            let read = Arc::clone(&value);
+            meter
+                .u64_observable_gauge(name)
+                .with_description(text)
+                .with_callback(move |observer| observer.observe(read.load(Ordering::Relaxed), &[]))
+                .build();
+            value
+        };
+        let byte_counter = |name: &'static str, text: &'static str| {
+            let value = Arc::new(AtomicU64::new(0));
+            let read = Arc::clone(&value);
+            meter
+                .u64_observable_counter(name)
+                .with_description(text)
+                .with_unit("By")
+                .with_callback(move |observer| observer.observe(read.load(Ordering::Relaxed), &[]))
+                .build();
+            value
+        };
+        Self {
+            calls: meter
+                .u64_counter("wasabipoint_control_calls")
+                .with_description("Calls of the rpc services by method.")
+                .build(),
+            cold_start: meter
+                .f64_histogram("wasabipoint_cold_start")
+                .with_description("Time from the grant of a replica until it serves requests.")
+                .with_unit("s")
+                .with_boundaries(COLD_START_BOUNDS_S.to_vec())
+                .build(),
+            idle_accelerators: meter
+                .f64_counter("wasabipoint_idle_accelerator")
+                .with_description(
+                    "Accelerator time held by loaded replicas without queued or running requests.",
+                )
+                .with_unit("s")
+                .build(),
+            loads: meter
+                .u64_counter("wasabipoint_loads")
+                .with_description("Finished loads by result.")
+                .build(),
+            revision: gauge(
+                "wasabipoint_control_revision",
+                "Revision of the fleet view that this member has applied.",
+            ),
+            grants: gauge("wasabipoint_grants", "Grants that count."),
+            received: byte_counter(
+                "wasabipoint_control_received",
+                "Bytes received on the rpc port.",
+            ),
+            sent: byte_counter("wasabipoint_control_sent", "Bytes sent on the rpc port."),
+            metrics,
+        }
+    }
+
+    pub(crate) fn render(&self) -> String {
+        self.metrics.render()
+    }
+
+    pub(crate) fn count_call(&self, method: &'static str) {
+        self.calls.add(1, &[KeyValue::new("method", method)]);
+    }
+
+    pub(crate) fn record_load(&self, elapsed_ms: u64) {
+        self.cold_start.record(elapsed_ms as f64 / 1_000.0, &[]);
+        self.loads.add(1, &[KeyValue::new("result", "loaded")]);
+    }
+
+    pub(crate) fn count_failed_load(&self) {
+        self.loads.add(1, &[KeyValue::new("result", "failed")]);
+    }
+
+    pub(crate) fn add_idle_seconds(&self, seconds: f64) {
+        self.idle_accelerators.add(seconds, &[]);
+    }
+
+    pub(crate) fn set_state(&self, revision: u64, grants: u64) {
+        self.revision.store(revision, Ordering::Relaxed);
+        self.grants.store(grants, Ordering::Relaxed);
+    }
+
+    pub(crate) fn byte_counters(&self) -> (Arc<AtomicU64>, Arc<AtomicU64>) {
+        (Arc::clone(&self.received), Arc::clone(&self.sent))
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_control/src/peer.rs
@@ -0,0 +1,158 @@
+//! Messages between control members.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{PoisonError, RwLock};
+use std::time::Duration;
+
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use wasabipoint_consensus::Transport;
+use wasabipoint_kernel::MemberId;
+use wasabipoint_rpc::{PeerBatch, PeerRpcClient, RPC_FRAME_BYTES, context_with_timeout};
+
+/// First byte of a connection between members. A connection of an entry or agent starts with a
+/// frame length, whose first byte is zero because frames are shorter than 16 MiB.
+pub(crate) const PEER_PREAMBLE: u8 = b'P';
+
+/// Messages that wait for one member; more are dropped, and consensus sends them again.
+const QUEUED_MESSAGES: usize = 1_024;
+
+/// Bytes after which a batch is sent; it stays below the frame bound with one more message.
+const BATCH_BYTES: usize = 2 * 1_024 * 1_024;
+
+/// Time in which a batch is delivered. A connection that is silent for longer is replaced.
+const DELIVER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause after a failed connection attempt.
+const CONNECT_PAUSE: Duration = Duration::from_millis(100);
+
+struct Peer {
+    address: SocketAddr,
+    sender: mpsc::Sender<Vec<u8>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Sends consensus messages over one connection per member.
+pub(crate) struct PeerTransport {
+    cluster: String,
+    from: MemberId,
+    peers: RwLock<BTreeMap<MemberId, Peer>>,
+}
+
+impl PeerTransport {
+    pub(crate) fn new(cluster: &str, from: MemberId) -> Self {
+        Self {
+            cluster: cluster.to_owned(),
+            from,
+            peers: RwLock::default(),
+        }
+    }
+
+    /// Replaces the addresses of the other members.
+    pub(crate) fn set_addresses(&self, addresses: &BTreeMap<MemberId, SocketAddr>) {
+        let mut peers = self.peers.write().unwrap_or_else(PoisonError::into_inner);
+        peers.retain(|member, peer| addresses.get(member) == Some(&peer.address));
+        for (member, address) in addresses {
+            if *member != self.from && !peers.contains_key(member) {
+                peers.insert(*member, self.start_peer(*member, *address));
+            }
+        }
+    }
+
+    fn start_peer(&self, to: MemberId, address: SocketAddr) -> Peer {
+        let (sender, receiver) = mpsc::channel(QUEUED_MESSAGES);
+        let sender_loop = SenderLoop {
+            cluster: self.cluster.clone(),
+            from: self.from,
+            to,
+            address,
+            receiver,
+        };
+        Peer {
+            address,
+            sender,
+            task: tokio::spawn(sender_loop.run()),
+        }
+    }
+}
+
+impl Transport for PeerTransport {
+    fn send(&self, to: MemberId, message: Vec<u8>) {
+        let peers = self.peers.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(peer) = peers.get(&to) {
+            // A full queue means that the member is slow or gone; consensus repeats lost messages.
+            let _ = peer.sender.try_send(message);
+        }
+    }
+}
+
+struct SenderLoop {
+    cluster: String,
+    from: MemberId,
+    to: MemberId,
+    address: SocketAddr,
+    receiver: mpsc::Receiver<Vec<u8>>,
+}
+
+impl SenderLoop {
+    async fn run(mut self) {
+        let mut connection: Option<PeerRpcClient> = None;
+        while let Some(first) = self.receiver.recv().await {
+            let batch = self.collect_batch(first);
+            if connection.is_none() {
+                let attempt = tokio::time::timeout(DELIVER_TIMEOUT, connect_peer(self.address));
+                connection = attempt.await.ok().and_then(Result::ok);
+            }
+            let Some(client) = &connection else {
+                tokio::time::sleep(CONNECT_PAUSE).await;
+                continue;
+            };
+            let delivery = client.deliver(context_with_timeout(DELIVER_TIMEOUT), batch);
+            let delivered = tokio::time::timeout(DELIVER_TIMEOUT, delivery).await;
+            if !matches!(delivered, Ok(Ok(()))) {
+                connection = None;
+            }
+        }
+    }
+
+    fn collect_batch(&mut self, first: Vec<u8>) -> PeerBatch {
+        let mut bytes = first.len();
+        let mut messages = vec![first];
+        while bytes < BATCH_BYTES {
+            let Ok(next) = self.receiver.try_recv() else {
+                break;
+            };
+            bytes += next.len();
+            messages.push(next);
+        }
+        PeerBatch {
+            cluster: self.cluster.clone(),
+            from: self.from,
+            to: self.to,
+            messages,
+        }
+    }
+}
+
+async fn connect_peer(address: SocketAddr) -> io::Result<PeerRpcClient> {
+    let mut stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    stream.write_u8(PEER_PREAMBLE).await?;
+    let framed = LengthDelimitedCodec::builder()
+        .max_frame_length(RPC_FRAME_BYTES)
+        .new_framed(stream);
+    let transport = tarpc::serde_transport::new(framed, Bincode::default());
+    Ok(PeerRpcClient::new(tarpc::client::Config::default(), transport).spawn())
+}
--- /dev/null
+++ b/crates/wasabipoint_control/src/placement/driver.rs
@@ -0,0 +1,413 @@
+//! The placement task of the leader.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{info, warn};
+use tokio::time::{Instant, MissedTickBehavior};
+use wasabipoint_consensus::ProposeError;
+use wasabipoint_kernel::{EndpointId, FencingToken, ModelName};
+use wasabipoint_policy::{
+    DemandSample, PlacementDecision, PlacementPolicy, PlacementView, build_placement_policy,
+};
+use wasabipoint_rpc::CheckpointTier;
+
+use super::{DecisionRecord, build_view, hidden_grants, live_version};
+use crate::control::Control;
+use crate::office::Office;
+use crate::state::{Command, ControlState, GrantPhase, GrantRequest, Outcome};
+
+/// Time between regular decisions.
+const DECISION_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Shortest time between decisions, so that a burst of reports is decided on together.
+const MIN_DECISION_GAP: Duration = Duration::from_millis(20);
+
+/// Time between saves of what the policy learnt.
+const SAVE_INTERVAL: Duration = Duration::from_mins(1);
+
+/// Policy in use when the one in the rules is not part of this program.
+const FALLBACK_POLICY: &str = "load_on_demand";
+
+/// A loading grant that the agent does not list for this long is revoked, for example because the
+/// agent refuses it for lack of memory.
+const UNLISTED_GRANT_MS: u64 = 60_000;
+
+/// Policy and sampling state of one term of office.
+struct TermPlacement {
+    term: u64,
+    policy_name: String,
+    policy: Box<dyn PlacementPolicy>,
+    sampled: Instant,
+    saved: Instant,
+    last_save: Vec<u8>,
+}
+
+/// Runs placement while this member leads, until the control is stopped.
+pub(crate) async fn run_placement(control: Arc<Control>) {
+    let mut interval = tokio::time::interval(DECISION_INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut current: Option<TermPlacement> = None;
+    loop {
+        tokio::select! {
+            _ = interval.tick() => {}
+            () = control.wake_placement.notified() => {}
+        }
+        control.publish_gauges();
+        let Some(term) = control.member.leading_term() else {
+            current = None;
+            continue;
+        };
+        if let Err(error) = decide_once(&control, &mut current, term).await {
+            warn!(control.logger, "placement: decisions were not committed"; "error" => %error);
+        }
+        tokio::time::sleep(MIN_DECISION_GAP).await;
+    }
+}
+
+async fn decide_once(
+    control: &Control,
+    current: &mut Option<TermPlacement>,
+    term: u64,
+) -> Result<(), ProposeError> {
+    let now_ms = control.member.log_time_ms().await?;
+    if current.as_ref().is_none_or(|known| known.term != term) {
+        control.announce().await?;
+        *current = Some(start_term(control, term));
+    }
+    let Some(running) = current.as_mut() else {
+        return Ok(());
+    };
+    follow_rules(control, running);
+    observe(control, running, now_ms);
+    revoke_invalid(control, now_ms).await?;
+    let view = control.with_office(term, |office| {
+        control.member.read(|state| {
+            office.retain_models(|model| state.view.inventory.models.contains_key(model));
+            count_idle(control, state, office);
+            build_view(state, office, now_ms)
+        })
+    });
+    for decision in running.policy.decide(&view) {
+        match decision {
+            PlacementDecision::Load {
+                model,
+                endpoint,
+                reason,
+            } => load(control, term, &view, &model, &endpoint, &reason).await?,
+            PlacementDecision::Unload {
+                model,
+                endpoint,
+                reason,
+            } => unload(control, term, &view, &model, &endpoint, &reason).await?,
+        }
+    }
+    save_profile(control, running).await
+}
+
+fn start_term(control: &Control, term: u64) -> TermPlacement {
+    let now = Instant::now();
+    let mut running = TermPlacement {
+        term,
+        policy_name: String::new(),
+        policy: build_placement_policy(FALLBACK_POLICY).expect("the fallback policy is registered"),
+        sampled: now,
+        saved: now,
+        last_save: Vec::new(),
+    };
+    follow_rules(control, &mut running);
+    running
+}
+
+fn follow_rules(control: &Control, running: &mut TermPlacement) {
+    let (name, profile) = control.member.read(|state| {
+        let name = state.view.rules.placement.policy.clone();
+        (name, state.profile.clone())
+    });
+    if running.policy_name == name {
+        return;
+    }
+    running.policy = build_placement_policy(&name).unwrap_or_else(|| {
+        warn!(control.logger, "placement: the policy of the rules is unknown, using the fallback";
+            "policy" => &name, "fallback" => FALLBACK_POLICY);
+        build_placement_policy(FALLBACK_POLICY).expect("the fallback policy is registered")
+    });
+    if let Some((saved_by, bytes)) = profile
+        && saved_by == name
+    {
+        running.policy.restore(&bytes);
+        running.last_save = bytes;
+    }
+    info!(control.logger, "placement: policy in use"; "policy" => &name, "term" => running.term);
+    running.policy_name = name;
+}
+
+fn observe(control: &Control, running: &mut TermPlacement, now_ms: u64) {
+    let interval = running.sampled.elapsed();
+    if interval < DECISION_INTERVAL {
+        return;
+    }
+    running.sampled = Instant::now();
+    let arrived = control.with_office(running.term, |office| std::mem::take(&mut office.arrived));
+    let interval_ms = interval.as_millis() as u64;
+    let day_ms = control
+        .member
+        .read(|state| state.view.rules.placement.day_ms)
+        .max(1);
+    running.policy.observe(&DemandSample {
+        cycle_ms: now_ms.saturating_sub(interval_ms) % day_ms,
+        interval_ms,
+        arrived: arrived
+            .into_iter()
+            .filter(|(_, count)| *count > 0)
+            .collect(),
+        largest_customer: None,
+    });
+}
+
+async fn save_profile(control: &Control, running: &mut TermPlacement) -> Result<(), ProposeError> {
+    if running.saved.elapsed() < SAVE_INTERVAL {
+        return Ok(());
+    }
+    running.saved = Instant::now();
+    let bytes = running.policy.save();
+    if bytes == running.last_save {
+        return Ok(());
+    }
+    running.last_save.clone_from(&bytes);
+    let policy = running.policy_name.clone();
+    let saved = control
+        .member
+        .propose(Command::SaveProfile { policy, bytes });
+    saved.await.map(|_| ())
+}
+
+/// Revokes grants whose reason has gone: the model or version left the inventory, the endpoint is
+/// leaving, or a replaced grant came back.
+async fn revoke_invalid(control: &Control, now_ms: u64) -> Result<(), ProposeError> {
+    let Some(term) = control.member.leading_term() else {
+        return Ok(());
+    };
+    let invalid = control.with_office(term, |office| {
+        control
+            .member
+            .read(|state| invalid_grants(state, office, now_ms))
+    });
+    for (token, model, endpoint, reason) in invalid {
+        info!(control.logger, "placement: revoke"; "model" => %model, "endpoint" => %endpoint,
+            "fencing_token" => token.0, "reason" => reason);
+        control.member.propose(Command::Revoke(token)).await?;
+    }
+    Ok(())
+}
+
+fn invalid_grants(
+    state: &ControlState,
+    office: &Office,
+    now_ms: u64,
+) -> Vec<(FencingToken, ModelName, EndpointId, &'static str)> {
+    let live = state
+        .fleet
+        .grants
+        .iter()
+        .filter(|(_, grant)| grant.phase != GrantPhase::Revoked);
+    live.filter_map(|(token, grant)| {
+        let known = state.fleet.endpoints.get(&grant.endpoint)?;
+        let report = office.fresh_report(&grant.endpoint, known.incarnation);
+        let is_listed = report.is_some_and(|report| {
+            let mut replicas = report.replicas.iter();
+            replicas.any(|replica| replica.model == grant.model)
+        });
+        let is_old = now_ms.saturating_sub(grant.granted_ms) > UNLISTED_GRANT_MS;
+        let live_now = live_version(state, &grant.model);
+        let reason = if live_now.is_none() {
+            "the model left the inventory"
+        } else if live_now != Some((grant.version, grant.memory_mib)) {
+            "the inventory has another version"
+        } else if known.is_leaving {
+            "the endpoint is leaving"
+        } else if grant.is_replaced && report.is_some() {
+            "the replica was replaced while it was in doubt"
+        } else if grant.phase == GrantPhase::Loading && report.is_some() && !is_listed && is_old {
+            "the agent does not take up the grant"
+        } else {
+            return None;
+        };
+        Some((*token, grant.model.clone(), grant.endpoint.clone(), reason))
+    })
+    .collect()
+}
+
+async fn load(
+    control: &Control,
+    term: u64,
+    view: &PlacementView,
+    model: &ModelName,
+    endpoint: &EndpointId,
+    reason: &str,
+) -> Result<(), ProposeError> {
+    let prepared = control.with_office(term, |office| {
+        if office.is_pausing(model, endpoint) {
+            return None;
+        }
+        let tier = office.tier(endpoint, model);
+        let request = control
+            .member
+            .read(|state| prepare_grant(state, office, model, endpoint));
+        request.map(|request| (request, tier))
+    });
+    let Some((request, tier)) = prepared else {
+        let outcome = "skipped: the endpoint is gone or a load just failed there";
+        record(
+            control, term, view, "skip", model, endpoint, reason, outcome,
+        );
+        return Ok(());
+    };
+    let action = match request.replaces {
+        Some(_) => "replace",
+        None => "load",
+    };
+    let replaces = request.replaces;
+    let outcome = control.member.propose(Command::Grant(request)).await?;
+    let text = match outcome {
+        Outcome::Granted(token) => {
+            control.with_office(term, |office| {
+                office.tiers.insert(token, tier);
+                if tier == CheckpointTier::Remote {
+                    office.pacer.take();
+                }
+            });
+            if let Some(replaced) = replaces {
+                warn!(control.logger,
+                    "placement: a replica in doubt is replaced, the decided number is raised";
+                    "model" => %model, "replaced_token" => replaced.0, "fencing_token" => token.0);
+            }
+            format!("granted, fencing token {token}, checkpoint {tier:?}")
+        }
+        Outcome::Refused { kind, detail } => format!("refused: {kind}: {detail}"),
+        other => format!("unexpected outcome {other:?}"),
+    };
+    record(control, term, view, action, model, endpoint, reason, &text);
+    Ok(())
+}
+
+fn prepare_grant(
+    state: &ControlState,
+    office: &Office,
+    model: &ModelName,
+    endpoint: &EndpointId,
+) -> Option<GrantRequest> {
+    let known = state.fleet.endpoints.get(endpoint)?;
+    let listed = state.view.inventory.models.get(model)?;
+    let counted = state
+        .fleet
+        .grants
+        .values()
+        .filter(|grant| grant.model == *model && !grant.is_replaced)
+        .count();
+    let hidden = hidden_grants(state, office);
+    let replaces = (counted >= listed.max_replicas as usize)
+        .then(|| {
+            let mut candidates = state.fleet.grants.iter();
+            candidates.find(|(token, grant)| {
+                grant.model == *model && !grant.is_replaced && hidden.contains(token)
+            })
+        })
+        .flatten()
+        .map(|(token, _)| *token);
+    Some(GrantRequest {
+        model: model.clone(),
+        version: listed.version,
+        endpoint: endpoint.clone(),
+        incarnation: known.incarnation,
+        memory_mib: listed.memory_mib,
+        replaces,
+    })
+}
+
+async fn unload(
+    control: &Control,
+    term: u64,
+    view: &PlacementView,
+    model: &ModelName,
+    endpoint: &EndpointId,
+    reason: &str,
+) -> Result<(), ProposeError> {
+    let token = control.member.read(|state| {
+        let mut grants = state.fleet.grants_of(endpoint);
+        grants
+            .find(|(_, grant)| grant.model == *model && grant.phase != GrantPhase::Revoked)
+            .map(|(token, _)| token)
+    });
+    let Some(token) = token else {
+        return Ok(());
+    };
+    control.member.propose(Command::Revoke(token)).await?;
+    let outcome = format!("revoked, fencing token {token}");
+    record(
+        control, term, view, "unload", model, endpoint, reason, &outcome,
+    );
+    Ok(())
+}
+
+#[expect(
+    clippy::too_many_arguments,
+    reason = "a decision is recorded with all of its inputs"
+)]
+fn record(
+    control: &Control,
+    term: u64,
+    view: &PlacementView,
+    action: &'static str,
+    model: &ModelName,
+    endpoint: &EndpointId,
+    reason: &str,
+    outcome: &str,
+) {
+    let demand = view.models.iter().find(|known| known.name == *model);
+    let capacity = view
+        .endpoints
+        .iter()
+        .find(|known| known.endpoint == *endpoint);
+    let record = DecisionRecord {
+        log_time_ms: control.member.read(|state| state.time_ms),
+        action,
+        endpoint: endpoint.to_string(),
+        reason: reason.to_owned(),
+        outcome: outcome.to_owned(),
+        queued: demand.map_or(0, |known| known.queued),
+        in_flight: demand.map_or(0, |known| known.in_flight),
+        free_mib: capacity.map_or(0, |known| known.free_mib),
+        loads_running: view.store.loads_running,
+    };
+    info!(control.logger, "placement: {}", action; "model" => %model, "endpoint" => %endpoint,
+        "reason" => reason, "outcome" => outcome, "queued" => record.queued,
+        "in_flight" => record.in_flight, "free_mib" => record.free_mib,
+        "loads_running" => record.loads_running, "loads_allowed" => view.store.loads_allowed);
+    control.with_office(term, |office| office.record_decision(model, record));
+}
+
+/// Counts the accelerator time of loaded replicas that nobody uses since the last decision.
+fn count_idle(control: &Control, state: &ControlState, office: &mut Office) {
+    let elapsed_s = office.take_idle_interval().as_secs_f64();
+    let demand = office.demand();
+    let mut memory_share: BTreeMap<&EndpointId, f64> = BTreeMap::new();
+    for grant in state.fleet.grants.values() {
+        let is_used = demand
+            .get(&grant.model)
+            .is_some_and(|sum| sum.queued > 0 || sum.in_flight > 0);
+        let Some(known) = state.fleet.endpoints.get(&grant.endpoint) else {
+            continue;
+        };
+        if grant.phase == GrantPhase::Loaded && !is_used {
+            let share = grant.memory_mib as f64 / known.memory_mib.max(1) as f64;
+            *memory_share.entry(&grant.endpoint).or_default() += share;
+        }
+    }
+    for (endpoint, share) in memory_share {
+        let accelerators = state.fleet.endpoints[endpoint].accelerators;
+        let idle = share.min(1.0) * f64::from(accelerators) * elapsed_s;
+        control.metrics.add_idle_seconds(idle);
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_control/src/platform.rs
@@ -0,0 +1,103 @@
+//! Poll of the platform's list of VMs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use serde::Deserialize;
+use slog::{info, warn};
+use tokio::time::MissedTickBehavior;
+use wasabipoint_http::HttpClient;
+use wasabipoint_kernel::VmId;
+
+use crate::control::Control;
+use crate::state::{Command, VmState};
+
+/// Time between polls.
+const POLL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time in which the platform answers.
+const POLL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Largest accepted list.
+const MAX_LIST_BYTES: usize = 4 * 1_024 * 1_024;
+
+#[derive(Deserialize)]
+struct PlatformList {
+    vms: Vec<PlatformVm>,
+}
+
+#[derive(Deserialize)]
+struct PlatformVm {
+    vm: VmId,
+    state: String,
+}
+
+/// Polls the list while this member leads, until the task is aborted.
+pub(crate) async fn poll_platform(control: Arc<Control>, url: String) {
+    let client = HttpClient::new(POLL_TIMEOUT);
+    let mut interval = tokio::time::interval(POLL_INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut had_error = false;
+    loop {
+        interval.tick().await;
+        if control.member.leading_term().is_none() {
+            continue;
+        }
+        match fetch_list(&client, &url).await {
+            Ok(vms) => {
+                had_error = false;
+                take_list(&control, vms).await;
+            }
+            // Logged once per outage; the poll repeats every second.
+            Err(detail) if !had_error => {
+                had_error = true;
+                warn!(control.logger, "control: the platform's list is not available";
+                    "detail" => detail);
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+async fn fetch_list(client: &HttpClient, url: &str) -> Result<Vec<(VmId, VmState)>, String> {
+    let request = Request::get(url)
+        .body(Bytes::new())
+        .map_err(|error| error.to_string())?;
+    let response = client
+        .fetch(request, MAX_LIST_BYTES, POLL_TIMEOUT)
+        .await
+        .map_err(|error| error.to_string())?;
+    if !response.status().is_success() {
+        return Err(format!("status {}", response.status()));
+    }
+    let list: PlatformList =
+        serde_json::from_slice(response.body()).map_err(|error| error.to_string())?;
+    let known = list.vms.into_iter().filter_map(|vm| {
+        let state = match vm.state.as_str() {
+            "live" => VmState::Live,
+            "leaving" => VmState::Leaving,
+            "terminated" => VmState::Terminated,
+            _ => return None,
+        };
+        Some((vm.vm, state))
+    });
+    Ok(known.collect())
+}
+
+async fn take_list(control: &Control, vms: Vec<(VmId, VmState)>) {
+    let changed: Vec<_> = control.member.read(|state| {
+        let vms = vms.into_iter();
+        vms.filter(|(vm, listed)| state.fleet.vms.get(vm) != Some(listed))
+            .collect()
+    });
+    if changed.is_empty() {
+        return;
+    }
+    info!(control.logger, "control: VM states changed in the platform's list";
+        "count" => changed.len());
+    if let Err(error) = control.member.propose(Command::Platform(changed)).await {
+        warn!(control.logger, "control: VM states were not committed"; "error" => %error);
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_control/src/server.rs
@@ -0,0 +1,274 @@
+//! Start and stop of a control member.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+
+use slog::{Logger, info};
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+use wasabipoint_consensus::{Replica, ReplicaConfig, ReplicaStatus, StartError};
+use wasabipoint_http::{HttpServer, HttpServerHandle};
+use wasabipoint_kernel::{ErrorKind, KeyDigester, MemberId, Settings};
+
+use crate::api::OperatorApi;
+use crate::control::Control;
+use crate::machine::ControlMachine;
+use crate::member::Member;
+use crate::metrics::ControlMetrics;
+use crate::peer::PeerTransport;
+use crate::placement::run_placement;
+use crate::platform::poll_platform;
+use crate::rpc::serve_rpc;
+
+/// Resolved settings of a control member.
+#[derive(Debug, Clone)]
+pub struct ControlConfig {
+    /// Name of the cluster.
+    pub cluster: String,
+    /// This member.
+    pub member: MemberId,
+    /// Rpc addresses of the first members, as this member reaches them.
+    pub members: BTreeMap<MemberId, SocketAddr>,
+    /// Whether this member joins an existing cluster as a learner.
+    pub is_joining: bool,
+    /// Address for entry, agent and control processes.
+    pub rpc_listen: SocketAddr,
+    /// Address of the operator API and of metrics.
+    pub http_listen: SocketAddr,
+    /// Folder of the replicated log and snapshots.
+    pub data_folder: PathBuf,
+    /// Failure domain of this VM.
+    pub failure_domain: String,
+    /// Secret of the keyed digest of callers' keys.
+    pub key_secret: String,
+    /// Bearer token of the operator API.
+    pub operator_token: String,
+    /// URL of the platform's list of VMs.
+    pub platform_list: Option<String>,
+    /// Consensus tick.
+    pub tick_ms: u64,
+    /// Log entries between snapshots.
+    pub snapshot_entries: u64,
+    /// Lifetime of a quota slice at an entry.
+    pub slice_lifetime_ms: u64,
+}
+
+impl ControlConfig {
+    /// Takes the values of the section `[control]`.
+    pub fn from_settings(settings: &Settings) -> Self {
+        let platform_list = settings.text("platform_list");
+        let members = settings.members("members").into_iter();
+        Self {
+            cluster: settings.text("cluster").to_owned(),
+            member: MemberId(settings.integer("member")),
+            members: members
+                .map(|(member, address)| (MemberId(member), address))
+                .collect(),
+            is_joining: settings.flag("join"),
+            rpc_listen: settings.address("rpc_listen"),
+            http_listen: settings.address("http_listen"),
+            data_folder: settings.path("data_folder"),
+            failure_domain: settings.text("failure_domain").to_owned(),
+            key_secret: settings.text("key_secret").to_owned(),
+            operator_token: settings.text("operator_token").to_owned(),
+            platform_list: (platform_list != "none").then(|| platform_list.to_owned()),
+            tick_ms: settings.integer("tick_ms"),
+            snapshot_entries: settings.integer("snapshot_entries"),
+            slice_lifetime_ms: settings.integer("slice_lifetime_ms"),
+        }
+    }
+}
+
+/// Why a control member cannot start.
+#[derive(Debug)]
+pub enum ControlStartError {
+    /// An address cannot be bound.
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        error: io::Error,
+    },
+    /// The replica cannot start.
+    Replica(StartError),
+}
+
+impl ControlStartError {
+    /// Returns the kind, which selects the exit code.
+    pub fn kind(&self) -> ErrorKind {
+        match self {
+            Self::Listen { .. } => ErrorKind::Unavailable,
+            Self::Replica(StartError::InvalidConfig { .. }) => ErrorKind::InvalidConfiguration,
+            Self::Replica(_) => ErrorKind::DataFolderUnusable,
+        }
+    }
+}
+
+impl fmt::Display for ControlStartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Listen { address, error } => write!(f, "cannot listen on {address}: {error}"),
+            Self::Replica(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for ControlStartError {}
+
+/// A running control member.
+pub struct ControlServer {
+    control: Arc<Control>,
+    http: HttpServerHandle,
+    tasks: JoinSet<()>,
+}
+
+impl ControlServer {
+    /// Binds the addresses of the settings and starts the member.
+    pub async fn start(config: ControlConfig, logger: Logger) -> Result<Self, ControlStartError> {
+        let address = config.rpc_listen;
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|error| ControlStartError::Listen { address, error })?;
+        Self::start_on(config, listener, logger).await
+    }
+
+    /// Starts the member on a bound rpc listener.
+    pub async fn start_on(
+        config: ControlConfig,
+        listener: TcpListener,
+        logger: Logger,
+    ) -> Result<Self, ControlStartError> {
+        let listen_error = |address| move |error| ControlStartError::Listen { address, error };
+        let bound_rpc = listener
+            .local_addr()
+            .map_err(listen_error(config.rpc_listen))?;
+        let http = HttpServer::new(config.http_listen).map_err(listen_error(config.http_listen))?;
+        let bound_http = http
+            .local_address()
+            .map_err(listen_error(config.http_listen))?;
+        let own = config.members.get(&config.member).copied();
+        let rpc_address = own.filter(|own| own.port() != 0).unwrap_or(bound_rpc);
+        // A wildcard address is of no use to others; the member's rpc address is reachable.
+        let http_address = if bound_http.ip().is_unspecified() {
+            SocketAddr::new(rpc_address.ip(), bound_http.port())
+        } else {
+            bound_http
+        };
+
+        let machine = Arc::new(Mutex::new(ControlMachine::new()));
+        let transport = Arc::new(PeerTransport::new(&config.cluster, config.member));
+        transport.set_addresses(&config.members);
+        let replica = Replica::start(
+            ReplicaConfig {
+                cluster: config.cluster.clone(),
+                member: config.member,
+                members: config.members.keys().copied().collect(),
+                is_joining: config.is_joining,
+                data_folder: config.data_folder.clone(),
+                tick_ms: config.tick_ms,
+                snapshot_entries: config.snapshot_entries,
+            },
+            Arc::clone(&machine) as _,
+            Arc::clone(&transport) as _,
+            logger.clone(),
+        )
+        .await
+        .map_err(ControlStartError::Replica)?;
+        let first_addresses = config.members.clone();
+        let control = Arc::new(Control {
+            member: Member::new(config.member, replica, machine, first_addresses.clone()),
+            metrics: ControlMetrics::new(),
+            logger,
+            wake_placement: tokio::sync::Notify::new(),
+            slice_lifetime_ms: config.slice_lifetime_ms,
+            key_digester: KeyDigester::new(&config.key_secret),
+            key_secret: config.key_secret,
+            operator_token: config.operator_token,
+            rpc_address,
+            http_address,
+            failure_domain: config.failure_domain,
+            office: Mutex::new(None),
+        });
+        let mut tasks = JoinSet::new();
+        let cluster = Arc::from(config.cluster.as_str());
+        tasks.spawn(serve_rpc(Arc::clone(&control), cluster, listener));
+        tasks.spawn(run_placement(Arc::clone(&control)));
+        tasks.spawn(follow_addresses(
+            Arc::clone(&control),
+            transport,
+            first_addresses,
+        ));
+        if let Some(url) = config.platform_list {
+            tasks.spawn(poll_platform(Arc::clone(&control), url));
+        }
+        let handle = http
+            .serve(Arc::new(OperatorApi::new(Arc::clone(&control))))
+            .map_err(listen_error(bound_http))?;
+        info!(control.logger, "control: ready"; "member" => config.member.0,
+            "rpc" => %bound_rpc, "http" => %bound_http);
+        Ok(Self {
+            control,
+            http: handle,
+            tasks,
+        })
+    }
+
+    /// Returns the rpc address that other processes are told.
+    pub fn rpc_address(&self) -> SocketAddr {
+        self.control.rpc_address
+    }
+
+    /// Returns the bound HTTP address.
+    pub fn http_address(&self) -> SocketAddr {
+        self.control.http_address
+    }
+
+    /// Returns the status of the replica.
+    pub fn replica_status(&self) -> ReplicaStatus {
+        self.control.member.replica().status()
+    }
+
+    /// Waits until the replica stops by itself, which follows a fault of its disk.
+    pub async fn wait_until_stopped(&self) {
+        let mut status = self.control.member.replica().watch_status();
+        // An error means that the replica is gone, which is the same.
+        let _ = status.wait_for(|status| status.is_stopped).await;
+    }
+
+    /// Closes the ports and then the data folder.
+    pub async fn stop(mut self) {
+        self.tasks.shutdown().await;
+        self.http.stop().await;
+        self.control.member.replica().clone().stop().await;
+        info!(self.control.logger, "control: stopped");
+    }
+}
+
+/// Tells the transport of members that joined. Addresses in the settings take precedence.
+async fn follow_addresses(
+    control: Arc<Control>,
+    transport: Arc<PeerTransport>,
+    first: BTreeMap<MemberId, SocketAddr>,
+) {
+    let mut status = control.member.replica().watch_status();
+    loop {
+        let mut addresses = first.clone();
+        control.member.read(|state| {
+            for (member, known) in &state.members {
+                addresses.entry(*member).or_insert(known.rpc);
+            }
+        });
+        transport.set_addresses(&addresses);
+        let applied = status.borrow_and_update().applied_index;
+        let changed = status.wait_for(|status| status.applied_index > applied);
+        if changed.await.is_err() {
+            return;
+        }
+        // Addresses change rarely; once per second is often enough while entries are applied.
+        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_control/tests/cluster/main.rs
@@ -0,0 +1,6 @@
+//! Control members as processes see them: operator API, rpc service, placement and fail-over.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod fixture;
+mod single_member;
