--- a/crates/wasabipoint_consensus/src/api.rs
+++ b/crates/wasabipoint_consensus/src/api.rs
@@ -6,6 +6,9 @@
 
 use wasabipoint_kernel::{MemberId, plain_data};
 
+/// Largest command. One command must fit in one message of the transport with its frame.
+pub const MAX_COMMAND_BYTES: usize = 4 * 1_024 * 1_024;
+
 /// The replicated state. Commands are applied in log order on every member.
 pub trait StateMachine: Send + 'static {
     /// Applies a committed command and returns the result for its proposer. It must be
@@ -154,6 +157,8 @@
         AlreadyMember,
         /// The change would remove the last voter.
         LastVoter,
+        /// The member was removed before; a removed id is never used again.
+        RetiredMember,
     }
 }
 
@@ -166,6 +171,7 @@
             Self::UnknownMember => "the member is not in the configuration in the needed role",
             Self::AlreadyMember => "the member is already in the configuration",
             Self::LastVoter => "the change would remove the last voter",
+            Self::RetiredMember => "the member id was removed before; use a new id",
         })
     }
 }
@@ -183,6 +189,8 @@
     OutcomeUnknown,
     /// The queue of proposals is full. The call had no effect.
     Overloaded,
+    /// The command exceeds the size limit. The call had no effect.
+    TooLarge,
     /// The replica has stopped. The call had no effect.
     Stopped,
     /// The membership change was not started.
@@ -200,6 +208,7 @@
             }
             Self::OutcomeUnknown => f.write_str("the proposal may or may not be committed"),
             Self::Overloaded => f.write_str("the queue of proposals is full"),
+            Self::TooLarge => write!(f, "the command is larger than {MAX_COMMAND_BYTES} bytes"),
             Self::Stopped => f.write_str("the replica has stopped"),
             Self::ChangeRefused(reason) => write!(f, "membership change refused: {reason}"),
         }
--- a/crates/wasabipoint_consensus/src/lib.rs
+++ b/crates/wasabipoint_consensus/src/lib.rs
@@ -4,7 +4,7 @@
 mod replica;
 
 pub use api::{
-    ChangeRefusal, MemberStatus, MembershipChange, ProposeError, ReplicaConfig, ReplicaStatus,
+    ChangeRefusal, MAX_COMMAND_BYTES, MemberStatus, MembershipChange, ProposeError, ReplicaConfig, ReplicaStatus,
     RestoreError, Role, StartError, StateMachine, Transport,
 };
 pub use replica::{Replica, ReplicaHandle};
