Add step function, synced storage and driver of the consensus crate

A first member takes part only after all other first members have durably recorded its disk, so a member that lost its disk is refused under its old id.

The last frame of the log is vouched for by the next one: damage to the last frame cannot be told from a torn write and is cut.

--- /dev/null
+++ b/crates/wasabipoint_consensus/src/core/follower.rs
@@ -0,0 +1,174 @@
+//! Entries and snapshots from the leader.
+
+use std::sync::Arc;
+
+use wasabipoint_kernel::MemberId;
+
+use super::{Core, Effect};
+use crate::entry::{Configuration, Entry, SharedBytes, Snapshot};
+use crate::message::Body;
+
+/// A snapshot of which some parts have arrived.
+#[derive(Debug)]
+pub(super) struct IncomingSnapshot {
+    index: u64,
+    term: u64,
+    configuration: Configuration,
+    total_bytes: u64,
+    data: Vec<u8>,
+}
+
+impl Core {
+    fn follow_leader(&mut self, leader: MemberId) {
+        assert!(!self.is_leader(), "a term has at most one leader");
+        self.become_follower(self.hard.term, Some(leader));
+    }
+
+    pub(super) fn accept_append(&mut self, from: MemberId, body: Body) {
+        let Body::Append {
+            prev_index,
+            prev_term,
+            entries,
+            commit,
+            round,
+        } = body
+        else {
+            return;
+        };
+        self.follow_leader(from);
+        let base = self.log.base().0;
+        if prev_index >= base && self.log.term_at(prev_index) != Some(prev_term) {
+            let body = Body::Rejected {
+                prev_index,
+                hint_index: self.last_index_that_may_agree(prev_index),
+                round,
+            };
+            return self.send_when_durable(from, self.hard.term, body);
+        }
+        let last_sent = prev_index + entries.len() as u64;
+        let has_written = self.append_missing(entries);
+        self.advance_commit(commit.min(last_sent));
+        // The leader's log holds everything that is committed here.
+        let verified = last_sent.max(self.commit);
+        self.confirm(from, verified, round, has_written);
+    }
+
+    fn append_missing(&mut self, entries: Vec<Entry>) -> bool {
+        let mut has_written = false;
+        for entry in entries {
+            if entry.index <= self.log.base().0 || self.log.term_at(entry.index) == Some(entry.term)
+            {
+                continue;
+            }
+            if entry.index <= self.log.last_index() {
+                self.truncate_from(entry.index);
+            }
+            self.push_entry(entry);
+            has_written = true;
+        }
+        has_written
+    }
+
+    /// Confirms entries that are durable. A heartbeat is answered at once, also while the disk
+    /// is busy, unless the term itself is not durable yet.
+    fn confirm(&mut self, leader: MemberId, verified: u64, round: u64, has_written: bool) {
+        let is_term_pending = self.hard_batch > self.durable_batch;
+        let is_idle = self.writes.is_empty() && self.durable_batch + 1 == self.open_batch;
+        if has_written || is_term_pending || is_idle {
+            let body = Body::Appended {
+                match_index: verified,
+                round,
+            };
+            self.send_when_durable(leader, self.hard.term, body);
+        } else {
+            let match_index = verified.min(self.durable_index);
+            self.send(leader, Body::Appended { match_index, round });
+        }
+    }
+
+    fn last_index_that_may_agree(&self, prev_index: u64) -> u64 {
+        let last = self.log.last_index();
+        if prev_index > last {
+            return last;
+        }
+        let conflicting = self.log.term_at(prev_index);
+        let mut hint = prev_index - 1;
+        while hint > self.commit && self.log.term_at(hint) == conflicting {
+            hint -= 1;
+        }
+        hint
+    }
+
+    pub(super) fn accept_chunk(&mut self, from: MemberId, body: Body) {
+        let Body::Chunk {
+            index,
+            term,
+            configuration,
+            total_bytes,
+            offset,
+            data,
+            round,
+        } = body
+        else {
+            return;
+        };
+        self.follow_leader(from);
+        if index <= self.commit {
+            return self.confirm(from, self.commit, round, false);
+        }
+        let is_same = |s: &IncomingSnapshot| (s.index, s.term) == (index, term);
+        if offset == 0 && !self.incoming.as_ref().is_some_and(is_same) {
+            self.incoming = Some(IncomingSnapshot {
+                index,
+                term,
+                configuration,
+                total_bytes,
+                data: Vec::new(),
+            });
+        }
+        let mut received_bytes = 0;
+        if let Some(incoming) = self.incoming.as_mut().filter(|s| is_same(s)) {
+            if offset == incoming.data.len() as u64 {
+                incoming.data.extend_from_slice(&data);
+            }
+            received_bytes = incoming.data.len() as u64;
+        }
+        if let Some(done) = self
+            .incoming
+            .take_if(|s| is_same(s) && s.data.len() as u64 >= s.total_bytes)
+        {
+            self.install(done);
+            return self.confirm(from, index, round, true);
+        }
+        let body = Body::ChunkReply {
+            index,
+            received_bytes,
+            round,
+        };
+        self.send_when_durable(from, self.hard.term, body);
+    }
+
+    fn install(&mut self, incoming: IncomingSnapshot) {
+        let IncomingSnapshot { index, term, .. } = incoming;
+        if self.log.term_at(index) == Some(term) {
+            return self.advance_commit(index);
+        }
+        let snapshot = Arc::new(Snapshot {
+            index,
+            term,
+            configuration: incoming.configuration,
+            data: SharedBytes::new(incoming.data),
+        });
+        self.durable_index = self.durable_index.min(self.commit);
+        self.marks.clear();
+        self.marks.push_back((self.open_batch, index));
+        self.log.reset(index, term);
+        self.configurations.clear();
+        self.configurations
+            .push_back((index, snapshot.configuration.clone()));
+        self.commit = index;
+        self.snapshot = Some(Arc::clone(&snapshot));
+        self.effects.push(Effect::Restore(Arc::clone(&snapshot)));
+        self.write_snapshot(snapshot);
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_consensus/src/core/membership.rs
@@ -0,0 +1,78 @@
+//! Membership changes by one member at a time.
+
+use super::{Core, State};
+use crate::api::{ChangeRefusal, MembershipChange, ProposeError};
+use crate::entry::{Configuration, Payload};
+
+impl Core {
+    /// Appends a membership change if this member leads; returns its index in the current term.
+    pub fn change_membership(&mut self, change: MembershipChange) -> Result<u64, ProposeError> {
+        if !self.is_leader() {
+            return Err(self.not_leader());
+        }
+        let next = self
+            .next_configuration(change)
+            .map_err(ProposeError::ChangeRefused)?;
+        Ok(self.append_configuration(next))
+    }
+
+    /// Appends a configuration, which is in force at once.
+    pub(super) fn append_configuration(&mut self, configuration: Configuration) -> u64 {
+        let index = self.append(Payload::Configuration(configuration));
+        self.sync_progress();
+        index
+    }
+
+    fn next_configuration(&self, change: MembershipChange) -> Result<Configuration, ChangeRefusal> {
+        // Without an entry of this term, two leaders could change different older
+        // configurations whose quorums do not intersect.
+        if !self.has_committed_in_term() {
+            return Err(ChangeRefusal::LeaderNotReady);
+        }
+        if self
+            .configurations
+            .back()
+            .is_some_and(|c| c.0 > self.commit)
+        {
+            return Err(ChangeRefusal::ChangeInProgress);
+        }
+        let mut next = self.configuration().clone();
+        match change {
+            MembershipChange::AddLearner(member) => {
+                if next.retired.contains(&member) {
+                    return Err(ChangeRefusal::RetiredMember);
+                }
+                if next.contains(member) {
+                    return Err(ChangeRefusal::AlreadyMember);
+                }
+                next.learners.insert(member);
+            }
+            MembershipChange::Promote(member) => {
+                if !next.learners.remove(&member) {
+                    return Err(ChangeRefusal::UnknownMember);
+                }
+                let progress = match &self.state {
+                    State::Leader(leadership) => leadership.progress.get(&member),
+                    _ => None,
+                };
+                let disk = progress
+                    .filter(|p| p.match_index >= self.commit)
+                    .and_then(|p| p.disk)
+                    .ok_or(ChangeRefusal::LearnerBehind)?;
+                next.voters.insert(member, disk);
+            }
+            MembershipChange::Remove(member) => {
+                if !next.contains(member) {
+                    return Err(ChangeRefusal::UnknownMember);
+                }
+                next.learners.remove(&member);
+                next.voters.remove(&member);
+                next.retired.insert(member);
+                if next.voters.is_empty() {
+                    return Err(ChangeRefusal::LastVoter);
+                }
+            }
+        }
+        Ok(next)
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_consensus/src/entry.rs
@@ -0,0 +1,210 @@
+//! Log entries, configurations and the durable state of a member.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::sync::Arc;
+
+use serde::de::{Error, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use wasabipoint_kernel::{MemberId, plain_data};
+
+/// Immutable bytes that the log, messages and writes share without copying.
+#[derive(Clone, PartialEq, Eq)]
+pub struct SharedBytes(Arc<[u8]>);
+
+impl SharedBytes {
+    /// Takes over the bytes.
+    pub fn new(bytes: impl Into<Arc<[u8]>>) -> Self {
+        Self(bytes.into())
+    }
+}
+
+impl std::ops::Deref for SharedBytes {
+    type Target = [u8];
+
+    fn deref(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl fmt::Debug for SharedBytes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "[{} bytes]", self.0.len())
+    }
+}
+
+impl Serialize for SharedBytes {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_bytes(&self.0)
+    }
+}
+
+impl<'de> Deserialize<'de> for SharedBytes {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_bytes(SharedBytesVisitor)
+    }
+}
+
+struct SharedBytesVisitor;
+
+impl Visitor<'_> for SharedBytesVisitor {
+    type Value = SharedBytes;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("bytes")
+    }
+
+    fn visit_bytes<E: Error>(self, bytes: &[u8]) -> Result<SharedBytes, E> {
+        Ok(SharedBytes::new(bytes))
+    }
+}
+
+plain_data! {
+    copy
+    /// Random number in the identity file of a data folder. It tells a member apart from one
+    /// that lost its disk and starts again under the same id.
+    #[serde(transparent)]
+    pub struct DiskId(pub u64);
+}
+
+plain_data! {
+    data
+    /// The members of the cluster.
+    #[derive(Eq, Default)]
+    pub struct Configuration {
+        /// Members that vote, each with the disk that holds its votes and entries.
+        pub voters: BTreeMap<MemberId, DiskId>,
+        /// Members that receive entries without a vote.
+        pub learners: BTreeSet<MemberId>,
+        /// Removed members. Their ids are never used again.
+        pub retired: BTreeSet<MemberId>,
+    }
+}
+
+impl Configuration {
+    /// Returns the number of voters that decide.
+    pub fn quorum(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Iterates over voters and learners.
+    pub fn members(&self) -> impl Iterator<Item = MemberId> {
+        self.voters.keys().chain(&self.learners).copied()
+    }
+
+    /// Returns whether the member is a voter or a learner.
+    pub fn contains(&self, member: MemberId) -> bool {
+        self.voters.contains_key(&member) || self.learners.contains(&member)
+    }
+}
+
+plain_data! {
+    data
+    /// Content of a log entry.
+    #[derive(Eq)]
+    pub enum Payload {
+        /// A command of the state machine.
+        Command(SharedBytes),
+        /// A configuration, in force from the moment the entry is appended. A new leader appends
+        /// the current one as the entry of its own term.
+        Configuration(Configuration),
+    }
+}
+
+plain_data! {
+    data
+    /// One entry of the replicated log.
+    #[derive(Eq)]
+    pub struct Entry {
+        /// Position in the log, from 1.
+        pub index: u64,
+        /// Term of the leader that appended it.
+        pub term: u64,
+        /// Its content.
+        pub payload: Payload,
+    }
+}
+
+impl Entry {
+    /// Returns the approximate encoded size.
+    pub(crate) fn size(&self) -> usize {
+        const OVERHEAD_BYTES: usize = 16;
+        match &self.payload {
+            Payload::Command(bytes) => OVERHEAD_BYTES + bytes.len(),
+            Payload::Configuration(_) => 16 * OVERHEAD_BYTES,
+        }
+    }
+}
+
+plain_data! {
+    data
+    /// State that is durable before any answer that depends on it.
+    #[derive(Eq, Default)]
+    pub struct HardState {
+        /// The current term.
+        pub term: u64,
+        /// The candidate that got this member's vote in the term.
+        pub vote: Option<MemberId>,
+        /// Disks of the first members, each recorded at the first contact.
+        pub met: BTreeMap<MemberId, DiskId>,
+        /// The first configuration, set once this member takes part in the cluster.
+        pub bootstrap: Option<Configuration>,
+    }
+}
+
+plain_data! {
+    data
+    /// The state machine's state after an entry.
+    #[derive(Eq)]
+    pub struct Snapshot {
+        /// The last entry that the state includes.
+        pub index: u64,
+        /// Term of that entry.
+        pub term: u64,
+        /// The configuration in force at that entry.
+        pub configuration: Configuration,
+        /// The encoded state.
+        pub data: SharedBytes,
+    }
+}
+
+/// What a member finds in its data folder.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Recovered {
+    /// Term, vote and first configuration.
+    pub hard: HardState,
+    /// The latest snapshot.
+    pub snapshot: Option<Arc<Snapshot>>,
+    /// The entry before the first one in `entries`.
+    pub base_index: u64,
+    /// Term of that entry.
+    pub base_term: u64,
+    /// Entries after the base, without gaps.
+    pub entries: Vec<Entry>,
+}
+
+/// One change of the durable state. Changes become durable in the order they are issued.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Write {
+    /// Replaces term, vote and first configuration.
+    Hard(HardState),
+    /// Appends an entry after removing all entries from its index on.
+    Entry(Entry),
+    /// Replaces the snapshot, then the log.
+    Snapshot(Box<Compaction>),
+}
+
+/// A new snapshot together with the log that remains after it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Compaction {
+    /// The snapshot.
+    pub snapshot: Arc<Snapshot>,
+    /// Term, vote and first configuration at this point of the log.
+    pub hard: HardState,
+    /// The entry before the first remaining one.
+    pub base_index: u64,
+    /// Term of that entry.
+    pub base_term: u64,
+    /// Remaining entries.
+    pub entries: Vec<Entry>,
+}
--- /dev/null
+++ b/crates/wasabipoint_consensus/src/replica/driver.rs
@@ -0,0 +1,355 @@
+//! The task that feeds the step function and carries out what it asks for.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use slog::{Logger, crit, info, warn};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinHandle;
+use tokio::time::MissedTickBehavior;
+use wasabipoint_kernel::MemberId;
+
+use crate::api::{
+    MembershipChange, ProposeError, ReplicaConfig, ReplicaStatus, StateMachine, Transport,
+};
+use crate::core::{Core, Effect};
+use crate::entry::{Payload, SharedBytes};
+use crate::message;
+use crate::storage::{DiskError, Storage};
+
+/// Requests and messages handled before writes and messages are issued for all of them.
+const GROUP_SIZE: usize = 1_024;
+
+type Answer = oneshot::Sender<Result<Vec<u8>, ProposeError>>;
+
+/// A call of a handle.
+pub(super) enum Request {
+    Propose {
+        command: Vec<u8>,
+        answer: Answer,
+    },
+    Change {
+        change: MembershipChange,
+        answer: Answer,
+    },
+    Read {
+        answer: oneshot::Sender<Result<u64, ProposeError>>,
+    },
+    Stop,
+}
+
+/// A proposal in the log that is not applied yet.
+struct Waiter {
+    term: u64,
+    answer: Answer,
+}
+
+/// Writes in progress; the storage comes back with the result.
+type DiskTask = JoinHandle<(Storage, u64, Result<(), DiskError>)>;
+
+/// Where the storage is.
+enum Disk {
+    Idle(Storage),
+    Busy(DiskTask),
+    /// A write failed or panicked.
+    Failed,
+}
+
+pub(super) struct Driver {
+    config: ReplicaConfig,
+    core: Core,
+    disk: Disk,
+    machine: Arc<Mutex<dyn StateMachine>>,
+    transport: Arc<dyn Transport>,
+    status: watch::Sender<ReplicaStatus>,
+    logger: Logger,
+    proposals: BTreeMap<u64, Waiter>,
+    reads: HashMap<u64, oneshot::Sender<Result<u64, ProposeError>>>,
+    next_read: u64,
+    is_stopping: bool,
+}
+
+/// Locks the state machine. A panic while it was locked is not ours to hide or to repeat.
+pub(super) fn lock(machine: &Arc<Mutex<dyn StateMachine>>) -> MutexGuard<'_, dyn StateMachine> {
+    machine.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Driver {
+    pub(super) fn new(
+        config: ReplicaConfig,
+        mut core: Core,
+        storage: Storage,
+        machine: Arc<Mutex<dyn StateMachine>>,
+        transport: Arc<dyn Transport>,
+        status: watch::Sender<ReplicaStatus>,
+        logger: Logger,
+    ) -> Self {
+        // The recovered snapshot is restored before the driver starts.
+        core.take_effects();
+        Self {
+            config,
+            core,
+            disk: Disk::Idle(storage),
+            machine,
+            transport,
+            status,
+            logger,
+            proposals: BTreeMap::new(),
+            reads: HashMap::new(),
+            next_read: 0,
+            is_stopping: false,
+        }
+    }
+
+    /// Runs until the replica is stopped, refused by the other members or its disk fails.
+    pub(super) async fn run(
+        mut self,
+        mut requests: mpsc::Receiver<Request>,
+        mut messages: mpsc::Receiver<(MemberId, Vec<u8>)>,
+    ) {
+        let mut ticks = tokio::time::interval(Duration::from_millis(self.config.tick_ms));
+        // After a pause of the process, a burst of ticks would start a needless election.
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            self.carry_out();
+            if self.is_stopping {
+                break;
+            }
+            tokio::select! {
+                _ = ticks.tick() => self.core.tick(),
+                request = requests.recv() => {
+                    self.take_request(request.unwrap_or(Request::Stop));
+                    for _ in 1..GROUP_SIZE {
+                        let Ok(request) = requests.try_recv() else { break };
+                        self.take_request(request);
+                    }
+                }
+                Some((from, bytes)) = messages.recv() => {
+                    self.take_message(from, &bytes);
+                    for _ in 1..GROUP_SIZE {
+                        let Ok((from, bytes)) = messages.try_recv() else { break };
+                        self.take_message(from, &bytes);
+                    }
+                }
+                result = finish_disk(&mut self.disk) => self.take_disk_result(result),
+            }
+        }
+        self.shut_down(requests).await;
+    }
+
+    fn take_request(&mut self, request: Request) {
+        match request {
+            Request::Propose { command, answer } => {
+                let result = self.core.propose(SharedBytes::new(command));
+                self.register(result, answer);
+            }
+            Request::Change { change, answer } => {
+                let result = self.core.change_membership(change);
+                self.register(result, answer);
+            }
+            Request::Read { answer } => {
+                self.next_read += 1;
+                match self.core.request_read(self.next_read) {
+                    Ok(()) => {
+                        self.reads.insert(self.next_read, answer);
+                    }
+                    Err(error) => drop(answer.send(Err(error))),
+                }
+            }
+            Request::Stop => self.is_stopping = true,
+        }
+    }
+
+    fn register(&mut self, result: Result<u64, ProposeError>, answer: Answer) {
+        match result {
+            Ok(index) => {
+                let term = self.core.term();
+                self.proposals.insert(index, Waiter { term, answer });
+            }
+            Err(error) => drop(answer.send(Err(error))),
+        }
+    }
+
+    fn take_message(&mut self, from: MemberId, bytes: &[u8]) {
+        match message::decode(&self.config.cluster, bytes) {
+            Some(message) if message.from == from => self.core.receive(message),
+            _ => warn!(self.logger, "consensus: dropped a message that is malformed or not of \
+                this cluster"; "from" => from.0),
+        }
+    }
+
+    fn take_disk_result(&mut self, result: (Storage, u64, Result<(), DiskError>)) {
+        let (storage, batch, outcome) = result;
+        match outcome {
+            Ok(()) => {
+                self.disk = Disk::Idle(storage);
+                self.core.complete_writes(batch);
+            }
+            Err(error) => {
+                // Not repeated: after a failed sync the system may have dropped the data and
+                // report success.
+                crit!(self.logger, "consensus: stopping, the disk failed"; "error" => %error);
+                self.is_stopping = true;
+            }
+        }
+    }
+
+    /// Sends messages, applies entries, answers callers and starts the next write.
+    fn carry_out(&mut self) {
+        self.core.flush();
+        self.apply_effects();
+        self.answer_reads();
+        self.fail_lost_proposals();
+        self.compact_if_due();
+        self.start_write();
+        for message in self.core.take_messages() {
+            let bytes = message::encode(&self.config.cluster, &message);
+            self.transport.send(message.to, bytes);
+        }
+        self.publish_status();
+        if let Some(reason) = self.core.refusal() {
+            crit!(self.logger, "consensus: stopping, the other members refuse this one";
+                "reason" => %reason);
+            self.is_stopping = true;
+        }
+    }
+
+    fn apply_effects(&mut self) {
+        let effects = self.core.take_effects();
+        if effects.is_empty() {
+            return;
+        }
+        let machine = Arc::clone(&self.machine);
+        let mut machine = lock(&machine);
+        for effect in effects {
+            let entry = match effect {
+                Effect::Apply(entry) => entry,
+                Effect::Restore(snapshot) => {
+                    info!(self.logger, "consensus: installed a snapshot"; "index" => snapshot.index);
+                    if let Err(error) = machine.restore(&snapshot.data) {
+                        crit!(self.logger, "consensus: stopping"; "error" => %error);
+                        self.is_stopping = true;
+                        return;
+                    }
+                    continue;
+                }
+            };
+            let result = match &entry.payload {
+                Payload::Command(command) => machine.apply(entry.index, command),
+                Payload::Configuration(_) => Vec::new(),
+            };
+            if let Some(waiter) = self.proposals.remove(&entry.index) {
+                let is_own = waiter.term == entry.term;
+                let result = is_own.then_some(result);
+                let _ = waiter
+                    .answer
+                    .send(result.ok_or(ProposeError::OutcomeUnknown));
+            }
+        }
+    }
+
+    fn answer_reads(&mut self) {
+        for (id, result) in self.core.take_reads() {
+            if let Some(answer) = self.reads.remove(&id) {
+                let _ = answer.send(result);
+            }
+        }
+    }
+
+    /// Answers callers whose entries another leader may commit or replace.
+    fn fail_lost_proposals(&mut self) {
+        let term = self.core.term();
+        let is_leader = self.core.is_leader();
+        let lost = self
+            .proposals
+            .extract_if(.., |_, waiter| !is_leader || waiter.term != term);
+        for (_, waiter) in lost {
+            let _ = waiter.answer.send(Err(ProposeError::OutcomeUnknown));
+        }
+    }
+
+    fn compact_if_due(&mut self) {
+        let applied = self.core.commit_index();
+        if self.is_stopping || applied - self.core.snapshot_index() < self.config.snapshot_entries {
+            return;
+        }
+        let data = lock(&self.machine).snapshot();
+        self.core.compact(applied, SharedBytes::new(data));
+    }
+
+    fn start_write(&mut self) {
+        // Writes that arrive while the disk is busy are collected and share the next sync.
+        let Disk::Idle(_) = self.disk else {
+            return;
+        };
+        let Some((batch, writes)) = self.core.take_writes() else {
+            return;
+        };
+        let Disk::Idle(mut storage) = std::mem::replace(&mut self.disk, Disk::Failed) else {
+            return;
+        };
+        self.disk = Disk::Busy(tokio::task::spawn_blocking(move || {
+            let result = storage.write(writes);
+            (storage, batch, result)
+        }));
+    }
+
+    fn publish_status(&self) {
+        let status = self.core.status();
+        let is_changed = self.status.send_if_modified(|current| {
+            let is_changed = *current != status;
+            if is_changed && (current.role, current.term) != (status.role, status.term) {
+                info!(self.logger, "consensus: role or term changed";
+                    "role" => ?status.role, "term" => status.term,
+                    "leader" => status.leader.map(|leader| leader.0));
+            }
+            *current = status;
+            is_changed
+        });
+        let _ = is_changed;
+    }
+
+    /// Waits for the write in progress, closes the files and answers all callers.
+    async fn shut_down(mut self, mut requests: mpsc::Receiver<Request>) {
+        requests.close();
+        if let Disk::Busy(task) = std::mem::replace(&mut self.disk, Disk::Failed) {
+            let _ = task.await;
+        }
+        for (_, waiter) in std::mem::take(&mut self.proposals) {
+            let _ = waiter.answer.send(Err(ProposeError::OutcomeUnknown));
+        }
+        for (_, answer) in self.reads.drain() {
+            let _ = answer.send(Err(ProposeError::Stopped));
+        }
+        while let Some(request) = requests.recv().await {
+            match request {
+                Request::Propose { answer, .. } | Request::Change { answer, .. } => {
+                    let _ = answer.send(Err(ProposeError::Stopped));
+                }
+                Request::Read { answer } => drop(answer.send(Err(ProposeError::Stopped))),
+                Request::Stop => {}
+            }
+        }
+        info!(self.logger, "consensus: stopped");
+    }
+}
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        // Also after a panic in the state machine, the status must not look alive.
+        self.status.send_modify(|status| {
+            status.is_stopped = true;
+            status.leader = None;
+            status.remaining_redundancy = 0;
+        });
+    }
+}
+
+/// Waits for the write in progress; never completes if there is none.
+async fn finish_disk(disk: &mut Disk) -> (Storage, u64, Result<(), DiskError>) {
+    match disk {
+        Disk::Busy(task) => task.await.expect("writing does not panic"),
+        Disk::Idle(_) | Disk::Failed => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_consensus/src/storage/frame.rs
@@ -0,0 +1,101 @@
+//! Framing of the log file.
+//!
+//! The file starts with a magic number and a random salt. Each synced group of records is one
+//! frame with a header (magic, sequence, length, payload checksum, header checksum). A frame is
+//! written only after the one before it is synced, so a frame that is followed by a valid one
+//! cannot be the remains of a crash: it is corrupt.
+
+const FILE_MAGIC: [u8; 8] = *b"WPLOG\0\0\x01";
+const FRAME_MAGIC: [u8; 4] = *b"WPfr";
+/// Bytes of the file header: magic, salt, checksum.
+pub(super) const FILE_HEADER_BYTES: usize = 20;
+/// Bytes of a frame header: magic, sequence, length, payload checksum, header checksum.
+const FRAME_HEADER_BYTES: usize = 24;
+
+/// Builds the file header.
+pub(super) fn file_header(salt: u64) -> Vec<u8> {
+    let mut header = FILE_MAGIC.to_vec();
+    header.extend(salt.to_le_bytes());
+    header.extend(crc32c::crc32c(&header).to_le_bytes());
+    header
+}
+
+/// Reads the salt from the file header; `None` if it is damaged.
+pub(super) fn read_file_header(bytes: &[u8]) -> Option<u64> {
+    let header = bytes.get(..FILE_HEADER_BYTES)?;
+    let salt = u64::from_le_bytes(header[8..16].try_into().ok()?);
+    (header == file_header(salt)).then_some(salt)
+}
+
+/// Builds a frame around a payload.
+pub(super) fn frame(salt: u64, sequence: u64, payload: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(payload.len()).expect("a group of records is less than 4 GiB");
+    let mut frame = Vec::with_capacity(FRAME_HEADER_BYTES + payload.len());
+    frame.extend(FRAME_MAGIC);
+    frame.extend(sequence.to_le_bytes());
+    frame.extend(length.to_le_bytes());
+    frame.extend(crc32c::crc32c(payload).to_le_bytes());
+    frame.extend(header_checksum(salt, &frame).to_le_bytes());
+    frame.extend(payload);
+    frame
+}
+
+// The salt keeps bytes inside a payload from passing as a frame header of this file.
+fn header_checksum(salt: u64, header: &[u8]) -> u32 {
+    crc32c::crc32c_append(crc32c::crc32c(&salt.to_le_bytes()), header)
+}
+
+/// A valid frame header.
+struct Header {
+    sequence: u64,
+    length: usize,
+    checksum: u32,
+}
+
+fn read_header(salt: u64, bytes: &[u8]) -> Option<Header> {
+    let header = bytes.get(..FRAME_HEADER_BYTES)?;
+    let number = |at: usize| Some(u32::from_le_bytes(header[at..at + 4].try_into().ok()?));
+    if header[..4] != FRAME_MAGIC || header_checksum(salt, &header[..20]) != number(20)? {
+        return None;
+    }
+    Some(Header {
+        sequence: u64::from_le_bytes(header[4..12].try_into().ok()?),
+        length: number(12)? as usize,
+        checksum: number(16)?,
+    })
+}
+
+/// What a scan of the frames finds.
+pub(super) struct Scan<'a> {
+    /// Payloads of the valid frames.
+    pub(super) payloads: Vec<&'a [u8]>,
+    /// End of the last valid frame.
+    pub(super) valid_bytes: usize,
+    /// Whether a valid frame follows an invalid one.
+    pub(super) is_corrupt: bool,
+}
+
+/// Reads all frames after the file header.
+pub(super) fn scan(salt: u64, bytes: &[u8]) -> Scan<'_> {
+    let mut payloads = Vec::new();
+    let mut at = FILE_HEADER_BYTES;
+    while let Some(payload) = read_frame(salt, payloads.len() as u64, &bytes[at..]) {
+        payloads.push(payload);
+        at += FRAME_HEADER_BYTES + payload.len();
+    }
+    let expected = payloads.len() as u64;
+    let mut rest = bytes[at..].windows(FRAME_HEADER_BYTES);
+    let is_corrupt =
+        rest.any(|window| read_header(salt, window).is_some_and(|h| h.sequence > expected));
+    Scan {
+        payloads,
+        valid_bytes: at,
+        is_corrupt,
+    }
+}
+
+fn read_frame(salt: u64, sequence: u64, bytes: &[u8]) -> Option<&[u8]> {
+    let header = read_header(salt, bytes)?;
+    let payload = bytes.get(FRAME_HEADER_BYTES..FRAME_HEADER_BYTES + header.length)?;
+    (header.sequence == sequence && crc32c::crc32c(payload) == header.checksum).then_some(payload)
+}
--- /dev/null
+++ b/crates/wasabipoint_consensus/src/storage/identity.rs
@@ -0,0 +1,67 @@
+//! The identity file: whose data folder it is.
+
+use std::path::Path;
+
+use wasabipoint_kernel::MemberId;
+
+use crate::api::StartError;
+use crate::entry::DiskId;
+
+const TITLE: &str = "wasabipoint-consensus 1";
+
+/// Content of the identity file, written once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Identity {
+    pub(super) cluster: String,
+    pub(super) member: MemberId,
+    pub(super) disk: DiskId,
+}
+
+impl Identity {
+    pub(super) fn to_text(&self) -> String {
+        let Self {
+            cluster,
+            member,
+            disk,
+        } = self;
+        format!(
+            "{TITLE}\ncluster = {cluster}\nmember = {member}\ndisk = {:016x}\n",
+            disk.0
+        )
+    }
+
+    pub(super) fn parse(text: &str) -> Option<Self> {
+        let mut lines = text.lines();
+        if lines.next()? != TITLE {
+            return None;
+        }
+        let cluster = lines.next()?.strip_prefix("cluster = ")?.to_owned();
+        let member = lines.next()?.strip_prefix("member = ")?.parse().ok()?;
+        let disk = u64::from_str_radix(lines.next()?.strip_prefix("disk = ")?, 16).ok()?;
+        Some(Self {
+            cluster,
+            member: MemberId(member),
+            disk: DiskId(disk),
+        })
+    }
+
+    /// Refuses the folder if it belongs to another member or cluster.
+    pub(super) fn check(
+        &self,
+        folder: &Path,
+        cluster: &str,
+        member: MemberId,
+    ) -> Result<(), StartError> {
+        if self.cluster == cluster && self.member == member {
+            return Ok(());
+        }
+        Err(StartError::ForeignFolder {
+            folder: folder.to_owned(),
+            detail: format!(
+                "it belongs to member {} of cluster {}, expected member {member} of cluster \
+                 {cluster}",
+                self.member, self.cluster
+            ),
+        })
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_consensus/tests/driver.rs
@@ -0,0 +1,227 @@
+//! The driver on a paused clock, with real files and an in-memory transport.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+#[path = "driver/cluster.rs"]
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::Cluster;
+use tokio::time::{Instant, sleep, timeout};
+use wasabipoint_consensus::{MembershipChange, ProposeError, StartError};
+use wasabipoint_kernel::MemberId;
+
+const PATIENCE: Duration = Duration::from_mins(1);
+
+/// Guards against a cluster that commits nothing, or different things on its members.
+#[tokio::test(start_paused = true)]
+async fn commits_on_all_members() {
+    let cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    for value in 0..100 {
+        cluster.append(leader, value).await.unwrap();
+    }
+    cluster.wait_applied(100).await;
+    for id in [1, 2, 3] {
+        assert_eq!(cluster.values(id), (0..100).collect::<Vec<_>>());
+    }
+    assert_eq!(cluster.handle(leader).status().remaining_redundancy, 1);
+    cluster.stop_all().await;
+}
+
+/// Guards against a cluster that stays without a leader, or loses entries, when its leader dies.
+#[tokio::test(start_paused = true)]
+async fn elects_a_leader_after_the_leader_is_killed() {
+    let mut cluster = Cluster::start(3).await;
+    let first = cluster.leader().await;
+    cluster.append(first, 1).await.unwrap();
+    cluster.stop(first).await;
+    let started = Instant::now();
+    let second = cluster.leader().await;
+    assert!(started.elapsed() < Duration::from_secs(10));
+    cluster.append(second, 2).await.unwrap();
+    cluster.restart(first).await.unwrap();
+    cluster.wait_applied(2).await;
+    for id in [1, 2, 3] {
+        assert_eq!(cluster.values(id), [1, 2]);
+    }
+    cluster.stop_all().await;
+}
+
+/// Guards against a returning member that raises the term, and against a leader that answers
+/// reads or takes proposals although it is cut off.
+#[tokio::test(start_paused = true)]
+async fn a_member_cut_off_for_long_returns_without_harm() {
+    let cluster = Cluster::start(3).await;
+    let cut = cluster.leader().await;
+    cluster.append(cut, 1).await.unwrap();
+    cluster.cut(cut, true);
+    let read = timeout(PATIENCE, cluster.handle(cut).confirm_read()).await;
+    assert!(
+        matches!(read, Ok(Err(ProposeError::NotLeader { .. }))),
+        "{read:?}"
+    );
+    let leader = cluster.leader_among(&others(cut)).await;
+    cluster.append(leader, 2).await.unwrap();
+    let term = cluster.handle(leader).status().term;
+    sleep(Duration::from_hours(1)).await;
+    assert_eq!(cluster.handle(leader).status().term, term);
+    cluster.cut(cut, false);
+    cluster.append(leader, 3).await.unwrap();
+    cluster.wait_applied(3).await;
+    assert_eq!(cluster.values(cut), [1, 2, 3]);
+    assert_eq!(cluster.handle(leader).status().term, term);
+    cluster.stop_all().await;
+}
+
+/// Guards against a member that lost its disk and still counts under its old id, against a
+/// repaired member that is counted too early, and against a loss right after the repair.
+#[tokio::test(start_paused = true)]
+async fn a_second_member_is_lost_right_after_a_repair() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    let [lost, second] = others(leader);
+    for value in 0..200 {
+        cluster.append(leader, value).await.unwrap();
+    }
+    cluster.stop(lost).await;
+    cluster.erase(lost);
+    cluster.restart(lost).await.unwrap();
+    let mut status = cluster.handle(lost).watch_status();
+    let refused = timeout(PATIENCE, status.wait_for(|s| s.is_stopped)).await;
+    refused.unwrap().unwrap();
+    cluster.wait_redundancy(leader, 0).await;
+
+    cluster.join(4).await;
+    let change = cluster.handle(leader);
+    change
+        .change_membership(MembershipChange::AddLearner(MemberId(4)))
+        .await
+        .unwrap();
+    assert_eq!(change.status().remaining_redundancy, 0);
+    cluster.promote(leader, 4).await;
+    change
+        .change_membership(MembershipChange::Remove(MemberId(lost)))
+        .await
+        .unwrap();
+    cluster.wait_redundancy(leader, 1).await;
+
+    cluster.stop(second).await;
+    cluster.wait_redundancy(leader, 0).await;
+    cluster.append(leader, 200).await.unwrap();
+    cluster.wait_values(4, 201).await;
+    let old_id = MembershipChange::AddLearner(MemberId(lost));
+    let result = change.change_membership(old_id).await;
+    assert!(
+        matches!(result, Err(ProposeError::ChangeRefused(_))),
+        "{result:?}"
+    );
+    cluster.stop_all().await;
+}
+
+/// Guards against state that only lived in memory, and against a log that grows without bound.
+#[tokio::test(start_paused = true)]
+async fn all_members_restart_after_many_changes() {
+    let mut cluster = Cluster::start(3).await;
+    let leader = cluster.leader().await;
+    for value in 0..500 {
+        cluster.append(leader, value).await.unwrap();
+    }
+    cluster.stop_all().await;
+    for id in [1, 2, 3] {
+        cluster.restart(id).await.unwrap();
+    }
+    let leader = cluster.leader().await;
+    cluster.append(leader, 500).await.unwrap();
+    cluster.wait_applied(501).await;
+    for id in [1, 2, 3] {
+        assert_eq!(cluster.values(id), (0..=500).collect::<Vec<_>>());
+    }
+    cluster.stop_all().await;
+}
+
+/// Guards against an acknowledgement after a failed write, and against a replica that goes on
+/// with a disk in an unknown state.
+#[tokio::test(start_paused = true)]
+async fn a_full_disk_stops_the_replica_without_losing_acknowledged_entries() {
+    for allowed_operations in 3..40 {
+        let mut cluster = Cluster::new(1);
+        cluster.fail_disk_after(1, allowed_operations);
+        cluster.restart(1).await.unwrap();
+        let mut acknowledged = Vec::new();
+        let handle = cluster.handle(1);
+        let mut status = handle.watch_status();
+        for value in 0.. {
+            match cluster.append(1, value).await {
+                Ok(_) => acknowledged.push(value),
+                Err(ProposeError::NotLeader { .. }) => sleep(Duration::from_millis(50)).await,
+                Err(error) => {
+                    assert!(matches!(
+                        error,
+                        ProposeError::OutcomeUnknown | ProposeError::Stopped
+                    ));
+                    break;
+                }
+            }
+        }
+        status.wait_for(|s| s.is_stopped).await.unwrap();
+        cluster.stop(1).await;
+        cluster.repair_disk(1);
+        cluster.restart(1).await.unwrap();
+        cluster.leader().await;
+        cluster.handle(1).confirm_read().await.unwrap();
+        let values = cluster.values(1);
+        let lost: Vec<_> = acknowledged
+            .iter()
+            .filter(|v| !values.contains(v))
+            .collect();
+        assert!(
+            lost.is_empty(),
+            "{lost:?} lost after {allowed_operations} operations"
+        );
+        cluster.stop_all().await;
+    }
+}
+
+/// Guards against two replicas that write the same log.
+#[tokio::test(start_paused = true)]
+async fn a_second_replica_on_the_folder_is_refused() {
+    let mut cluster = Cluster::start(1).await;
+    cluster.leader().await;
+    let second = cluster.try_start(1).await;
+    assert!(matches!(second, Err(StartError::FolderInUse { .. })));
+    cluster.stop_all().await;
+}
+
+/// Guards against unbounded queues, and against concurrent proposals that each sync the disk.
+#[tokio::test(start_paused = true)]
+async fn a_burst_shares_syncs_and_is_bounded() {
+    let mut cluster = Cluster::new(1);
+    let operations = cluster.count_disk_operations(1);
+    cluster.restart(1).await.unwrap();
+    cluster.leader().await;
+    let before = operations.load(std::sync::atomic::Ordering::Relaxed);
+    let handle = cluster.handle(1);
+    let burst = (0..6_000).map(|value: u64| {
+        let handle = handle.clone();
+        tokio::spawn(async move { handle.propose(value.to_le_bytes().to_vec()).await })
+    });
+    let (mut committed, mut refused) = (0, 0);
+    for call in burst.collect::<Vec<_>>() {
+        match call.await.unwrap() {
+            Ok(_) => committed += 1,
+            Err(ProposeError::Overloaded) => refused += 1,
+            Err(error) => panic!("{error}"),
+        }
+    }
+    assert!(committed >= 4_096 && refused > 0, "{committed} {refused}");
+    let spent = operations.load(std::sync::atomic::Ordering::Relaxed) - before;
+    assert!(spent < 600, "{spent} disk operations");
+    cluster.stop_all().await;
+}
+
+fn others(id: u64) -> [u64; 2] {
+    let others: Vec<u64> = (1..=3).filter(|other| *other != id).collect();
+    [others[0], others[1]]
+}
--- /dev/null
+++ b/crates/wasabipoint_consensus/tests/driver/cluster.rs
@@ -0,0 +1,270 @@
+//! Members in one process, each with its own folder, that can be cut off, stopped and erased.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use slog::{Discard, Logger, o};
+use tokio::time::{sleep, timeout};
+use wasabipoint_consensus::{
+    ChangeRefusal, DiskHook, MembershipChange, ProposeError, Replica, ReplicaConfig, ReplicaHandle,
+    RestoreError, Role, StartError, StateMachine, Transport,
+};
+use wasabipoint_kernel::MemberId;
+
+const PATIENCE: Duration = Duration::from_mins(1);
+
+/// The list of all values applied so far.
+#[derive(Default)]
+struct List(Vec<u64>);
+
+impl StateMachine for List {
+    fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
+        self.0.push(u64::from_le_bytes(command.try_into().unwrap()));
+        self.0.len().to_le_bytes().to_vec()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.iter().flat_map(|v| v.to_le_bytes()).collect()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        let words = snapshot.chunks_exact(8);
+        self.0 = words
+            .map(|w| u64::from_le_bytes(w.try_into().unwrap()))
+            .collect();
+        Ok(())
+    }
+}
+
+#[derive(Default)]
+struct Network {
+    handles: BTreeMap<u64, ReplicaHandle>,
+    cut: BTreeSet<u64>,
+}
+
+struct Link {
+    from: u64,
+    network: Arc<Mutex<Network>>,
+}
+
+impl Transport for Link {
+    fn send(&self, to: MemberId, message: Vec<u8>) {
+        let network = self.network.lock().unwrap();
+        if !network.cut.contains(&self.from)
+            && !network.cut.contains(&to.0)
+            && let Some(handle) = network.handles.get(&to.0)
+        {
+            handle.deliver(MemberId(self.from), message);
+        }
+    }
+}
+
+pub(crate) struct Cluster {
+    folder: PathBuf,
+    size: u64,
+    network: Arc<Mutex<Network>>,
+    machines: BTreeMap<u64, Arc<Mutex<List>>>,
+    disk_limits: BTreeMap<u64, u64>,
+    disk_operations: BTreeMap<u64, Arc<AtomicU64>>,
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Cluster {
+    pub(crate) fn new(size: u64) -> Self {
+        let name = format!("wasabipoint-driver-{:016x}", rand::random::<u64>());
+        Self {
+            folder: std::env::temp_dir().join(name),
+            size,
+            network: Arc::default(),
+            machines: BTreeMap::new(),
+            disk_limits: BTreeMap::new(),
+            disk_operations: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) async fn start(size: u64) -> Self {
+        let mut cluster = Self::new(size);
+        for id in 1..=size {
+            cluster.restart(id).await.unwrap();
+        }
+        cluster
+    }
+
+    pub(crate) async fn restart(&mut self, id: u64) -> Result<(), StartError> {
+        let handle = self.try_start(id).await?;
+        self.network.lock().unwrap().handles.insert(id, handle);
+        Ok(())
+    }
+
+    pub(crate) async fn join(&mut self, id: u64) {
+        self.restart(id).await.unwrap();
+    }
+
+    pub(crate) async fn try_start(&mut self, id: u64) -> Result<ReplicaHandle, StartError> {
+        let config = ReplicaConfig {
+            cluster: "test".to_owned(),
+            member: MemberId(id),
+            members: (1..=self.size).map(MemberId).collect(),
+            is_joining: id > self.size,
+            data_folder: self.folder.join(id.to_string()),
+            tick_ms: 50,
+            snapshot_entries: 50,
+        };
+        let machine = Arc::new(Mutex::new(List::default()));
+        let link = Arc::new(Link {
+            from: id,
+            network: Arc::clone(&self.network),
+        });
+        let logger = Logger::root(Discard, o!());
+        let hook = Some(self.disk_hook(id));
+        let handle =
+            Replica::start_with_disk_hook(config, machine.clone(), link, logger, hook).await?;
+        self.machines.insert(id, machine);
+        Ok(handle)
+    }
+
+    fn disk_hook(&mut self, id: u64) -> DiskHook {
+        let operations = self.count_disk_operations(id);
+        let limit = self.disk_limits.get(&id).copied().unwrap_or(u64::MAX);
+        Box::new(move |_| {
+            if operations.fetch_add(1, Ordering::Relaxed) >= limit {
+                return Err(io::Error::from(io::ErrorKind::StorageFull));
+            }
+            Ok(())
+        })
+    }
+
+    pub(crate) fn count_disk_operations(&mut self, id: u64) -> Arc<AtomicU64> {
+        Arc::clone(self.disk_operations.entry(id).or_default())
+    }
+
+    pub(crate) fn fail_disk_after(&mut self, id: u64, operations: u64) {
+        self.disk_limits.insert(id, operations);
+    }
+
+    pub(crate) fn repair_disk(&mut self, id: u64) {
+        self.disk_limits.remove(&id);
+    }
+
+    pub(crate) fn handle(&self, id: u64) -> ReplicaHandle {
+        self.network.lock().unwrap().handles[&id].clone()
+    }
+
+    pub(crate) fn values(&self, id: u64) -> Vec<u64> {
+        self.machines[&id].lock().unwrap().0.clone()
+    }
+
+    pub(crate) async fn append(&self, id: u64, value: u64) -> Result<Vec<u8>, ProposeError> {
+        let handle = self.handle(id);
+        let call = handle.propose(value.to_le_bytes().to_vec());
+        timeout(PATIENCE, call).await.expect("the call is answered")
+    }
+
+    pub(crate) async fn stop(&self, id: u64) {
+        let handle = self.network.lock().unwrap().handles.remove(&id);
+        if let Some(handle) = handle {
+            timeout(PATIENCE, handle.stop())
+                .await
+                .expect("the replica stops");
+        }
+    }
+
+    pub(crate) async fn stop_all(&self) {
+        let ids: Vec<u64> = self
+            .network
+            .lock()
+            .unwrap()
+            .handles
+            .keys()
+            .copied()
+            .collect();
+        for id in ids {
+            self.stop(id).await;
+        }
+    }
+
+    pub(crate) fn erase(&self, id: u64) {
+        std::fs::remove_dir_all(self.folder.join(id.to_string())).unwrap();
+    }
+
+    pub(crate) fn cut(&self, id: u64, is_cut: bool) {
+        let mut network = self.network.lock().unwrap();
+        if is_cut {
+            network.cut.insert(id);
+        } else {
+            network.cut.remove(&id);
+        }
+    }
+
+    pub(crate) async fn leader(&self) -> u64 {
+        let ids: Vec<u64> = self
+            .network
+            .lock()
+            .unwrap()
+            .handles
+            .keys()
+            .copied()
+            .collect();
+        self.leader_among(&ids).await
+    }
+
+    pub(crate) async fn leader_among(&self, ids: &[u64]) -> u64 {
+        let is_leading = |id: &&u64| self.handle(**id).status().role == Role::Leader;
+        let found = self.wait_until(|| ids.iter().find(is_leading).copied());
+        let leader = found.await;
+        self.handle(leader).confirm_read().await.unwrap();
+        leader
+    }
+
+    pub(crate) async fn wait_applied(&self, count: usize) {
+        let is_applied = |machine: &Arc<Mutex<List>>| machine.lock().unwrap().0.len() >= count;
+        self.wait_until(|| self.machines.values().all(is_applied).then_some(()))
+            .await;
+    }
+
+    pub(crate) async fn wait_values(&self, id: u64, count: usize) {
+        self.wait_until(|| (self.values(id).len() == count).then_some(()))
+            .await;
+    }
+
+    pub(crate) async fn wait_redundancy(&self, leader: u64, redundancy: usize) {
+        let handle = self.handle(leader);
+        self.wait_until(|| (handle.status().remaining_redundancy == redundancy).then_some(()))
+            .await;
+    }
+
+    pub(crate) async fn promote(&self, leader: u64, learner: u64) {
+        let change = MembershipChange::Promote(MemberId(learner));
+        loop {
+            match self.handle(leader).change_membership(change).await {
+                Err(ProposeError::ChangeRefused(ChangeRefusal::LearnerBehind)) => {
+                    sleep(Duration::from_millis(50)).await;
+                }
+                result => return result.unwrap(),
+            }
+        }
+    }
+
+    async fn wait_until<T>(&self, condition: impl Fn() -> Option<T>) -> T {
+        let poll = async {
+            loop {
+                if let Some(found) = condition() {
+                    return found;
+                }
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(PATIENCE, poll)
+            .await
+            .expect("the condition is met in time")
+    }
+}
