--- /dev/null
+++ b/crates/wasabipoint_consensus/tests/schedules/simulation.rs
@@ -0,0 +1,496 @@
+//! Members, disks, messages and clients under one seeded scheduler.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use rand::rngs::StdRng;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{Rng, SeedableRng};
+use wasabipoint_consensus::{
+    Core, CoreConfig, DiskId, Effect, Entry, MembershipChange, Message, Payload, SharedBytes,
+};
+use wasabipoint_kernel::MemberId;
+
+use crate::disk::{Disk, Step, steps_of};
+use crate::oracle::Oracle;
+
+/// Applied entries between snapshots; small, so that members that were away need one.
+const SNAPSHOT_ENTRIES: u64 = 12;
+const CLIENTS: usize = 4;
+/// Bounds the work of the checker.
+const MAX_CALLS: usize = 160;
+
+#[derive(Default, Clone)]
+struct Register {
+    value: u64,
+    digest: u64,
+    index: u64,
+}
+
+impl Register {
+    fn apply(&mut self, entry: &Entry) {
+        let mut hasher = DefaultHasher::new();
+        (self.digest, entry.index, entry.term).hash(&mut hasher);
+        if let Payload::Command(command) = &entry.payload {
+            self.value = u64::from_le_bytes(command[..].try_into().unwrap());
+            self.value.hash(&mut hasher);
+        }
+        self.digest = hasher.finish();
+        self.index = entry.index;
+    }
+
+    fn encode(&self, padding: usize) -> Vec<u8> {
+        let words = [self.value, self.digest, self.index];
+        let mut bytes: Vec<u8> = words.iter().flat_map(|w| w.to_le_bytes()).collect();
+        bytes.resize(bytes.len() + padding, 0);
+        bytes
+    }
+
+    fn decode(bytes: &[u8]) -> Self {
+        let word = |at: usize| u64::from_le_bytes(bytes[at..at + 8].try_into().unwrap());
+        Self {
+            value: word(0),
+            digest: word(8),
+            index: word(16),
+        }
+    }
+}
+
+#[derive(Default)]
+struct Node {
+    disk_id: DiskIdBits,
+    disk: Disk,
+    /// Steps of the batch in progress; none are durable before the completion or a crash.
+    batch: Option<(u64, Vec<Step>)>,
+    core: Option<Core>,
+    register: Register,
+    /// Calls that wait for an entry, with its term.
+    writes: BTreeMap<u64, (u64, usize)>,
+    is_joining: bool,
+    has_lost_disk: bool,
+    is_refused: bool,
+}
+
+type DiskIdBits = u64;
+
+struct Client {
+    process: usize,
+    /// The member that the call went to.
+    member: u64,
+    call: Option<usize>,
+}
+
+pub(crate) struct Simulation {
+    rng: StdRng,
+    first_members: u64,
+    snapshot_padding: usize,
+    nodes: BTreeMap<u64, Node>,
+    wire: Vec<Message>,
+    cuts: BTreeSet<(u64, u64)>,
+    pub(crate) loss_percent: u32,
+    clients: Vec<Client>,
+    next_value: u64,
+    pub(crate) oracle: Oracle,
+}
+
+impl Simulation {
+    pub(crate) fn new(seed: u64, first_members: u64, snapshot_padding: usize) -> Self {
+        let mut oracle = Oracle::default();
+        let client = |_| Client {
+            process: oracle.new_process(),
+            member: 0,
+            call: None,
+        };
+        let clients = (0..CLIENTS).map(client).collect();
+        let mut simulation = Self {
+            rng: StdRng::seed_from_u64(seed),
+            first_members,
+            snapshot_padding,
+            nodes: BTreeMap::new(),
+            wire: Vec::new(),
+            cuts: BTreeSet::new(),
+            loss_percent: 0,
+            clients,
+            next_value: 1,
+            oracle,
+        };
+        for id in 1..=first_members {
+            simulation.add_node(id);
+        }
+        simulation
+    }
+
+    fn add_node(&mut self, id: u64) {
+        let node = Node {
+            disk_id: self.rng.random(),
+            is_joining: id > self.first_members,
+            ..Node::default()
+        };
+        self.nodes.insert(id, node);
+        self.start(id);
+    }
+
+    fn start(&mut self, id: u64) {
+        let seed = self.rng.random();
+        let node = self.nodes.get_mut(&id).unwrap();
+        let config = CoreConfig {
+            member: MemberId(id),
+            disk: DiskId(node.disk_id),
+            initial_members: (1..=self.first_members).map(MemberId).collect(),
+            is_joining: node.is_joining,
+            trailing_entries: SNAPSHOT_ENTRIES / 2,
+            seed,
+        };
+        node.register = Register::default();
+        node.core = Some(Core::new(config, node.disk.recover()));
+        self.carry_out(id);
+    }
+
+    /// Stops a member; some steps of its batch in progress may have become durable.
+    pub(crate) fn crash(&mut self, id: u64, durable_steps: usize) {
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        node.core = None;
+        node.writes.clear();
+        if let Some((_, steps)) = node.batch.take() {
+            for step in steps.into_iter().take(durable_steps) {
+                node.disk
+                    .apply(step, |entry, prev| self.oracle.note_written(entry, prev));
+            }
+        }
+        for client in &mut self.clients {
+            if client.member == id && client.call.take().is_some() {
+                client.process = self.oracle.new_process();
+            }
+        }
+    }
+
+    pub(crate) fn restart(&mut self, id: u64) {
+        if self
+            .nodes
+            .get(&id)
+            .is_some_and(|n| n.core.is_none() && !n.is_refused)
+        {
+            self.start(id);
+        }
+    }
+
+    /// Starts a member again with an empty disk under its old id, unless too few disks remain.
+    pub(crate) fn lose_disk(&mut self, id: u64) {
+        let configurations = self.oracle.live_configurations();
+        let is_tolerable = !configurations.is_empty()
+            && configurations.iter().all(|configuration| {
+                let voters = configuration.voters.keys();
+                let healthy = voters.filter(|v| v.0 != id && !self.nodes[&v.0].has_lost_disk);
+                healthy.count() >= configuration.quorum()
+            });
+        if !is_tolerable || self.nodes.get(&id).is_none_or(|n| n.has_lost_disk) {
+            return;
+        }
+        self.crash(id, 0);
+        let disk_id = self.rng.random();
+        let node = self.nodes.get_mut(&id).unwrap();
+        node.disk = Disk::default();
+        node.disk_id = disk_id;
+        node.has_lost_disk = true;
+        self.start(id);
+    }
+
+    pub(crate) fn ids(&self) -> Vec<u64> {
+        self.nodes.keys().copied().collect()
+    }
+
+    pub(crate) fn cut(&mut self, from: u64, to: u64) {
+        self.cuts.insert((from, to));
+    }
+
+    pub(crate) fn isolate(&mut self, id: u64) {
+        for other in self.ids() {
+            self.cut(id, other);
+            self.cut(other, id);
+        }
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    fn leaders(&self) -> Vec<u64> {
+        let leads = |n: &Node| n.core.as_ref().is_some_and(Core::is_leader);
+        let leaders = self.nodes.iter().filter(|(_, n)| leads(n));
+        leaders.map(|(id, _)| *id).collect()
+    }
+
+    /// Returns the leader of the latest term and its term.
+    pub(crate) fn leader(&self) -> Option<(u64, u64)> {
+        let term = |id: &u64| self.nodes[id].core.as_ref().map_or(0, Core::term);
+        let leader = self.leaders().into_iter().max_by_key(term);
+        leader.map(|id| (id, term(&id)))
+    }
+
+    /// Adds a learner, promotes one or removes a member, as far as enough disks remain.
+    pub(crate) fn change_membership(&mut self, kind: u8, pick: usize) {
+        let Some((leader, _)) = self.leader() else {
+            return;
+        };
+        let core = self.nodes[&leader].core.as_ref().unwrap();
+        let configuration = core.configuration().clone();
+        let change = match kind % 3 {
+            0 if configuration.members().count() < 6 => {
+                let id = self.nodes.keys().last().unwrap() + 1;
+                self.add_node(id);
+                MembershipChange::AddLearner(MemberId(id))
+            }
+            1 if configuration.voters.len() < 5 => {
+                let learners: Vec<_> = configuration.learners.iter().collect();
+                let Some(learner) = learners.get(pick % learners.len().max(1)) else {
+                    return;
+                };
+                MembershipChange::Promote(**learner)
+            }
+            2 => {
+                let voters: Vec<_> = configuration.voters.keys().collect();
+                let lost = voters.iter().find(|v| self.nodes[&v.0].has_lost_disk);
+                let removed = **lost.unwrap_or(&voters[pick % voters.len()]);
+                let rest = voters.iter().filter(|v| ***v != removed);
+                let healthy = rest.filter(|v| !self.nodes[&v.0].has_lost_disk).count();
+                if voters.len() < 3 || healthy < (voters.len() - 1) / 2 + 1 {
+                    return;
+                }
+                MembershipChange::Remove(removed)
+            }
+            _ => return,
+        };
+        let core = self.nodes.get_mut(&leader).unwrap().core.as_mut().unwrap();
+        let _ = core.change_membership(change);
+        self.carry_out(leader);
+    }
+
+    /// Lets time pass: ticks, messages in any order, disk completions and calls of clients.
+    pub(crate) fn run(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            let mut ids = self.ids();
+            ids.shuffle(&mut self.rng);
+            for id in ids {
+                // Clocks of members run at different speeds.
+                if self.rng.random_ratio(9, 10) {
+                    self.step(id, Core::tick);
+                }
+            }
+            for _ in 0..3 {
+                self.deliver_all();
+                self.complete_disks();
+            }
+            self.call_clients();
+        }
+    }
+
+    fn step(&mut self, id: u64, input: impl FnOnce(&mut Core)) {
+        if let Some(core) = self.nodes.get_mut(&id).and_then(|n| n.core.as_mut()) {
+            input(core);
+            self.carry_out(id);
+        }
+    }
+
+    fn deliver_all(&mut self) {
+        let mut messages = std::mem::take(&mut self.wire);
+        messages.shuffle(&mut self.rng);
+        for message in messages {
+            let chance = self.rng.random_range(0..100);
+            if chance < self.loss_percent || self.cuts.contains(&(message.from.0, message.to.0)) {
+                continue;
+            }
+            if chance >= 92 {
+                // Late by a sweep or more, or repeated.
+                self.wire.push(message.clone());
+            }
+            if chance < 96 {
+                self.step(message.to.0, |core| core.receive(message));
+            }
+        }
+    }
+
+    fn complete_disks(&mut self) {
+        for id in self.ids() {
+            if !self.rng.random_ratio(2, 3) {
+                continue;
+            }
+            let node = self.nodes.get_mut(&id).unwrap();
+            if let Some((batch, steps)) = node.batch.take() {
+                for step in steps {
+                    node.disk
+                        .apply(step, |entry, prev| self.oracle.note_written(entry, prev));
+                }
+                self.step(id, |core| core.complete_writes(batch));
+            }
+        }
+    }
+
+    fn call_clients(&mut self) {
+        let leaders = self.leaders();
+        for client in 0..self.clients.len() {
+            if self.clients[client].call.is_some() {
+                // A caller gives up now and then; the outcome stays unknown.
+                if self.rng.random_ratio(1, 40) {
+                    self.clients[client].call = None;
+                    self.clients[client].process = self.oracle.new_process();
+                }
+                continue;
+            }
+            // Outdated leaders are asked as well.
+            let Some(leader) = leaders.choose(&mut self.rng).copied() else {
+                return;
+            };
+            if self.rng.random_ratio(1, 3) && self.next_value < MAX_CALLS as u64 {
+                let is_read = self.rng.random_ratio(1, 2);
+                self.call(client, leader, is_read);
+            }
+        }
+    }
+
+    fn call(&mut self, client: usize, leader: u64, is_read: bool) {
+        let value = self.next_value;
+        self.next_value += 1;
+        let process = self.clients[client].process;
+        let call = self.oracle.call(process, (!is_read).then_some(value));
+        self.clients[client].call = Some(call);
+        self.clients[client].member = leader;
+        let node = self.nodes.get_mut(&leader).unwrap();
+        let core = node.core.as_mut().unwrap();
+        let result = if is_read {
+            core.request_read(call as u64)
+        } else {
+            let command = SharedBytes::new(value.to_le_bytes().to_vec());
+            let term = core.term();
+            core.propose(command).map(|index| {
+                node.writes.insert(index, (term, call));
+            })
+        };
+        if result.is_err() {
+            self.finish_call(call);
+        }
+        self.carry_out(leader);
+    }
+
+    fn finish_call(&mut self, call: usize) {
+        for client in &mut self.clients {
+            client.call.take_if(|waiting| *waiting == call);
+        }
+    }
+
+    fn is_awaited(&self, call: usize) -> bool {
+        self.clients.iter().any(|c| c.call == Some(call))
+    }
+
+    /// Does what the driver does after each group of inputs.
+    fn carry_out(&mut self, id: u64) {
+        let node = self.nodes.get_mut(&id).unwrap();
+        let Some(mut core) = node.core.take() else {
+            return;
+        };
+        core.flush();
+        for effect in core.take_effects() {
+            self.apply_effect(id, effect);
+        }
+        for (call, result) in core.take_reads() {
+            let call = call as usize;
+            if self.is_awaited(call) {
+                if let Ok(index) = result {
+                    let register = &self.nodes[&id].register;
+                    assert!(register.index >= index, "state is behind the read barrier");
+                    self.oracle.answer_read(call, register.value);
+                }
+                self.finish_call(call);
+            }
+        }
+        let node = self.nodes.get_mut(&id).unwrap();
+        if core.commit_index() - core.snapshot_index() >= SNAPSHOT_ENTRIES {
+            let data = node.register.encode(self.snapshot_padding);
+            core.compact(core.commit_index(), SharedBytes::new(data));
+        }
+        if node.batch.is_none()
+            && let Some((batch, writes)) = core.take_writes()
+        {
+            node.batch = Some((batch, steps_of(writes)));
+        }
+        self.wire.extend(core.take_messages());
+        if core.is_leader() {
+            self.oracle.note_leader(core.term(), id);
+        }
+        if core.refusal().is_some() {
+            node.is_refused = true;
+            node.batch = None;
+            return;
+        }
+        node.core = Some(core);
+    }
+
+    fn apply_effect(&mut self, id: u64, effect: Effect) {
+        let node = self.nodes.get_mut(&id).unwrap();
+        match effect {
+            Effect::Restore(snapshot) => {
+                node.register = Register::decode(&snapshot.data);
+                assert_eq!(node.register.index, snapshot.index);
+            }
+            Effect::Apply(entry) => {
+                assert_eq!(entry.index, node.register.index + 1, "entries in order");
+                node.register.apply(&entry);
+                let waiting = node.writes.remove(&entry.index);
+                if let Some((term, call)) = waiting.filter(|(term, _)| *term == entry.term)
+                    && self.is_awaited(call)
+                {
+                    self.oracle.answer_write(call, entry.index, term);
+                    self.finish_call(call);
+                }
+            }
+        }
+        let register = &self.nodes[&id].register;
+        self.oracle.note_applied(register.index, register.digest);
+    }
+
+    /// Ends all faults and checks that the cluster works and holds everything acknowledged.
+    pub(crate) fn finish(&mut self) {
+        self.heal();
+        self.loss_percent = 0;
+        self.next_value = self.next_value.min(MAX_CALLS as u64 - 40);
+        for id in self.ids() {
+            self.restart(id);
+        }
+        let reads = self.oracle.answered_reads();
+        for _ in 0..60 {
+            self.run(10);
+            if self.oracle.answered_reads() > reads {
+                break;
+            }
+        }
+        assert!(
+            self.oracle.answered_reads() > reads,
+            "no read is answered again"
+        );
+        let (leader, _) = self.leader().expect("a leader answered");
+        let commit = self.nodes[&leader].register.index;
+        assert!(
+            commit >= self.oracle.last_acknowledged(),
+            "acknowledged entry {} is lost, the leader has {commit}",
+            self.oracle.last_acknowledged()
+        );
+        self.check_members_agree(leader);
+        self.oracle.check_linearizability();
+    }
+
+    fn check_members_agree(&mut self, leader: u64) {
+        self.next_value = MAX_CALLS as u64;
+        self.run(100);
+        let core = self.nodes[&leader].core.as_ref().expect("the leader runs");
+        let expected = &self.nodes[&leader].register;
+        for member in core.configuration().members() {
+            let node = &self.nodes[&member.0];
+            let is_equal = node.register.digest == expected.digest;
+            assert!(
+                is_equal || node.has_lost_disk,
+                "member {member} does not catch up"
+            );
+        }
+    }
+}
