Add fakes: model engine, plain service, weight store and VM list

Each fake runs as a process or inside a test and switches faults at run time. The engine keeps a history of its memory and replicas, so that tests check what the engine saw and not what the agent believes.

--- /dev/null
+++ b/crates/wasabipoint_fakes/src/engine/cache.rs
@@ -0,0 +1,130 @@
+//! The bounded prefix cache and its events.
+
+use std::collections::VecDeque;
+
+use serde_json::{Value, json};
+use tokio::time::Instant;
+
+/// Bytes of one prompt block.
+const BLOCK_BYTES: usize = 256;
+
+/// Events that are kept for readers; a reader that is further behind sees a gap.
+const KEPT_EVENTS: usize = 4_096;
+
+/// Returns the hashed text of a completion.
+pub fn completion_text(model: &str, prompt: &str) -> Vec<u8> {
+    [model.as_bytes(), &[0], prompt.as_bytes()].concat()
+}
+
+/// Returns the hashed text of a chat, given roles and contents.
+pub fn chat_text(model: &str, messages: &[(String, String)]) -> Vec<u8> {
+    let mut text = [model.as_bytes(), &[0]].concat();
+    for part in messages.iter().flat_map(|(role, content)| [role, content]) {
+        text.extend_from_slice(part.as_bytes());
+        text.push(0);
+    }
+    text
+}
+
+/// Returns the hash of each whole block of a text, chained from the first.
+pub fn prefix_hashes(text: &[u8]) -> Vec<u64> {
+    let mut previous = 0;
+    text.chunks_exact(BLOCK_BYTES)
+        .map(|block| {
+            let mut hasher = blake3::Hasher::new();
+            hasher.update(&u64::to_le_bytes(previous)).update(block);
+            let digest = hasher.finalize();
+            let first = digest
+                .as_bytes()
+                .first_chunk()
+                .expect("a digest has 32 bytes");
+            previous = u64::from_le_bytes(*first);
+            previous
+        })
+        .collect()
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Event {
+    sequence: u64,
+    is_stored: bool,
+    hash: u64,
+    at: Instant,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct PrefixCache {
+    capacity_blocks: usize,
+    // Least recently used first.
+    blocks: VecDeque<u64>,
+    events: VecDeque<Event>,
+    last: u64,
+}
+
+impl PrefixCache {
+    pub(crate) fn new(capacity_blocks: usize) -> Self {
+        Self {
+            capacity_blocks,
+            ..Self::default()
+        }
+    }
+
+    /// Uses the prompt's blocks and returns how many leading ones were cached.
+    pub(crate) fn touch(&mut self, hashes: &[u64], lost_events: &mut u32) -> usize {
+        let hits = hashes
+            .iter()
+            .take_while(|hash| self.blocks.contains(hash))
+            .count();
+        for hash in hashes {
+            match self.blocks.iter().position(|block| block == hash) {
+                Some(position) => {
+                    self.blocks.remove(position);
+                }
+                None => self.record(true, *hash, lost_events),
+            }
+            self.blocks.push_back(*hash);
+            if self.blocks.len() > self.capacity_blocks
+                && let Some(evicted) = self.blocks.pop_front()
+            {
+                self.record(false, evicted, lost_events);
+            }
+        }
+        hits
+    }
+
+    fn record(&mut self, is_stored: bool, hash: u64, lost_events: &mut u32) {
+        self.last += 1;
+        if crate::faults::take(lost_events) {
+            return;
+        }
+        if self.events.len() == KEPT_EVENTS {
+            self.events.pop_front();
+        }
+        self.events.push_back(Event {
+            sequence: self.last,
+            is_stored,
+            hash,
+            at: Instant::now(),
+        });
+    }
+
+    /// Lists visible events after a sequence number.
+    pub(crate) fn events_after(&self, after: u64, delay_ms: u64) -> Value {
+        let visible: Vec<_> = self
+            .events
+            .iter()
+            .filter(|event| event.sequence > after)
+            .take_while(|event| event.at.elapsed().as_millis() as u64 >= delay_ms)
+            .collect();
+        let last = visible.last().map_or(after, |event| event.sequence);
+        let expected = last.saturating_sub(after) as usize;
+        let events: Vec<_> = visible
+            .iter()
+            .map(|event| {
+                let kind = if event.is_stored { "stored" } else { "removed" };
+                json!({"sequence": event.sequence, kind: event.hash})
+            })
+            .collect();
+        json!({"events": events, "last": last, "has_gap": events.len() < expected || after > self.last})
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_fakes/src/store.rs
@@ -0,0 +1,206 @@
+//! The rate-limited weight store.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bpaf::Bpaf;
+use futures::future::BoxFuture;
+use http::Request;
+use hyper::body::Incoming;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::time::Instant;
+use wasabipoint_http::HttpClient;
+
+use crate::server::{FakeHandler, FakeResponse, FakeServer, json, lock, parse, read_body};
+
+/// Time after which an engine gives up a fetch; far above any transfer.
+const FETCH_TIMEOUT: Duration = Duration::from_mins(10);
+
+/// Options of the store.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+pub struct StoreOptions {
+    /// Address to listen on.
+    #[bpaf(fallback(SocketAddr::from(([127, 0, 0, 1], 0))))]
+    pub listen: SocketAddr,
+    /// Loads started per second.
+    #[bpaf(fallback(2))]
+    pub loads_per_s: u64,
+    /// Loads at once at full speed; more share the bandwidth.
+    #[bpaf(fallback(4))]
+    pub loads_at_once: u64,
+    /// Adapters in transit at full speed; more share the bandwidth.
+    #[bpaf(fallback(30))]
+    pub adapters_in_transit: u64,
+    /// Bandwidth of one load at full speed in MiB per second.
+    #[bpaf(fallback(2_000))]
+    pub mib_per_s: u64,
+    /// Checkpoints up to this size count as adapters.
+    #[bpaf(fallback(1_024))]
+    pub adapter_mib: u64,
+}
+
+#[derive(Debug, Default)]
+struct Transfers {
+    next_start: Option<Instant>,
+    loads: u64,
+    adapters: u64,
+    fetched: u64,
+}
+
+#[derive(Debug)]
+struct Store {
+    options: StoreOptions,
+    transfers: Mutex<Transfers>,
+    slow_factor: Mutex<u64>,
+}
+
+/// A running store.
+#[derive(Debug)]
+pub struct FakeStore {
+    server: FakeServer,
+}
+
+impl FakeStore {
+    /// Starts a store.
+    pub async fn start(options: StoreOptions) -> io::Result<Self> {
+        let listen = options.listen;
+        let store = Arc::new(Store {
+            options,
+            transfers: Mutex::default(),
+            slow_factor: Mutex::new(1),
+        });
+        let server = FakeServer::start(listen, store).await?;
+        Ok(Self { server })
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Returns the server, to wait on it.
+    pub fn into_server(self) -> FakeServer {
+        self.server
+    }
+}
+
+#[derive(Deserialize)]
+struct Fetch {
+    mib: u64,
+}
+
+#[derive(Deserialize)]
+struct StoreFaults {
+    slow_factor: u64,
+}
+
+impl FakeHandler for Store {
+    fn handle(self: Arc<Self>, request: Request<Incoming>) -> BoxFuture<'static, FakeResponse> {
+        Box::pin(async move {
+            let path = request.uri().path().to_owned();
+            let body = read_body(request.into_body()).await?;
+            match path.as_str() {
+                "/fetch" => match parse::<Fetch>(&body) {
+                    Ok(fetch) => {
+                        self.transfer(fetch.mib).await;
+                        Ok(json(200, &json!({})))
+                    }
+                    Err(response) => Ok(*response),
+                },
+                "/admin/faults" => Ok(parse::<StoreFaults>(&body).map_or_else(
+                    |response| *response,
+                    |faults| {
+                        *lock(&self.slow_factor) = faults.slow_factor.max(1);
+                        json(200, &json!({}))
+                    },
+                )),
+                "/admin/state" => {
+                    let transfers = lock(&self.transfers);
+                    Ok(json(
+                        200,
+                        &json!({
+                            "loads": transfers.loads,
+                            "adapters": transfers.adapters,
+                            "fetched": transfers.fetched,
+                        }),
+                    ))
+                }
+                _ => Ok(json(404, &json!({"error": "not_found"}))),
+            }
+        })
+    }
+}
+
+/// Counts a transfer until it ends or its connection closes.
+struct InTransit<'a> {
+    store: &'a Store,
+    is_adapter: bool,
+}
+
+impl Drop for InTransit<'_> {
+    fn drop(&mut self) {
+        let mut transfers = lock(&self.store.transfers);
+        if self.is_adapter {
+            transfers.adapters -= 1;
+        } else {
+            transfers.loads -= 1;
+        }
+    }
+}
+
+impl Store {
+    async fn transfer(&self, mib: u64) {
+        let is_adapter = mib <= self.options.adapter_mib;
+        if !is_adapter {
+            self.wait_for_start().await;
+        }
+        let (at_once, limit) = {
+            let mut transfers = lock(&self.transfers);
+            if is_adapter {
+                transfers.adapters += 1;
+                (transfers.adapters, self.options.adapters_in_transit)
+            } else {
+                transfers.loads += 1;
+                (transfers.loads, self.options.loads_at_once)
+            }
+        };
+        let _in_transit = InTransit {
+            store: self,
+            is_adapter,
+        };
+        let share = at_once.div_ceil(limit.max(1)).max(1);
+        let full_speed_ms = mib * 1_000 / self.options.mib_per_s.max(1);
+        let slow_factor = *lock(&self.slow_factor);
+        tokio::time::sleep(Duration::from_millis(full_speed_ms * share * slow_factor)).await;
+        lock(&self.transfers).fetched += 1;
+    }
+
+    /// Spaces the starts of loads.
+    async fn wait_for_start(&self) {
+        let start = {
+            let mut transfers = lock(&self.transfers);
+            let now = Instant::now();
+            let start = transfers.next_start.map_or(now, |next| next.max(now));
+            let interval_ms = 1_000 / self.options.loads_per_s.max(1);
+            transfers.next_start = Some(start + Duration::from_millis(interval_ms));
+            start
+        };
+        tokio::time::sleep_until(start).await;
+    }
+}
+
+/// Fetches a checkpoint; tells whether it arrived.
+pub(crate) async fn fetch_checkpoint(store: SocketAddr, name: &str, mib: u64) -> bool {
+    let body = json!({"name": name, "mib": mib}).to_string();
+    let Ok(request) = Request::post(format!("http://{store}/fetch")).body(body.into()) else {
+        return false;
+    };
+    HttpClient::without_pool(Duration::from_secs(1))
+        .fetch(request, 1_024, FETCH_TIMEOUT)
+        .await
+        .is_ok_and(|response| response.status().is_success())
+}
