--- /dev/null
+++ b/crates/wasabipoint_agent/src/main.rs
@@ -0,0 +1,92 @@
+//! The `wasabipoint-agent` program.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use bpaf::Bpaf;
+use slog::Level;
+use wasabipoint_agent::{Agent, AgentConfig, AgentService, HttpEndpoint, RpcControlLink};
+use wasabipoint_http::HttpServer;
+use wasabipoint_kernel::{
+    AGENT_SETTINGS, ErrorKind, Incarnation, LogFormat, Metrics, Settings, build_logger,
+    wait_for_termination,
+};
+use wasabipoint_rpc::ControlClient;
+
+/// Time for workers to write what is buffered after a drain. Idle connections do not end by
+/// themselves.
+const STOP_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Runs the sidecar beside an endpoint.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// Settings file with the section [agent].
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// Only check the settings.
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    let settings = match Settings::load(&options.settings, "agent", AGENT_SETTINGS) {
+        Ok(settings) => settings,
+        Err(errors) => {
+            eprintln!("{errors}");
+            return ExitCode::from(ErrorKind::InvalidConfiguration.answer().exit_code);
+        }
+    };
+    if options.check {
+        return ExitCode::SUCCESS;
+    }
+    match run(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("agent: {error}");
+            ExitCode::from(ErrorKind::Unavailable.answer().exit_code)
+        }
+    }
+}
+
+#[tokio::main]
+async fn run(settings: &Settings) -> std::io::Result<()> {
+    let format = match settings.text("log_format") {
+        "json" => LogFormat::Json,
+        _ => LogFormat::Text,
+    };
+    let level = settings.text("log_level").parse().unwrap_or(Level::Info);
+    let (logger, _guard) = build_logger("wasabipoint-agent", format, level);
+    let mut config = AgentConfig::new(settings);
+    let server = HttpServer::new(config.listen)?.with_workers(config.workers);
+    config.listen = server.local_address()?;
+    let listen = config.listen;
+    let endpoint = Arc::new(HttpEndpoint::new(config.endpoint_address));
+    let control = Arc::new(RpcControlLink::new(ControlClient::new(&config.control)));
+    let metrics = Metrics::new("wasabipoint-agent");
+    let agent = Agent::start(
+        config,
+        new_incarnation(),
+        endpoint,
+        control,
+        metrics,
+        logger,
+    );
+    let agent = Arc::new(agent);
+    let server = server.serve(Arc::new(AgentService::new(Arc::clone(&agent))))?;
+    println!("listening http={listen}");
+    wait_for_termination().await?;
+    agent.drain().await;
+    let _ = tokio::time::timeout(STOP_TIMEOUT, server.stop()).await;
+    Ok(())
+}
+
+/// The agent has no disk, so the system clock at the start stands in for a counter: a restart
+/// takes longer than a millisecond. No other decision uses the clock; if it was set back, control
+/// refuses the smaller incarnation.
+fn new_incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    Incarnation(since_epoch.map_or(0, |time| time.as_millis() as u64))
+}
--- /dev/null
+++ b/crates/wasabipoint_agent/tests/agent/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the agent against the fakes over loopback.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod dispatch;
+mod support;
--- /dev/null
+++ b/crates/wasabipoint_agent/tests/agent/support.rs
@@ -0,0 +1,305 @@
+//! A control link in memory, and helpers to dispatch requests and read their frames.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use serde_json::{Value, json};
+use tokio::sync::{Notify, mpsc};
+use wasabipoint_agent::{Agent, AgentConfig, ControlLink, Endpoint, HttpEndpoint};
+use wasabipoint_fakes::{EngineOptions, FakeEngine, FakeService, ServiceOptions};
+use wasabipoint_kernel::{
+    AGENT_SETTINGS, AdapterName, EndpointId, ErrorKind, FencingToken, Incarnation, Metrics,
+    ModelName, RequestId, RunState, Settings,
+};
+use wasabipoint_rpc::{
+    AgentDirective, AgentReport, ControlError, DispatchRequest, Frame, FrameDecoder, Grant,
+    LoadReport, ReplicaState,
+};
+
+/// Time after which a test that waits for an event fails; not a bound on the machine's speed.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+
+pub(crate) const INCARNATION: Incarnation = Incarnation(7);
+
+#[derive(Debug)]
+pub(crate) struct TestControl {
+    directive: Mutex<AgentDirective>,
+    reports: Mutex<Vec<AgentReport>>,
+    in_flight: Mutex<usize>,
+    reported: Notify,
+}
+
+impl TestControl {
+    pub(crate) fn new() -> Arc<Self> {
+        Arc::new(Self {
+            directive: Mutex::new(AgentDirective {
+                grants: Vec::new(),
+                adapters_in_transit: 2,
+                adapters: Vec::new(),
+                next_report_ms: 20,
+            }),
+            reports: Mutex::default(),
+            in_flight: Mutex::default(),
+            reported: Notify::new(),
+        })
+    }
+
+    pub(crate) fn change(&self, change: impl FnOnce(&mut AgentDirective)) {
+        change(&mut self.directive.lock().unwrap());
+    }
+
+    /// Adds a grant in place of earlier ones for the model.
+    pub(crate) fn grant(&self, model: &str, fencing_token: u64, memory_mib: u64) {
+        self.change(|directive| {
+            directive
+                .grants
+                .retain(|grant| grant.model.as_str() != model);
+            directive.grants.push(Grant {
+                model: ModelName::new(model),
+                version: 1,
+                endpoint: EndpointId::new("endpoint-1"),
+                fencing_token: FencingToken(fencing_token),
+                memory_mib,
+                is_revoked: false,
+            });
+        });
+    }
+
+    pub(crate) fn revoke(&self, model: &str) {
+        self.change(|directive| {
+            for grant in &mut directive.grants {
+                grant.is_revoked |= grant.model.as_str() == model;
+            }
+        });
+    }
+
+    pub(crate) fn reports(&self) -> Vec<AgentReport> {
+        self.reports.lock().unwrap().clone()
+    }
+
+    /// Waits for a report that was sent from now on.
+    pub(crate) async fn wait_for(&self, what: &str, is_met: impl Fn(&AgentReport) -> bool) {
+        let mut seen = self.reports().len();
+        let wait = async {
+            loop {
+                let reported = self.reported.notified();
+                tokio::pin!(reported);
+                reported.as_mut().enable();
+                let reports = self.reports();
+                if reports[seen..].iter().any(&is_met) {
+                    return;
+                }
+                seen = reports.len();
+                reported.await;
+            }
+        };
+        if tokio::time::timeout(PATIENCE, wait).await.is_err() {
+            panic!("no report with {what}; last {:?}", self.reports().last());
+        }
+    }
+
+    pub(crate) async fn wait_for_loaded(&self, model: &str) {
+        self.wait_for(&format!("{model} loaded"), |report| {
+            find_state(report, model) == Some(ReplicaState::Loaded)
+        })
+        .await;
+    }
+
+    pub(crate) async fn wait_for_absent(&self, model: &str) {
+        self.wait_for(&format!("{model} absent"), |report| {
+            report.is_engine_known && find_state(report, model).is_none()
+        })
+        .await;
+    }
+}
+
+pub(crate) fn find_state(report: &AgentReport, model: &str) -> Option<ReplicaState> {
+    let mut replicas = report.replicas.iter();
+    replicas
+        .find(|replica| replica.model.as_str() == model)
+        .map(|replica| replica.state)
+}
+
+impl ControlLink for TestControl {
+    fn report(&self, report: AgentReport) -> BoxFuture<'_, Result<AgentDirective, ControlError>> {
+        Box::pin(async move {
+            {
+                let mut in_flight = self.in_flight.lock().unwrap();
+                *in_flight += 1;
+                assert_eq!(*in_flight, 1, "one report is in flight at a time");
+            }
+            self.reports.lock().unwrap().push(report);
+            tokio::task::yield_now().await;
+            *self.in_flight.lock().unwrap() -= 1;
+            self.reported.notify_waiters();
+            Ok(self.directive.lock().unwrap().clone())
+        })
+    }
+}
+
+pub(crate) fn settings(kind: &str, endpoint_address: &str, extra: &str) -> AgentConfig {
+    let text = format!(
+        "[agent]\nendpoint = endpoint-1\nvm = vm-1\nfailure_domain = Tanta\nkind = {kind}\n\
+         endpoint_address = {endpoint_address}\nlisten = 127.0.0.1:0\ncontrol = 127.0.0.1:1\n\
+         memory_mib = 1200\nkv_reserve_mib = 200\naccelerators = 8\npredecessor_wait_ms = 50\n{extra}"
+    );
+    AgentConfig::new(&Settings::parse("test", &text, "agent", AGENT_SETTINGS).unwrap())
+}
+
+pub(crate) fn start_agent(
+    config: AgentConfig,
+    incarnation: Incarnation,
+    endpoint: Arc<dyn Endpoint>,
+    control: &Arc<TestControl>,
+) -> Arc<Agent> {
+    let logger = slog::Logger::root(slog::Discard, slog::o!());
+    let control: Arc<dyn ControlLink> = Arc::<TestControl>::clone(control);
+    let metrics = Metrics::new("wasabipoint-agent");
+    Arc::new(Agent::start(
+        config,
+        incarnation,
+        endpoint,
+        control,
+        metrics,
+        logger,
+    ))
+}
+
+pub(crate) struct EngineSetup {
+    pub(crate) engine: FakeEngine,
+    pub(crate) control: Arc<TestControl>,
+    pub(crate) agent: Arc<Agent>,
+}
+
+/// Starts an engine and an agent that has model `m` of 400 MiB loaded.
+pub(crate) async fn start_engine(options: EngineOptions, extra: &str) -> EngineSetup {
+    let engine = FakeEngine::start(options).await.unwrap();
+    let control = TestControl::new();
+    control.grant("m", 1, 400);
+    let config = settings("engine", &engine.address().to_string(), extra);
+    let endpoint = Arc::new(HttpEndpoint::new(engine.address()));
+    let agent = start_agent(config, INCARNATION, endpoint, &control);
+    control.wait_for_loaded("m").await;
+    EngineSetup {
+        engine,
+        control,
+        agent,
+    }
+}
+
+pub(crate) struct ServiceSetup {
+    pub(crate) service: FakeService,
+    pub(crate) agent: Arc<Agent>,
+}
+
+pub(crate) async fn start_service(options: ServiceOptions) -> ServiceSetup {
+    let service = FakeService::start(options).await.unwrap();
+    let control = TestControl::new();
+    let config = settings("service", &service.address().to_string(), "");
+    let endpoint = Arc::new(HttpEndpoint::new(service.address()));
+    let agent = start_agent(config, INCARNATION, endpoint, &control);
+    ServiceSetup { service, agent }
+}
+
+/// A completion of model `m`.
+pub(crate) fn completion(prompt: &str, body: &Value) -> DispatchRequest {
+    let mut whole = json!({"prompt": prompt, "max_tokens": 8, "stream": true});
+    whole
+        .as_object_mut()
+        .unwrap()
+        .extend(body.as_object().unwrap().clone());
+    DispatchRequest {
+        request_id: RequestId::random(),
+        incarnation: INCARNATION,
+        model: Some(ModelName::new("m")),
+        adapter: None,
+        remaining_ms: 60_000,
+        is_idempotent: true,
+        priority: 5,
+        method: "POST".to_owned(),
+        path: "/v1/completions".to_owned(),
+        headers: vec![("content-type".to_owned(), "application/json".to_owned())],
+        body: whole.to_string().into_bytes(),
+        known_cache_sequence: 0,
+    }
+}
+
+pub(crate) fn with_adapter(mut request: DispatchRequest, adapter: &str) -> DispatchRequest {
+    request.adapter = Some(AdapterName::new(adapter));
+    request
+}
+
+/// A call of a plain service that must not be repeated.
+pub(crate) fn booking() -> DispatchRequest {
+    DispatchRequest {
+        model: None,
+        is_idempotent: false,
+        path: "/bookings".to_owned(),
+        ..completion("", &json!({}))
+    }
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Received {
+    pub(crate) head: Option<(u16, Vec<(String, String)>)>,
+    pub(crate) data: Vec<u8>,
+    pub(crate) heartbeats: usize,
+    pub(crate) end: Option<LoadReport>,
+    pub(crate) failed: Option<(ErrorKind, RunState)>,
+}
+
+impl Received {
+    /// Joins the texts of a complete stream.
+    pub(crate) fn text(&self) -> String {
+        assert!(self.end.is_some(), "the response is complete: {self:?}");
+        let stream = String::from_utf8(self.data.clone()).unwrap();
+        let chunks = stream
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "));
+        chunks
+            .filter(|chunk| *chunk != "[DONE]")
+            .filter_map(|chunk| {
+                let chunk: Value = serde_json::from_str(chunk).unwrap();
+                chunk["choices"][0]["text"].as_str().map(str::to_owned)
+            })
+            .collect()
+    }
+}
+
+/// Reads frames until the end and checks ids, sequence and byte count.
+pub(crate) async fn receive(id: RequestId, mut frames: mpsc::Receiver<Option<Bytes>>) -> Received {
+    let mut received = Received::default();
+    let mut decoder = FrameDecoder::new();
+    let mut sequence = 0;
+    let read = async {
+        while let Some(bytes) = frames.recv().await.expect("the stream ends normally") {
+            decoder.push(&bytes);
+            while let Some(frame) = decoder.next_frame().unwrap() {
+                assert_eq!((frame.request_id, frame.sequence), (id, sequence));
+                assert!(received.end.is_none() && received.failed.is_none());
+                sequence += 1;
+                match frame.frame {
+                    Frame::Head { status, headers } => received.head = Some((status, headers)),
+                    Frame::Data(bytes) => received.data.extend_from_slice(&bytes),
+                    Frame::Heartbeat => received.heartbeats += 1,
+                    Frame::End { byte_count, load } => {
+                        assert_eq!(byte_count, received.data.len() as u64);
+                        received.end = Some(load);
+                    }
+                    Frame::Failed { kind, run, .. } => received.failed = Some((kind, run)),
+                }
+            }
+        }
+    };
+    tokio::time::timeout(PATIENCE, read)
+        .await
+        .expect("the response ends");
+    received
+}
+
+pub(crate) async fn call(agent: &Agent, request: DispatchRequest) -> Received {
+    let id = request.request_id;
+    receive(id, agent.dispatch(request)).await
+}
--- a/crates/wasabipoint_fakes/src/engine.rs
+++ b/crates/wasabipoint_fakes/src/engine.rs
@@ -26,6 +26,7 @@
 
 use cache::PrefixCache;
 pub use cache::{chat_text, completion_text, prefix_hashes};
+pub use completion::answer_text;
 use memory::{EngineMemory, LoadStart, ModelCommand};
 pub use memory::{HistoryEvent, HistoryKind};
 
--- a/crates/wasabipoint_fakes/src/engine/completion.rs
+++ b/crates/wasabipoint_fakes/src/engine/completion.rs
@@ -131,6 +131,11 @@
     format!("{}-{index} ", &digest[..8])
 }
 
+/// Returns the text that the engine answers to a prompt.
+pub fn answer_text(prompt: &str, tokens: u64) -> String {
+    (0..tokens).map(|index| token(prompt, index)).collect()
+}
+
 async fn pause(milliseconds: u64) {
     if milliseconds > 0 {
         tokio::time::sleep(Duration::from_millis(milliseconds)).await;
@@ -224,9 +229,7 @@
     } else {
         (&completion.id, &completion.prompt)
     };
-    let text: String = (0..completion.max_tokens)
-        .map(|index| token(prompt, index))
-        .collect();
+    let text = answer_text(prompt, completion.max_tokens);
     let choice = if completion.is_chat {
         json!({"index": 0, "message": {"role": "assistant", "content": text}})
     } else {
