Add placement policies demand_profile and keep_loaded and routing policy prefix_affinity

All placement policies decide through PlacementPlan, which keeps one round within memory, max_replicas, loads_allowed and placeable endpoints.

--- a/crates/wasabipoint_policy/src/lib.rs
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -10,9 +10,9 @@
 mod routing;
 
 pub use placement::{
-    DemandSample, EndpointCapacity, GrantState, GrantView, ModelView, PLACEMENT_POLICIES,
-    PlacementDecision, PlacementPlugin, PlacementPolicy, PlacementView, StoreView,
-    build_placement_policy, placement_policy_names,
+    DemandSample, EndpointCapacity, GrantState, GrantView, LoadOption, ModelView,
+    PLACEMENT_POLICIES, PlacementDecision, PlacementPlan, PlacementPlugin, PlacementPolicy,
+    PlacementView, StoreView, build_placement_policy, idle_ms, is_idle, placement_policy_names,
 };
 pub use routing::{
     ROUTING_POLICIES, RoutingCandidate, RoutingChoice, RoutingPlugin, RoutingPolicy,
--- a/crates/wasabipoint_policy/src/placement.rs
+++ b/crates/wasabipoint_policy/src/placement.rs
@@ -1,6 +1,9 @@
 //! Placement: which endpoint holds which model.
 
+mod demand_profile;
+mod keep_loaded;
 mod load_on_demand;
+mod plan;
 
 use linkme::distributed_slice;
 use wasabipoint_kernel::{
@@ -8,6 +11,8 @@
     plain_data,
 };
 
+pub use plan::{LoadOption, PlacementPlan, idle_ms, is_idle};
+
 plain_data! {
     copy
     /// State of a grant as control knows it.
--- /dev/null
+++ b/crates/wasabipoint_policy/src/placement/demand_profile.rs
@@ -0,0 +1,284 @@
+//! Placement policy `demand_profile`.
+
+mod profile;
+
+use std::cmp::Reverse;
+
+use linkme::distributed_slice;
+
+use self::profile::DemandProfile;
+use super::{
+    DemandSample, GrantView, LoadOption, ModelView, PLACEMENT_POLICIES, PlacementDecision,
+    PlacementPlan, PlacementPlugin, PlacementPolicy, PlacementView, idle_ms, is_idle,
+};
+
+/// Likelihood from which demand is expected. A missed expectation costs a cold start and a wrong
+/// one only some idle minutes, so that it is low.
+const EXPECTED: f32 = 0.1;
+
+/// Shortest time a replica is kept before another may take its memory for expected demand, so
+/// that two expected models do not replace each other in turn.
+const MIN_RESIDENCE_MS: u64 = 60_000;
+
+/// Learns the demand per model by time within the cycle, and loads models before expected demand.
+///
+/// Waiting models are loaded first, by number of waiting requests and deadline. Models under
+/// load get more replicas, in failure domains that hold none yet. Expected models are loaded
+/// `prewake_ms` ahead, and earlier when the weight store needs longer to deliver all that are
+/// expected together. A replica that is idle and not expected soon is unloaded. When a waiting
+/// model needs memory, the idle replica with the latest expected demand makes room.
+///
+/// Options: `[placement] idle_unload_ms`, `prewake_ms`, `day_ms`.
+struct DemandProfilePolicy {
+    profile: Option<DemandProfile>,
+}
+
+#[distributed_slice(PLACEMENT_POLICIES)]
+static PLUGIN: PlacementPlugin = PlacementPlugin {
+    name: "demand_profile",
+    summary: "loads models ahead of the demand that it learns from earlier cycles",
+    build: || Box::new(DemandProfilePolicy { profile: None }),
+};
+
+impl PlacementPolicy for DemandProfilePolicy {
+    /// Samples before the first round are ignored, because the length of the cycle comes with it.
+    fn observe(&mut self, sample: &DemandSample) {
+        if let Some(profile) = &mut self.profile {
+            profile.observe(sample);
+        }
+    }
+
+    fn decide(&mut self, view: &PlacementView) -> Vec<PlacementDecision> {
+        let profile = self
+            .profile
+            .take_if(|profile| profile.has_cycle(view.rules.day_ms))
+            .unwrap_or_else(|| DemandProfile::new(view.rules.day_ms));
+        let decisions = Round::new(view, &profile).decide();
+        self.profile = Some(profile);
+        decisions
+    }
+
+    fn save(&self) -> Vec<u8> {
+        self.profile
+            .as_ref()
+            .map(DemandProfile::save)
+            .unwrap_or_default()
+    }
+
+    fn restore(&mut self, saved: &[u8]) {
+        if let Some(profile) = DemandProfile::read(saved) {
+            self.profile = Some(profile);
+        }
+    }
+}
+
+struct Round<'v> {
+    view: &'v PlacementView,
+    profile: &'v DemandProfile,
+    plan: PlacementPlan<'v>,
+}
+
+impl<'v> Round<'v> {
+    fn new(view: &'v PlacementView, profile: &'v DemandProfile) -> Self {
+        Self {
+            view,
+            profile,
+            plan: PlacementPlan::new(view),
+        }
+    }
+
+    fn decide(mut self) -> Vec<PlacementDecision> {
+        self.load_waiting();
+        self.add_replicas();
+        self.load_expected();
+        self.unload_unexpected();
+        self.unload_surplus();
+        self.plan.into_decisions()
+    }
+
+    fn load_waiting(&mut self) {
+        let mut waiting: Vec<&ModelView> =
+            self.view.models.iter().filter(|m| m.queued > 0).collect();
+        waiting.sort_by_key(|model| (Reverse(urgency(model)), Reverse(model.oldest_wait_ms)));
+        for model in waiting {
+            if self.plan.serving(model) > 0 {
+                continue;
+            }
+            let reason = format!("{} requests wait", model.queued);
+            if self.load(model, &reason) {
+                continue;
+            }
+            if !self.plan.has_room(model) || !self.plan.may_add_replica(model) {
+                let reason = format!("{} waits and needs memory", model.name);
+                let (view, profile) = (self.view, self.profile);
+                let surplus = self.surplus_models();
+                self.plan.make_room(model, &reason, |grant, held| {
+                    if is_idle(held) {
+                        Some(eviction_rank(view, profile, grant, held))
+                    } else {
+                        let is_surplus = surplus.contains(&held.name.as_str());
+                        is_surplus.then_some(u64::MAX)
+                    }
+                });
+            }
+        }
+    }
+
+    /// Lists the models that keep a replica when one of theirs is unloaded.
+    fn surplus_models(&self) -> Vec<&'v str> {
+        let models = self.view.models.iter();
+        models
+            .filter(|model| self.plan.serving(model) > self.plan.loading(model) + 1)
+            .map(|model| model.name.as_str())
+            .collect()
+    }
+
+    fn add_replicas(&mut self) {
+        for model in &self.view.models {
+            let serving = self.plan.serving(model);
+            if serving == 0 || self.plan.loading(model) > 0 {
+                continue;
+            }
+            let demand = u64::from(model.queued) + u64::from(model.in_flight);
+            let capacity = self.capacity(model);
+            if demand * 4 > capacity * 3 {
+                let reason = format!("{demand} requests on {serving} replicas");
+                self.load(model, &reason);
+            }
+        }
+    }
+
+    /// Loads models before expected demand, earliest first. With `n` models ahead the weight
+    /// store needs `n / loads_at_once` load times before it gets to the next one.
+    fn load_expected(&mut self) {
+        let at_once = u64::from(self.view.store.limits.loads_at_once.max(1));
+        let horizon_ms = self.view.rules.day_ms / 4;
+        let mut expected: Vec<(u64, &ModelView)> = self
+            .view
+            .models
+            .iter()
+            .filter(|model| model.queued == 0 && self.plan.serving(model) == 0)
+            .filter_map(|model| Some((self.next_demand_ms(model, horizon_ms)?, model)))
+            .collect();
+        expected.sort_by_key(|(until_ms, _)| *until_ms);
+        let mut store_ms = 0;
+        for (until_ms, model) in expected {
+            store_ms += model.remote_load_ms / at_once;
+            let lead_ms = self.view.rules.prewake_ms + model.remote_load_ms + store_ms;
+            if until_ms > lead_ms {
+                continue;
+            }
+            let reason = format!("expected in {until_ms} ms");
+            if !self.load(model, &reason) && !self.plan.has_room(model) {
+                self.make_room_for_expected(model, until_ms);
+            }
+        }
+    }
+
+    fn make_room_for_expected(&mut self, model: &'v ModelView, until_ms: u64) {
+        let (view, profile) = (self.view, self.profile);
+        let reason = format!("{} is expected and needs memory", model.name);
+        self.plan.make_room(model, &reason, |grant, held| {
+            let is_settled = is_idle(held) && idle_ms(grant, held) >= MIN_RESIDENCE_MS;
+            let rank = eviction_rank(view, profile, grant, held);
+            let is_later = view.rules.day_ms.saturating_sub(rank) > until_ms + lead_ms(view, held);
+            (is_settled && is_later).then_some(rank)
+        });
+    }
+
+    fn unload_unexpected(&mut self) {
+        for (index, grant, model) in self.plan.loaded() {
+            let idle_ms = idle_ms(grant, model);
+            if !is_idle(model) || idle_ms < self.view.rules.idle_unload_ms {
+                continue;
+            }
+            let keep_ms = lead_ms(self.view, model) + self.view.rules.idle_unload_ms;
+            if self.next_demand_ms(model, keep_ms).is_none() {
+                let reason = format!("idle for {idle_ms} ms and not expected");
+                self.plan.unload(index, &reason);
+            }
+        }
+    }
+
+    /// Unloads the newest replica of a model whose demand fits well on the others.
+    fn unload_surplus(&mut self) {
+        let mut loaded = self.plan.loaded();
+        loaded.sort_by_key(|(_, grant, _)| Reverse(grant.fencing_token));
+        for (index, grant, model) in loaded {
+            let serving = u64::from(self.plan.serving(model));
+            if serving < 2
+                || self.plan.loading(model) > 0
+                || grant.age_ms < self.view.rules.idle_unload_ms
+            {
+                continue;
+            }
+            let demand = u64::from(model.queued) + u64::from(model.in_flight);
+            let remaining = self.capacity(model) * (serving - 1) / serving;
+            if demand * 2 < remaining {
+                self.plan
+                    .unload(index, &format!("{demand} requests need fewer replicas"));
+            }
+        }
+    }
+
+    fn load(&mut self, model: &'v ModelView, reason: &str) -> bool {
+        let has_store_slot = self.plan.has_store_slot();
+        self.plan.load(model, reason, |option| {
+            (has_store_slot || !option.is_remote).then(|| rank_option(option))
+        })
+    }
+
+    fn capacity(&self, model: &ModelView) -> u64 {
+        let endpoints = self.view.endpoints.iter().filter(|e| e.is_placeable);
+        let (count, total) = endpoints.fold((0, 0), |(count, total), endpoint| {
+            (count + 1, total + u64::from(endpoint.concurrency))
+        });
+        total * u64::from(self.plan.serving(model)) / u64::max(count, 1)
+    }
+
+    fn next_demand_ms(&self, model: &ModelView, horizon_ms: u64) -> Option<u64> {
+        self.profile
+            .next_demand_ms(&model.name, self.view.cycle_ms, EXPECTED, horizon_ms)
+    }
+}
+
+/// Orders endpoints: a failure domain without a replica, then the shortest load, then the least
+/// memory left over, so that large models still find room.
+fn rank_option(option: &LoadOption<'_>) -> (usize, u64, u64) {
+    (option.replicas_in_domain, option.load_ms, option.free_mib)
+}
+
+/// Ranks idle replicas for eviction: the later the next expected demand, the smaller the rank.
+/// The idle time decides among equal ones.
+fn eviction_rank(
+    view: &PlacementView,
+    profile: &DemandProfile,
+    grant: &GrantView,
+    model: &ModelView,
+) -> u64 {
+    let day_ms = view.rules.day_ms;
+    let until_ms = profile
+        .next_demand_ms(&model.name, view.cycle_ms, EXPECTED, day_ms)
+        .unwrap_or(day_ms);
+    let idle_share_ms = idle_ms(grant, model).min(day_ms) / 1_000;
+    day_ms.saturating_sub(until_ms + idle_share_ms)
+}
+
+fn lead_ms(view: &PlacementView, model: &ModelView) -> u64 {
+    view.rules.prewake_ms + model.remote_load_ms
+}
+
+/// Weighs waiting requests by the time left after a load. A deadline that no load can meet any
+/// more adds nothing.
+fn urgency(model: &ModelView) -> u64 {
+    let fastest_ms = model
+        .load_ms_by_endpoint
+        .iter()
+        .map(|(_, load_ms)| *load_ms)
+        .fold(model.remote_load_ms, u64::min);
+    let slack_ms = model
+        .earliest_deadline_ms
+        .and_then(|deadline_ms| deadline_ms.checked_sub(fastest_ms));
+    let weight = slack_ms.map_or(1, |slack_ms| 1 + 60_000 / slack_ms.max(1_000));
+    u64::from(model.queued) * weight
+}
--- a/crates/wasabipoint_policy/src/routing.rs
+++ b/crates/wasabipoint_policy/src/routing.rs
@@ -1,6 +1,7 @@
 //! Routing: which endpoint runs a request.
 
 mod least_loaded;
+mod prefix_affinity;
 
 use linkme::distributed_slice;
 use wasabipoint_kernel::{EndpointId, FailureDomain, plain_data};
--- /dev/null
+++ b/crates/wasabipoint_policy/tests/placement.rs
@@ -0,0 +1,157 @@
+//! Limits and progress of every placement policy.
+
+#![expect(clippy::unwrap_used, reason = "a missing value fails the test")]
+
+#[path = "fixtures/placement.rs"]
+mod fixtures;
+
+use proptest::prelude::*;
+use wasabipoint_kernel::ModelName;
+use wasabipoint_policy::{
+    DemandSample, GrantState, PlacementDecision, PlacementPolicy, PlacementView,
+    build_placement_policy, placement_policy_names,
+};
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    // Guards against decisions beyond memory, replica and store limits or on leaving endpoints.
+    #[test]
+    fn decisions_stay_within_limits(view in fixtures::snapshot(), seen in 0_usize..4) {
+        for name in placement_policy_names() {
+            let mut policy = build_placement_policy(name).unwrap();
+            teach(policy.as_mut(), &view, seen);
+            let decisions = policy.decide(&view);
+            if let Err(fault) = fixtures::check_limits(&view, &decisions) {
+                prop_assert!(false, "{name}: {fault}: {decisions:?}");
+            }
+        }
+    }
+
+    // Guards against a waiting model that is starved although its memory could be released.
+    #[test]
+    fn every_waiting_model_is_served(start in fixtures::snapshot()) {
+        for name in placement_policy_names() {
+            let mut view = start.clone();
+            make_serviceable(&mut view);
+            let mut policy = build_placement_policy(name).unwrap();
+            for _ in 0..600 {
+                view.store.loads_allowed = 2;
+                let decisions = policy.decide(&view);
+                let checked = fixtures::check_limits(&view, &decisions);
+                prop_assert!(checked.is_ok(), "{name}: {checked:?}");
+                fixtures::advance(&mut view, &decisions, 5_000);
+            }
+            let waiting: Vec<_> = view.models.iter().filter(|m| m.queued > 0).collect();
+            prop_assert!(waiting.is_empty(), "{name}: {waiting:?} in {view:?}");
+        }
+    }
+}
+
+// Guards against a cold start at a time of day at which the model was requested on earlier days.
+#[test]
+fn demand_profile_loads_ahead_after_restore() {
+    let mut view = fixtures::idle_fleet(&[(80, 0), (80, 1)]);
+    view.models = vec![fixtures::quiet_model("morning", 40)];
+    let mut teacher = build_placement_policy("demand_profile").unwrap();
+    teacher.decide(&view);
+    for _ in 0..2 {
+        observe(teacher.as_mut(), 21_600_000, &["morning"]);
+        observe(teacher.as_mut(), 22_000_000, &[]);
+    }
+    let mut policy = build_placement_policy("demand_profile").unwrap();
+    policy.restore(&teacher.save());
+    view.cycle_ms = 18_000_000;
+    assert_eq!(loads(&policy.decide(&view)), 0);
+    view.cycle_ms = 21_300_000;
+    assert_eq!(loads(&policy.decide(&view)), 1);
+}
+
+// Guards against a leader that fails on, or learns from, bytes of another policy or version.
+#[test]
+fn demand_profile_ignores_foreign_bytes() {
+    let mut policy = build_placement_policy("demand_profile").unwrap();
+    policy.decide(&fixtures::idle_fleet(&[(80, 0)]));
+    observe(policy.as_mut(), 0, &["morning"]);
+    let saved = policy.save();
+    let mut other_version = saved.clone();
+    other_version["demand_profile".len()] += 1;
+    let truncated = &saved[..saved.len() - 1];
+    for foreign in [&b""[..], b"keep_loaded", &other_version, truncated] {
+        policy.restore(foreign);
+        assert_eq!(policy.save(), saved);
+    }
+}
+
+// Guards against two replicas of a model that are lost together.
+#[test]
+fn demand_profile_spreads_replicas_over_failure_domains() {
+    let mut view = fixtures::idle_fleet(&[(80, 0), (80, 0), (80, 1)]);
+    view.models = vec![fixtures::quiet_model("busy", 40)];
+    view.models[0].queued = 1;
+    let mut policy = build_placement_policy("demand_profile").unwrap();
+    for _ in 0..10 {
+        let decisions = policy.decide(&view);
+        fixtures::advance(&mut view, &decisions, 2_000);
+        view.models[0].in_flight = 30;
+    }
+    let domain = |index: usize| {
+        let endpoint = &view.grants[index].endpoint;
+        let mut endpoints = view.endpoints.iter();
+        &endpoints
+            .find(|e| e.endpoint == *endpoint)
+            .unwrap()
+            .failure_domain
+    };
+    assert_eq!(view.grants.len(), 2);
+    assert_ne!(domain(0), domain(1));
+}
+
+fn teach(policy: &mut dyn PlacementPolicy, view: &PlacementView, cycles: usize) {
+    policy.decide(view);
+    for _ in 0..cycles {
+        for (slot, model) in view.models.iter().enumerate() {
+            let cycle_ms = view.cycle_ms + slot as u64 * 300_000;
+            observe(policy, cycle_ms, &[model.name.as_str()]);
+        }
+        observe(policy, view.cycle_ms + 43_200_000, &[]);
+    }
+}
+
+fn observe(policy: &mut dyn PlacementPolicy, cycle_ms: u64, arrived: &[&str]) {
+    policy.observe(&DemandSample {
+        cycle_ms,
+        interval_ms: 1_000,
+        arrived: arrived.iter().map(|m| (ModelName::new(*m), 3)).collect(),
+        largest_customer: None,
+    });
+}
+
+/// Lets every model fit once all others are idle: running requests have ended, and one empty
+/// endpoint that takes new work can hold any model.
+fn make_serviceable(view: &mut PlacementView) {
+    for model in &mut view.models {
+        model.in_flight = 0;
+    }
+    let held: Vec<_> = view.grants.iter().map(|g| g.endpoint.clone()).collect();
+    let mut endpoints = view.endpoints.iter();
+    let free = endpoints.position(|e| !held.contains(&e.endpoint));
+    let index = free.unwrap_or(0);
+    let endpoint = &mut view.endpoints[index];
+    endpoint.is_placeable = true;
+    endpoint.free_mib += 120_u64.saturating_sub(endpoint.memory_mib);
+    endpoint.memory_mib = endpoint.memory_mib.max(120);
+    for grant in &mut view.grants {
+        if grant.state == GrantState::InDoubt {
+            grant.state = GrantState::Loaded;
+        }
+    }
+    view.store.loads_running = 0;
+}
+
+fn loads(decisions: &[PlacementDecision]) -> usize {
+    let loads = decisions.iter();
+    loads
+        .filter(|d| matches!(d, PlacementDecision::Load { .. }))
+        .count()
+}
