--- a/crates/wasabipoint_cli/src/arguments.rs
+++ b/crates/wasabipoint_cli/src/arguments.rs
@@ -93,21 +93,15 @@
 
 #[derive(Debug, Clone, Bpaf)]
 pub(crate) enum KeysCommand {
-    /// Add a key and print it once
+    /// Add a key and print it with its public name
     #[bpaf(command)]
     Add {
         /// Customer that the key belongs to
         #[bpaf(long, argument("CUSTOMER"))]
         customer: String,
-        /// The key; a random one by default
-        #[bpaf(long, argument("KEY"))]
-        key: Option<String>,
-        /// Identifier of the change; give the same one, with the same key, to resend
+        /// Identifier of the change; give the same one to resend, which prints the same key
         #[bpaf(long, argument("ID"))]
         change_id: Option<String>,
-        /// Public name of the key
-        #[bpaf(positional("NAME"))]
-        id: String,
     },
     /// Withdraw a key
     #[bpaf(command)]
@@ -115,7 +109,7 @@
         /// Identifier of the change; give the same one to resend after a lost answer
         #[bpaf(long, argument("ID"))]
         change_id: Option<String>,
-        /// Public name of the key
+        /// Public name of the key, as printed by `keys add` and `keys list`
         #[bpaf(positional("NAME"))]
         id: String,
     },
--- a/crates/wasabipoint_cli/src/command.rs
+++ b/crates/wasabipoint_cli/src/command.rs
@@ -129,20 +129,14 @@
     match command {
         KeysCommand::Add {
             customer,
-            key,
             change_id,
-            id,
         } => {
-            let key = key.clone().unwrap_or_else(random_key);
             let change_id = change_id_or_new(change_id.as_deref());
-            let body = json!({"id": id, "customer": customer, "key": key}).to_string();
             let request = ApiRequest::new(Method::POST, "/v1/keys")
                 .with_header("change-id", change_id.as_str())
                 .with_header("content-type", "application/json")
-                .with_body(body);
-            let resend = format!("--change-id {change_id} --key {key}");
-            send_change(api, &request, &resend).await?;
-            Ok(json!({"id": id, "customer": customer, "key": key}))
+                .with_body(json!({"customer": customer}).to_string());
+            send_change(api, &request, &format!("--change-id {change_id}")).await
         }
         KeysCommand::Withdraw { change_id, id } => {
             let change_id = change_id_or_new(change_id.as_deref());
@@ -171,7 +165,7 @@
 async fn diff_inventory(api: &Api, file: &Path, is_json: bool) -> Result<String, Refusal> {
     let next = check_inventory(file)?;
     let value = get(api, "/v1/inventory").await?;
-    let text = value["inventory"].as_str().unwrap_or_default();
+    let text = value["text"].as_str().unwrap_or_default();
     let current = if text.is_empty() {
         Inventory::default()
     } else {
@@ -225,8 +219,3 @@
 fn change_id_or_new(given: Option<&str>) -> String {
     given.map_or_else(|| RequestId::random().to_string(), str::to_owned)
 }
-
-/// Returns a key with 128 random bits.
-fn random_key() -> String {
-    format!("wp-{:032x}", rand::random::<u128>())
-}
--- a/crates/wasabipoint_testbed/src/demo.rs
+++ b/crates/wasabipoint_testbed/src/demo.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::caller::{Answer, Caller};
-use crate::fleet::{Fleet, FleetError};
+use crate::fleet::{CallerKey, Fleet, FleetError};
 use crate::plan::FleetPlan;
 
 /// Endpoints of the Delta example.
@@ -67,11 +67,11 @@
         started.elapsed().as_secs_f32()
     );
     println!("settings, data and logs: {}", fleet.folder().display());
-    let key = fleet.add_key("bucket-traders", "demo-key").await?;
-    fleet.wait_for_key(0, &key).await?;
+    let key = fleet.add_key("bucket-traders").await?;
+    fleet.wait_for_key(0, &key.key).await?;
     println!("applied the Delta inventory and rules, added a key");
-    show_completion(&fleet.caller(0).with_key(&key)).await?;
-    show_booking(&fleet.caller(1).with_key(&key)).await?;
+    show_completion(&fleet.caller(0).with_key(&key.key)).await?;
+    show_booking(&fleet.caller(1).with_key(&key.key)).await?;
     show_over_rate(&fleet).await?;
     show_withdrawal(&fleet, &key).await?;
     show_placement(&fleet).await?;
@@ -133,9 +133,9 @@
 }
 
 async fn show_over_rate(fleet: &Fleet) -> Result<(), DemoError> {
-    let key = fleet.add_key("door-vendors", "vendor-key").await?;
-    fleet.wait_for_key(0, &key).await?;
-    let caller = fleet.caller(0).with_key(&key);
+    let key = fleet.add_key("door-vendors").await?;
+    fleet.wait_for_key(0, &key.key).await?;
+    let caller = fleet.caller(0).with_key(&key.key);
     let models = caller.get("/v1/models").await?.json();
     let model = models["data"][0]["id"]
         .as_str()
@@ -181,11 +181,11 @@
     Ok(())
 }
 
-async fn show_withdrawal(fleet: &Fleet, key: &str) -> Result<(), DemoError> {
-    fleet.operate(&["keys", "withdraw", "demo-key"]).await?;
+async fn show_withdrawal(fleet: &Fleet, key: &CallerKey) -> Result<(), DemoError> {
+    fleet.operate(&["keys", "withdraw", &key.id]).await?;
     let withdrawn = Instant::now();
     loop {
-        let answer = fleet.caller(0).with_key(key).get("/v1/models").await?;
+        let answer = fleet.caller(0).with_key(&key.key).get("/v1/models").await?;
         if answer.error_kind().as_deref() == Some("invalid_key") {
             expect_status(&answer, StatusCode::UNAUTHORIZED, "withdrawn key")?;
             break;
--- a/crates/wasabipoint_testbed/src/fleet.rs
+++ b/crates/wasabipoint_testbed/src/fleet.rs
@@ -62,6 +62,15 @@
 
 impl std::error::Error for FleetError {}
 
+/// A key and its public name.
+#[derive(Debug, Clone)]
+pub struct CallerKey {
+    /// Public name, for withdrawal.
+    pub id: String,
+    /// The key itself.
+    pub key: String,
+}
+
 /// All processes of a fleet. Dropping it kills them; its folder stays when a test fails.
 #[derive(Debug)]
 pub struct Fleet {
@@ -369,12 +378,16 @@
         Ok(serde_json::from_slice(&output.stdout).unwrap_or(Value::Null))
     }
 
-    /// Adds a key of a customer and returns it.
-    pub async fn add_key(&self, customer: &str, name: &str) -> Result<String, FleetError> {
+    /// Adds a key of a customer.
+    pub async fn add_key(&self, customer: &str) -> Result<CallerKey, FleetError> {
         let answer = self
-            .operate(&["keys", "add", "--customer", customer, name])
+            .operate(&["keys", "add", "--customer", customer])
             .await?;
-        Ok(answer["key"].as_str().unwrap_or_default().to_owned())
+        let text = |field: &str| answer[field].as_str().unwrap_or_default().to_owned();
+        Ok(CallerKey {
+            id: text("id"),
+            key: text("key"),
+        })
     }
 
     /// Returns the index of the control member that leads.
--- a/crates/wasabipoint_testbed/src/lib.rs
+++ b/crates/wasabipoint_testbed/src/lib.rs
@@ -10,7 +10,7 @@
 
 pub use caller::{Answer, Caller};
 pub use demo::{DemoError, run_demo};
-pub use fleet::{Fleet, FleetError};
+pub use fleet::{CallerKey, Fleet, FleetError};
 pub use link::{Link, LinkState};
 pub use plan::{EngineFencing, FleetPlan};
 pub use process::{Process, StartError, program_path};
