--- a/crates/wasabipoint_control/src/api.rs
+++ b/crates/wasabipoint_control/src/api.rs
@@ -29,8 +29,9 @@
 use crate::control::Control;
 use crate::state::{Command, ConfigApply, ConfigBody, Outcome};
 
-/// Largest accepted body; an inventory of the design size has about 200 KB.
-const MAX_BODY_BYTES: usize = 16 * 1_024 * 1_024;
+/// Largest accepted body; an inventory of the design size has about 200 KB. A change holds the text
+/// and its parsed form, and must fit into one command of the replicated log.
+const MAX_BODY_BYTES: usize = wasabipoint_consensus::MAX_COMMAND_BYTES / 3;
 
 /// Longest accepted change id.
 const MAX_CHANGE_ID_BYTES: usize = 128;
@@ -236,13 +237,14 @@
             ProposeError::ChangeRefused(reason) => {
                 let kind = match reason {
                     ChangeRefusal::UnknownMember => ErrorKind::NotFound,
-                    ChangeRefusal::AlreadyMember | ChangeRefusal::LastVoter => {
-                        ErrorKind::InvalidConfiguration
-                    }
+                    ChangeRefusal::AlreadyMember
+                    | ChangeRefusal::LastVoter
+                    | ChangeRefusal::RetiredMember => ErrorKind::InvalidConfiguration,
                     _ => ErrorKind::Unavailable,
                 };
                 ApiError::new(kind, reason.to_string())
             }
+            ProposeError::TooLarge => ApiError::new(ErrorKind::BodyTooLarge, error.to_string()),
             ProposeError::Overloaded | ProposeError::Stopped => {
                 retry(Refusal::new(ErrorKind::Unavailable, error.to_string())).into()
             }
