--- /dev/null
+++ b/crates/wasabipoint_entry/src/api.rs
@@ -0,0 +1,251 @@
+//! The caller API.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, HeaderValue};
+use http::request::Parts;
+use http::{Method, Request, StatusCode};
+use serde_json::json;
+use slog::debug;
+use wasabipoint_http::{
+    BodyError, HttpHandler, HttpRequest, HttpResponse, json_response, refusal_response,
+    text_response,
+};
+use wasabipoint_kernel::{CustomerId, ErrorKind, KeyDigester, Refusal, RequestId};
+
+use crate::access::find_customer;
+use crate::completion::CompletionKind;
+use crate::credentials::{CallerKey, read_key};
+use crate::drain::ActiveRequest;
+use crate::entry::Entry;
+use crate::fleet::Caller;
+
+/// A request after its head was checked.
+pub(crate) struct Arrival {
+    pub(crate) request_id: RequestId,
+    pub(crate) parts: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) key: Option<CallerKey>,
+    pub(crate) caller: Option<Caller>,
+    pub(crate) active: ActiveRequest,
+    pub(crate) arrived_ms: u64,
+}
+
+/// What a path leads to.
+enum Endpoint {
+    Health,
+    Metrics,
+    Models,
+    Completion(CompletionKind),
+    Service(String),
+    Explain(String),
+}
+
+impl Entry {
+    /// Answers one request whose body was read.
+    pub async fn answer(&self, request: Request<Result<Bytes, BodyError>>) -> HttpResponse {
+        let request_id = RequestId::random();
+        let (parts, body) = request.into_parts();
+        let mut customer = None;
+        let result = self.route(request_id, parts, body, &mut customer).await;
+        let mut response = result.unwrap_or_else(|refusal| {
+            self.log_refusal(request_id, customer.as_ref(), &refusal);
+            self.measures.record_refusal(customer.as_ref(), &refusal);
+            refusal_response(&refusal)
+        });
+        let value = HeaderValue::try_from(request_id.to_string());
+        response.headers_mut().insert(
+            "x-request-id",
+            value.expect("hexadecimal digits make a header value"),
+        );
+        response
+    }
+
+    fn log_refusal(&self, request_id: RequestId, customer: Option<&CustomerId>, refusal: &Refusal) {
+        debug!(self.logger, "admission: refused a request";
+            "request" => %request_id,
+            "customer" => customer.map_or("none", CustomerId::as_str),
+            "kind" => %refusal.kind,
+            "run" => refusal.run.as_str(),
+            "retry_after_ms" => refusal.retry_after_ms);
+    }
+
+    async fn route(
+        &self,
+        request_id: RequestId,
+        parts: Parts,
+        body: Result<Bytes, BodyError>,
+        customer: &mut Option<CustomerId>,
+    ) -> Result<HttpResponse, Refusal> {
+        match find_endpoint(&parts)? {
+            Endpoint::Health => Ok(self.answer_health()),
+            Endpoint::Metrics => Ok(text_response(StatusCode::OK, self.measures.render())),
+            Endpoint::Explain(id) => self.explain(&parts, &id),
+            Endpoint::Models => {
+                let key = read_key(&parts.headers)?;
+                let caller = self.authenticate(key.as_ref())?;
+                *customer = Some(caller.customer.clone());
+                self.list_models(&caller)
+            }
+            Endpoint::Completion(kind) => {
+                let active = self.drain.admit()?;
+                let key = read_key(&parts.headers)?;
+                let caller = self.authenticate(key.as_ref())?;
+                *customer = Some(caller.customer.clone());
+                let arrival = Arrival {
+                    request_id,
+                    body: check_body(body, key.as_ref())?,
+                    parts,
+                    key,
+                    caller: Some(caller),
+                    active,
+                    arrived_ms: self.clock.now_ms(),
+                };
+                self.complete(kind, arrival).await
+            }
+            Endpoint::Service(route) => {
+                let active = self.drain.admit()?;
+                self.fleet.check_ready()?;
+                let key = read_key(&parts.headers)?;
+                let rule = self.find_route(&route)?;
+                let caller = self.authenticate_route(&rule, key.as_ref())?;
+                *customer = caller.as_ref().map(|caller| caller.customer.clone());
+                let arrival = Arrival {
+                    request_id,
+                    body: check_body(body, key.as_ref())?,
+                    parts,
+                    key,
+                    caller,
+                    active,
+                    arrived_ms: self.clock.now_ms(),
+                };
+                self.call_service(&rule, arrival).await
+            }
+        }
+    }
+
+    /// Verifies the key of a request on a keyed route.
+    pub(crate) fn authenticate(&self, key: Option<&CallerKey>) -> Result<Caller, Refusal> {
+        self.fleet.check_fresh()?;
+        let key = key.ok_or_else(|| Refusal::new(ErrorKind::MissingKey, ""))?;
+        self.fleet.verify(&self.fleet.digest(key.as_str()))
+    }
+
+    fn answer_health(&self) -> HttpResponse {
+        if !self.drain.is_serving() {
+            return refusal_response(&Refusal::new(ErrorKind::Draining, ""));
+        }
+        match self.fleet.check_ready() {
+            Ok(()) => text_response(StatusCode::OK, "ok\n"),
+            Err(refusal) => refusal_response(&refusal),
+        }
+    }
+
+    fn list_models(&self, caller: &Caller) -> Result<HttpResponse, Refusal> {
+        let view = self.fleet.view();
+        let customer = find_customer(&view, &caller.customer)?;
+        let data: Vec<_> = customer
+            .models
+            .iter()
+            .filter(|name| view.inventory.resolve(name).is_some())
+            .map(|name| json!({"id": name, "object": "model", "owned_by": "wasabipoint"}))
+            .collect();
+        let list = json!({"object": "list", "data": data});
+        Ok(json_response(StatusCode::OK, &list))
+    }
+
+    fn explain(&self, parts: &Parts, id: &str) -> Result<HttpResponse, Refusal> {
+        self.check_operator(parts)?;
+        let request_id =
+            RequestId::parse(id).ok_or_else(|| Refusal::new(ErrorKind::NotFound, ""))?;
+        let decisions = self.decisions.find(request_id);
+        if decisions.is_empty() {
+            let detail = "this entry process has no recent decision for the request";
+            return Err(Refusal::new(ErrorKind::NotFound, detail));
+        }
+        let view = json!({"request": request_id.to_string(), "decisions": decisions});
+        Ok(json_response(StatusCode::OK, &view))
+    }
+
+    /// Compares digests, so that the time tells nothing of the token.
+    fn check_operator(&self, parts: &Parts) -> Result<(), Refusal> {
+        let mut values = parts.headers.get_all(AUTHORIZATION).iter();
+        let sent = match (values.next(), values.next()) {
+            (Some(value), None) => value.to_str().unwrap_or_default(),
+            _ => "",
+        };
+        let digester = KeyDigester::new("operator token");
+        let expected = digester.digest(&format!("Bearer {}", self.config.operator_token));
+        if digester.digest(sent).matches(&expected) {
+            Ok(())
+        } else {
+            Err(Refusal::new(ErrorKind::OperatorUnauthorized, ""))
+        }
+    }
+}
+
+fn find_endpoint(parts: &Parts) -> Result<Endpoint, Refusal> {
+    let path = parts.uri.path();
+    let (endpoint, method) = match path {
+        "/healthz" => (Endpoint::Health, Method::GET),
+        "/metrics" => (Endpoint::Metrics, Method::GET),
+        "/v1/models" => (Endpoint::Models, Method::GET),
+        "/v1/chat/completions" => (Endpoint::Completion(CompletionKind::Chat), Method::POST),
+        "/v1/completions" => (Endpoint::Completion(CompletionKind::Text), Method::POST),
+        _ => {
+            if let Some(id) = path.strip_prefix("/v1/explain/request/") {
+                (Endpoint::Explain(id.to_owned()), Method::GET)
+            } else if let Some(rest) = path.strip_prefix("/services/") {
+                let route = rest.split('/').next().unwrap_or_default();
+                return Ok(Endpoint::Service(route.to_owned()));
+            } else {
+                return Err(Refusal::new(ErrorKind::NotFound, ""));
+            }
+        }
+    };
+    if parts.method == method {
+        Ok(endpoint)
+    } else {
+        let detail = format!("expected {method}");
+        Err(Refusal::new(ErrorKind::MethodNotAllowed, detail))
+    }
+}
+
+/// Refuses a body that could not be read, and one that holds the key: the endpoint would see it.
+fn check_body(body: Result<Bytes, BodyError>, key: Option<&CallerKey>) -> Result<Bytes, Refusal> {
+    let body = body.map_err(|error| match error {
+        BodyError::TooLarge => Refusal::new(ErrorKind::BodyTooLarge, ""),
+        BodyError::Incomplete => Refusal::new(ErrorKind::MalformedRequest, "the body broke off"),
+    })?;
+    if key.is_some_and(|key| key.occurs_in(&body)) {
+        let detail = "the body must not contain the key";
+        return Err(Refusal::new(ErrorKind::MalformedRequest, detail));
+    }
+    Ok(body)
+}
+
+/// Serves an entry process over HTTP.
+pub struct EntryHandler(Arc<Entry>);
+
+impl EntryHandler {
+    /// Creates the handler of a process.
+    pub fn new(entry: Arc<Entry>) -> Self {
+        Self(entry)
+    }
+}
+
+impl HttpHandler for EntryHandler {
+    fn handle(
+        &self,
+        request: HttpRequest,
+    ) -> Pin<Box<dyn Future<Output = HttpResponse> + Send + '_>> {
+        Box::pin(async move {
+            let (parts, body) = request.into_parts();
+            let body = body.read(self.0.config.body_bytes).await;
+            self.0.answer(Request::from_parts(parts, body)).await
+        })
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_entry/src/calls.rs
@@ -0,0 +1,311 @@
+//! Completion and service calls from arrival to response.
+
+use std::sync::Arc;
+
+use http::Method;
+use serde_json::Value;
+use tokio::time::Instant;
+use wasabipoint_http::HttpResponse;
+use wasabipoint_kernel::{AdapterName, CustomerId, ErrorKind, Refusal, RouteAccess, RouteRule};
+use wasabipoint_rpc::StoredResponse;
+
+use crate::access::{Resource, check_customer, find_customer};
+use crate::api::Arrival;
+use crate::claim::Claim;
+use crate::completion::{Completion, CompletionKind, read_usage};
+use crate::credentials::{CallerKey, clean_query, forwarded_headers, percent_decode};
+use crate::entry::Entry;
+use crate::fleet::Caller;
+use crate::prefix_index::hash_prompt;
+use crate::quota::Reservation;
+use crate::relay::{RelayContext, relay_stream, whole_response};
+use crate::run::{Call, Reply};
+use crate::scheduler::{Target, WaitingRequest};
+
+/// Longest idempotency key.
+const IDEMPOTENCY_KEY_BYTES: usize = 255;
+
+/// Priority of calls on open routes; the default of customers.
+const OPEN_PRIORITY: u8 = 5;
+
+impl Entry {
+    /// Runs a completion.
+    pub(crate) async fn complete(
+        &self,
+        kind: CompletionKind,
+        arrival: Arrival,
+    ) -> Result<HttpResponse, Refusal> {
+        let arrived = Instant::now();
+        let completion = Completion::parse(kind, &arrival.body)?;
+        let caller =
+            (arrival.caller.clone()).ok_or_else(|| Refusal::new(ErrorKind::MissingKey, ""))?;
+        let view = self.fleet.view();
+        let resource = Resource::Model(completion.model.clone());
+        check_customer(&view, &caller.customer, &resource)?;
+        let customer = find_customer(&view, &caller.customer)?;
+        let (model, adapter) = view
+            .inventory
+            .resolve(&completion.model)
+            .ok_or_else(|| Refusal::new(ErrorKind::ModelUnknown, ""))?;
+        let answer_tokens = completion.answer_tokens(model.max_answer_tokens);
+        let prompt_tokens = completion.prompt_tokens();
+        let (is_streamed, hides_usage) = (completion.is_streamed, !completion.wants_usage);
+        let prefix = hash_prompt(model.name.as_str(), &completion.prompt);
+        let adapter_name = adapter.map(|adapter| adapter.name.clone());
+        let body = completion.encode(
+            model.name.as_str(),
+            adapter_name.as_ref().map(AdapterName::as_str),
+            answer_tokens,
+        );
+        refuse_key_in(&body, arrival.key.as_ref())?;
+        let path = match kind {
+            CompletionKind::Chat => "/v1/chat/completions",
+            CompletionKind::Text => "/v1/completions",
+        };
+        let call = Call {
+            waiting: WaitingRequest {
+                request_id: arrival.request_id,
+                customer: caller.customer.clone(),
+                target: Target::Model(model.name.clone()),
+                adapter: adapter_name,
+                prefix: prefix.into(),
+                cost_tokens: prompt_tokens + answer_tokens,
+                body_bytes: body.len() as u64,
+                arrived_ms: arrival.arrived_ms,
+                deadline_ms: arrival.arrived_ms + view.rules.admission.deadline_ms,
+            },
+            caller: Some(caller),
+            resource,
+            method: "POST".to_owned(),
+            path: path.to_owned(),
+            headers: vec![("content-type".to_owned(), "application/json".to_owned())],
+            body: body.into(),
+            is_idempotent: true,
+            is_streamed,
+            priority: customer.priority,
+            claim: None,
+        };
+        self.scheduler.note_arrival(&model.name);
+        let mut reservation = Some(self.admit(&call, customer.burst_tokens).await?);
+        let reply = self.runner.run(&call, reservation.as_mut()).await?;
+        match reply {
+            Reply::Stream(open) => Ok(relay_stream(
+                *open,
+                RelayContext {
+                    request_id: call.waiting.request_id,
+                    customer: call.waiting.customer,
+                    reservation,
+                    hides_usage,
+                    arrived,
+                    measures: Arc::clone(&self.measures),
+                    logger: self.logger.clone(),
+                    active: arrival.active,
+                },
+            )),
+            Reply::Whole(response) => {
+                let used = count_used(&response, is_streamed, prompt_tokens);
+                self.settle(&call, &mut reservation, used);
+                self.measures
+                    .record_first_token(&call.waiting.customer, arrived.elapsed());
+                Ok(self.finish_whole(&call.waiting.customer, response, arrived))
+            }
+        }
+    }
+
+    /// Checks the estimate and the queue, then reserves the tokens of a call.
+    async fn admit(&self, call: &Call, burst_tokens: u64) -> Result<Reservation, Refusal> {
+        let waiting = &call.waiting;
+        if waiting.cost_tokens > burst_tokens {
+            let detail = format!("{} of {burst_tokens} tokens", waiting.cost_tokens);
+            return Err(Refusal::new(ErrorKind::ExceedsBurst, detail));
+        }
+        self.scheduler.check(waiting)?;
+        self.quota
+            .reserve(&waiting.customer, waiting.cost_tokens, waiting.deadline_ms)
+            .await
+    }
+
+    fn settle(&self, call: &Call, reservation: &mut Option<Reservation>, used: Option<u64>) {
+        if let Some(reservation) = reservation {
+            let spent = reservation.settle(used);
+            self.measures.add_tokens(&call.waiting.customer, spent);
+        }
+    }
+
+    fn finish_whole(
+        &self,
+        customer: &CustomerId,
+        response: StoredResponse,
+        arrived: Instant,
+    ) -> HttpResponse {
+        self.measures.record_duration(customer, arrived.elapsed());
+        whole_response(response.status, &response.headers, response.body)
+    }
+
+    /// Finds the rule of a route.
+    pub(crate) fn find_route(&self, route: &str) -> Result<RouteRule, Refusal> {
+        let view = self.fleet.view();
+        let rule = view.rules.routes.get(route).cloned();
+        rule.ok_or_else(|| Refusal::new(ErrorKind::NotFound, "there is no such route"))
+    }
+
+    /// Verifies the key of a call; on an open route a key is not needed and not looked at.
+    pub(crate) fn authenticate_route(
+        &self,
+        rule: &RouteRule,
+        key: Option<&CallerKey>,
+    ) -> Result<Option<Caller>, Refusal> {
+        if rule.access == RouteAccess::Open {
+            return Ok(None);
+        }
+        let caller = self.authenticate(key)?;
+        let resource = Resource::Route(rule.name.clone());
+        check_customer(&self.fleet.view(), &caller.customer, &resource)?;
+        Ok(Some(caller))
+    }
+
+    /// Runs a call to a plain service.
+    pub(crate) async fn call_service(
+        &self,
+        rule: &RouteRule,
+        arrival: Arrival,
+    ) -> Result<HttpResponse, Refusal> {
+        let arrived = Instant::now();
+        let view = self.fleet.view();
+        let customer = match &arrival.caller {
+            Some(caller) => Some(find_customer(&view, &caller.customer)?),
+            None => None,
+        };
+        let call = self.build_service_call(rule, &arrival, customer.map(|each| each.priority))?;
+        let mut reservation = match customer {
+            Some(customer) if rule.cost_tokens > 0 => {
+                Some(self.admit(&call, customer.burst_tokens).await?)
+            }
+            _ => {
+                self.scheduler.check(&call.waiting)?;
+                None
+            }
+        };
+        let reply = self.runner.run(&call, reservation.as_mut()).await?;
+        match reply {
+            Reply::Whole(response) => {
+                self.settle(&call, &mut reservation, None);
+                Ok(self.finish_whole(&call.waiting.customer, response, arrived))
+            }
+            Reply::Stream(_) => Err(Refusal::new(
+                ErrorKind::Internal,
+                "a whole response was expected",
+            )),
+        }
+    }
+
+    fn build_service_call(
+        &self,
+        rule: &RouteRule,
+        arrival: &Arrival,
+        priority: Option<u8>,
+    ) -> Result<Call, Refusal> {
+        let method = &arrival.parts.method;
+        let is_idempotent =
+            rule.is_idempotent || matches!(*method, Method::GET | Method::HEAD | Method::OPTIONS);
+        let path = self.build_path(rule, arrival)?;
+        // A customer's name holds no colon, so open routes cannot take one.
+        let customer = arrival.caller.as_ref().map_or_else(
+            || CustomerId::new(format!("route:{}", rule.name)),
+            |caller| caller.customer.clone(),
+        );
+        let claim = match read_idempotency_key(arrival)? {
+            Some(key) if !is_idempotent => Some(Claim {
+                customer: customer.clone(),
+                key,
+                fingerprint: build_fingerprint(method.as_str(), rule, &path, &arrival.body),
+            }),
+            _ => None,
+        };
+        Ok(Call {
+            waiting: WaitingRequest {
+                request_id: arrival.request_id,
+                customer,
+                target: Target::Service(rule.service.clone()),
+                adapter: None,
+                prefix: Vec::new().into(),
+                cost_tokens: rule.cost_tokens,
+                body_bytes: arrival.body.len() as u64,
+                arrived_ms: arrival.arrived_ms,
+                deadline_ms: arrival.arrived_ms + rule.deadline_ms,
+            },
+            caller: arrival.caller.clone(),
+            resource: Resource::Route(rule.name.clone()),
+            method: method.as_str().to_owned(),
+            path,
+            headers: forwarded_headers(&arrival.parts.headers, arrival.key.as_ref()),
+            body: arrival.body.clone(),
+            is_idempotent,
+            is_streamed: false,
+            priority: priority.unwrap_or(OPEN_PRIORITY),
+            claim,
+        })
+    }
+
+    /// Returns path and query at the endpoint, without keys.
+    fn build_path(&self, rule: &RouteRule, arrival: &Arrival) -> Result<String, Refusal> {
+        let uri = &arrival.parts.uri;
+        let prefix = format!("/services/{}", rule.name);
+        let path = uri.path().strip_prefix(&prefix).unwrap_or_default();
+        let path = if path.is_empty() { "/" } else { path };
+        refuse_key_in(percent_decode(path).as_bytes(), arrival.key.as_ref())?;
+        let is_known_key = |text: &str| self.fleet.is_known_key(text);
+        let query = uri
+            .query()
+            .map(|query| clean_query(query, arrival.key.as_ref(), is_known_key));
+        Ok(match query {
+            Some(query) if !query.is_empty() => format!("{path}?{query}"),
+            _ => path.to_owned(),
+        })
+    }
+}
+
+fn refuse_key_in(bytes: &[u8], key: Option<&CallerKey>) -> Result<(), Refusal> {
+    if key.is_some_and(|key| key.occurs_in(bytes)) {
+        let detail = "path and body must not contain the key";
+        return Err(Refusal::new(ErrorKind::MalformedRequest, detail));
+    }
+    Ok(())
+}
+
+fn read_idempotency_key(arrival: &Arrival) -> Result<Option<String>, Refusal> {
+    let mut values = arrival.parts.headers.get_all("idempotency-key").iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    let text = value.to_str().unwrap_or_default();
+    let is_usable = (1..=IDEMPOTENCY_KEY_BYTES).contains(&text.len()) && values.next().is_none();
+    if !is_usable {
+        let detail = "expected one idempotency-key of 1 to 255 visible characters";
+        return Err(Refusal::new(ErrorKind::MalformedRequest, detail));
+    }
+    refuse_key_in(text.as_bytes(), arrival.key.as_ref())?;
+    Ok(Some(text.to_owned()))
+}
+
+fn build_fingerprint(method: &str, rule: &RouteRule, path: &str, body: &[u8]) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    for part in [method, rule.name.as_str(), path] {
+        hasher.update(part.as_bytes());
+        hasher.update(&[0]);
+    }
+    hasher.update(body);
+    *hasher.finalize().as_bytes()
+}
+
+/// Returns the tokens of a whole response. A refusal of the engine cost its prompt only.
+fn count_used(response: &StoredResponse, is_streamed: bool, prompt_tokens: u64) -> Option<u64> {
+    if response.status != 200 {
+        return Some(prompt_tokens);
+    }
+    if is_streamed {
+        return None;
+    }
+    let value: Value = serde_json::from_slice(&response.body).ok()?;
+    read_usage(&value)
+}
--- /dev/null
+++ b/crates/wasabipoint_entry/src/entry.rs
@@ -0,0 +1,145 @@
+//! An entry process: its parts and its background work.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use slog::{Logger, info};
+use tokio::task::JoinSet;
+use wasabipoint_kernel::{Metrics, MonotonicClock};
+
+use crate::claim::Claimer;
+use crate::config::EntryConfig;
+use crate::decisions::Decisions;
+use crate::drain::Drain;
+use crate::fleet::Fleet;
+use crate::link::{AgentLink, ControlLink};
+use crate::measures::Measures;
+use crate::quota::Quota;
+use crate::report::Reporter;
+use crate::retry::RetryBudget;
+use crate::run::Runner;
+use crate::scheduler::Scheduler;
+
+/// Time between rounds over the queues that no event caused, in which load reports grow old.
+const PUMP_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest time for the last quota exchange.
+const RETURN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// An entry process without its listener.
+pub struct Entry {
+    pub(crate) config: EntryConfig,
+    pub(crate) fleet: Arc<Fleet>,
+    pub(crate) scheduler: Arc<Scheduler>,
+    pub(crate) quota: Arc<Quota>,
+    pub(crate) runner: Runner,
+    pub(crate) decisions: Arc<Decisions>,
+    pub(crate) measures: Arc<Measures>,
+    pub(crate) drain: Arc<Drain>,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) logger: Logger,
+    control: Arc<dyn ControlLink>,
+    tasks: Mutex<JoinSet<()>>,
+}
+
+impl Entry {
+    /// Creates the process and starts its background work on the calling runtime.
+    pub fn start(
+        config: EntryConfig,
+        control: Arc<dyn ControlLink>,
+        agents: Arc<dyn AgentLink>,
+        logger: Logger,
+    ) -> Arc<Self> {
+        let clock = MonotonicClock::new();
+        let fleet = Arc::new(Fleet::new(
+            &config.key_secret,
+            config.freshness_bound_ms,
+            clock,
+        ));
+        let decisions = Arc::new(Decisions::default());
+        let scheduler = Arc::new(Scheduler::new(
+            config.failure_domain.clone(),
+            Arc::clone(&fleet),
+            Arc::clone(&decisions),
+            clock,
+            logger.clone(),
+        ));
+        let runner = Runner {
+            agents: Arc::clone(&agents),
+            claimer: Claimer::new(Arc::clone(&control), agents),
+            scheduler: Arc::clone(&scheduler),
+            fleet: Arc::clone(&fleet),
+            budget: RetryBudget::new(),
+            clock,
+            silence_bound: Duration::from_millis(config.silence_bound_ms),
+            logger: logger.clone(),
+        };
+        let entry = Arc::new(Self {
+            quota: Arc::new(Quota::new(config.entry.clone(), config.incarnation, clock)),
+            measures: Arc::new(Measures::new(Metrics::new("wasabipoint-entry"), &scheduler)),
+            drain: Arc::new(Drain::new()),
+            tasks: Mutex::new(JoinSet::new()),
+            config,
+            fleet,
+            scheduler,
+            runner,
+            decisions,
+            clock,
+            logger,
+            control,
+        });
+        entry.spawn_tasks();
+        entry
+    }
+
+    fn spawn_tasks(&self) {
+        let mut tasks = self.tasks.lock().expect("no holder of this lock panics");
+        let control = Arc::clone(&self.control);
+        let (fleet, logger) = (Arc::clone(&self.fleet), self.logger.clone());
+        let caller = self.config.entry.to_string();
+        tasks.spawn(async move { fleet.follow(&*control, &caller, &logger).await });
+
+        let control = Arc::clone(&self.control);
+        let (quota, logger) = (Arc::clone(&self.quota), self.logger.clone());
+        tasks.spawn(async move { quota.run(&*control, &logger).await });
+
+        let control = Arc::clone(&self.control);
+        let (reporter, config) = (
+            Reporter::new(Arc::clone(&self.scheduler)),
+            self.config.clone(),
+        );
+        tasks.spawn(async move { reporter.run(&*control, &config).await });
+
+        let scheduler = Arc::clone(&self.scheduler);
+        let mut changes = self.fleet.subscribe();
+        tasks.spawn(async move {
+            loop {
+                match tokio::time::timeout(PUMP_INTERVAL, changes.changed()).await {
+                    Ok(Ok(())) => scheduler.follow_fleet(),
+                    Ok(Err(_)) => return,
+                    Err(_) => scheduler.pump(),
+                }
+            }
+        });
+    }
+
+    /// Waits for the first confirmed reply of control.
+    pub async fn wait_until_ready(&self) {
+        let mut changes = self.fleet.subscribe();
+        while !self.fleet.is_ready() {
+            // The fleet owns the sender and lives as long as `self`.
+            let _ = changes.changed().await;
+        }
+    }
+
+    /// Fails the health check, accepts requests for the grace time, and returns when the last
+    /// running request has ended and unused tokens were returned.
+    pub async fn drain(&self) {
+        info!(self.logger, "entry: drains");
+        let grace = Duration::from_millis(self.config.drain_grace_ms);
+        self.drain.run(grace).await;
+        let returning = self.quota.return_all(&*self.control, &self.logger);
+        let _ = tokio::time::timeout(RETURN_TIMEOUT, returning).await;
+        info!(self.logger, "entry: drained");
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_entry/src/frames.rs
@@ -0,0 +1,136 @@
+//! Reads and checks the frame stream of a dispatched request.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+use wasabipoint_kernel::{ErrorKind, RequestId, RunState};
+use wasabipoint_rpc::{Frame, FrameDecoder, LoadReport};
+
+use crate::link::{AgentError, ResponsePieces};
+
+/// Content that arrived in order for the right request.
+pub(crate) enum StreamEvent {
+    Head {
+        status: u16,
+        headers: Vec<(String, String)>,
+    },
+    Data(Vec<u8>),
+    End(LoadReport),
+}
+
+/// Why a frame stream ended without its response.
+#[derive(Debug)]
+pub(crate) enum StreamError {
+    /// No frame arrived within the bound.
+    Silent,
+    /// The stream broke off or holds frames that do not belong there.
+    Broken(&'static str),
+    /// The agent reported a refusal or failure.
+    Failed {
+        kind: ErrorKind,
+        run: RunState,
+        detail: String,
+    },
+}
+
+/// A frame stream, whose request id, order and byte count are checked.
+pub(crate) struct FrameReader {
+    pieces: Box<dyn ResponsePieces>,
+    decoder: FrameDecoder,
+    request_id: RequestId,
+    next_sequence: u64,
+    body_bytes: u64,
+    has_head: bool,
+    silence_bound: Duration,
+    active_at: Instant,
+}
+
+impl FrameReader {
+    pub(crate) fn new(
+        pieces: Box<dyn ResponsePieces>,
+        request_id: RequestId,
+        silence_bound: Duration,
+    ) -> Self {
+        Self {
+            pieces,
+            decoder: FrameDecoder::new(),
+            request_id,
+            next_sequence: 0,
+            body_bytes: 0,
+            has_head: false,
+            silence_bound,
+            active_at: Instant::now(),
+        }
+    }
+
+    pub(crate) fn request_id(&self) -> RequestId {
+        self.request_id
+    }
+
+    /// Restarts the silence bound after the reader itself was kept waiting by its caller.
+    pub(crate) fn touch(&mut self) {
+        self.active_at = Instant::now();
+    }
+
+    /// Returns the next content; heartbeats only prolong the wait. A dropped call loses nothing.
+    pub(crate) async fn next(&mut self) -> Result<StreamEvent, StreamError> {
+        loop {
+            while let Some(frame) = self
+                .decoder
+                .next_frame()
+                .map_err(|_| StreamError::Broken("a frame does not decode"))?
+            {
+                if frame.request_id != self.request_id {
+                    return Err(StreamError::Broken("a frame belongs to another request"));
+                }
+                if frame.sequence != self.next_sequence {
+                    return Err(StreamError::Broken("a frame is out of order"));
+                }
+                self.next_sequence += 1;
+                self.touch();
+                if let Some(event) = self.accept(frame.frame)? {
+                    return Ok(event);
+                }
+            }
+            let limit = self.active_at + self.silence_bound;
+            let piece = tokio::time::timeout_at(limit, self.pieces.next_piece())
+                .await
+                .map_err(|_| StreamError::Silent)?;
+            match piece {
+                Ok(Some(bytes)) => self.decoder.push(&bytes),
+                Ok(None) => {
+                    return Err(StreamError::Broken("the stream ended before its end frame"));
+                }
+                Err(AgentError::Refused { kind, run, detail }) => {
+                    return Err(StreamError::Failed { kind, run, detail });
+                }
+                Err(_) => return Err(StreamError::Broken("the connection broke")),
+            }
+        }
+    }
+
+    fn accept(&mut self, frame: Frame) -> Result<Option<StreamEvent>, StreamError> {
+        match frame {
+            Frame::Head { status, headers } if !self.has_head => {
+                self.has_head = true;
+                Ok(Some(StreamEvent::Head { status, headers }))
+            }
+            Frame::Data(bytes) if self.has_head => {
+                self.body_bytes += bytes.len() as u64;
+                Ok(Some(StreamEvent::Data(bytes)))
+            }
+            Frame::End { byte_count, load } if self.has_head => {
+                if byte_count == self.body_bytes {
+                    Ok(Some(StreamEvent::End(load)))
+                } else {
+                    Err(StreamError::Broken("the byte count does not match"))
+                }
+            }
+            Frame::Heartbeat => Ok(None),
+            Frame::Failed { kind, run, detail } => Err(StreamError::Failed { kind, run, detail }),
+            Frame::Head { .. } | Frame::Data(_) | Frame::End { .. } => {
+                Err(StreamError::Broken("a frame has no place there"))
+            }
+        }
+    }
+}
--- a/crates/wasabipoint_entry/src/lib.rs
+++ b/crates/wasabipoint_entry/src/lib.rs
@@ -1,1 +1,37 @@
-//! Placeholder.
+//! The entry process: callers' HTTP API, keys, admission, fair queues, routing, retries and
+//! response streams.
+
+mod access;
+mod api;
+mod calls;
+mod claim;
+mod completion;
+mod config;
+mod credentials;
+mod decisions;
+mod drain;
+mod endpoints;
+mod entry;
+mod estimate;
+mod events;
+mod fair_queue;
+mod fleet;
+mod frames;
+mod link;
+mod measures;
+mod prefix_index;
+mod quota;
+mod quota_ledger;
+mod relay;
+mod report;
+mod retry;
+mod run;
+mod scheduler;
+
+pub use api::EntryHandler;
+pub use config::EntryConfig;
+pub use entry::Entry;
+pub use fair_queue::FairQueue;
+pub use link::{AgentError, AgentLink, ControlLink, HttpAgentLink, ResponsePieces, RpcControlLink};
+pub use prefix_index::{PrefixIndex, hash_prompt};
+pub use quota_ledger::{AskResult, QuotaLedger, ReservedTokens};
--- /dev/null
+++ b/crates/wasabipoint_entry/src/main.rs
@@ -0,0 +1,89 @@
+//! The `wasabipoint-entry` program.
+
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use bpaf::Bpaf;
+use slog::{Level, Logger, error};
+use wasabipoint_entry::{Entry, EntryConfig, EntryHandler, HttpAgentLink, RpcControlLink};
+use wasabipoint_http::HttpServer;
+use wasabipoint_kernel::{
+    ENTRY_SETTINGS, ErrorKind, Incarnation, LogFormat, Settings, build_logger, wait_for_termination,
+};
+
+/// Serves callers and routes their requests to endpoints.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+struct Arguments {
+    /// Settings file with a section [entry]
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// Only check the settings
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = arguments().run();
+    let settings = match Settings::load(&arguments.settings, "entry", ENTRY_SETTINGS) {
+        Ok(settings) => settings,
+        Err(errors) => {
+            eprintln!("{errors}");
+            return exit_code(ErrorKind::InvalidConfiguration);
+        }
+    };
+    if arguments.check {
+        println!("{}: the settings are valid", display(&arguments.settings));
+        return ExitCode::SUCCESS;
+    }
+    let format = match settings.text("log_format") {
+        "json" => LogFormat::Json,
+        _ => LogFormat::Text,
+    };
+    let level = match settings.text("log_level") {
+        "error" => Level::Error,
+        "warning" => Level::Warning,
+        "debug" => Level::Debug,
+        _ => Level::Info,
+    };
+    let (logger, _guard) = build_logger("wasabipoint-entry", format, level);
+    match run(&settings, &logger) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            error!(logger, "entry: cannot run"; "error" => %fault);
+            exit_code(ErrorKind::Unavailable)
+        }
+    }
+}
+
+#[tokio::main]
+async fn run(settings: &Settings, logger: &Logger) -> std::io::Result<()> {
+    let server = HttpServer::new(settings.address("listen"))?
+        .with_workers(settings.integer("workers") as usize);
+    let address = server.local_address()?;
+    // Only the order of two runs matters, and a process without a disk has no other source of it.
+    let started = SystemTime::now().duration_since(UNIX_EPOCH);
+    let incarnation = Incarnation(started.map_or(0, |elapsed| elapsed.as_millis() as u64));
+    let config = EntryConfig::from_settings(settings, address, incarnation);
+    let control = Arc::new(RpcControlLink::new(&settings.addresses("control")));
+    let agents = Arc::new(HttpAgentLink::new());
+    let entry = Entry::start(config, control, agents, logger.clone());
+    let handle = server.serve(Arc::new(EntryHandler::new(Arc::clone(&entry))))?;
+    let mut output = std::io::stdout();
+    writeln!(output, "listening http={address}")?;
+    output.flush()?;
+    wait_for_termination().await?;
+    entry.drain().await;
+    handle.stop().await;
+    Ok(())
+}
+
+fn display(path: &Path) -> String {
+    path.display().to_string()
+}
+
+fn exit_code(kind: ErrorKind) -> ExitCode {
+    ExitCode::from(kind.answer().exit_code)
+}
--- /dev/null
+++ b/crates/wasabipoint_entry/tests/entry/admission.rs
@@ -0,0 +1,227 @@
+//! Deadlines, queue bounds and fairness.
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use futures::stream::{FuturesUnordered, StreamExt};
+use tokio::time::Instant;
+use wasabipoint_entry::{FairQueue, PrefixIndex, hash_prompt};
+use wasabipoint_kernel::{CustomerId, EndpointId, ModelName};
+use wasabipoint_rpc::{CacheEvent, ColdEstimate};
+
+use crate::fake_agents::Plan;
+use crate::harness::{Answer, Harness, KEY, OTHER_KEY, completion, engine};
+
+async fn start_with_one_slot() -> Harness {
+    Harness::start_with(|view| {
+        view.endpoints.clear();
+        let engine = engine("engine-1", 11, 1);
+        view.endpoints.insert(engine.endpoint.clone(), engine);
+    })
+    .await
+}
+
+fn retry_after_s(answer: &Answer) -> u64 {
+    answer.headers["retry-after"]
+        .to_str()
+        .unwrap()
+        .parse()
+        .unwrap()
+}
+
+/// Guards against requests that wait past their deadline, or are dropped without an answer.
+#[tokio::test(start_paused = true)]
+async fn gives_up_at_the_deadline() {
+    let harness = start_with_one_slot().await;
+    harness.agents.plan(&[Plan::Slow(Duration::from_mins(1))]);
+    let began = Instant::now();
+    let (running, waiting) = tokio::join!(harness.complete("first", true), async {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let answer = harness.complete("second", false).await;
+        (answer, began.elapsed())
+    });
+    assert!(running.is_complete);
+    let (answer, elapsed) = waiting;
+    assert_eq!(
+        (answer.kind().as_str(), answer.run().as_str()),
+        ("deadline_exceeded", "not run")
+    );
+    assert_eq!(elapsed.as_millis(), 10_010);
+    assert!(retry_after_s(&answer) >= 1);
+    assert_eq!(harness.agents.executions(), 1);
+    let metrics = harness.metrics().await;
+    assert!(
+        metrics.contains("refusals_inside_rate_total{customer=\"delta\""),
+        "{metrics}"
+    );
+}
+
+/// Guards against letting a request wait that observed run times show to be too late.
+#[tokio::test(start_paused = true)]
+async fn refuses_at_once_when_the_deadline_cannot_be_met() {
+    let harness = start_with_one_slot().await;
+    harness.agents.plan_all(Plan::Slow(Duration::from_secs(4)));
+    assert_eq!(harness.complete("p", false).await.status, 200);
+    let sends = (0..6).map(|_| async {
+        let began = Instant::now();
+        let answer = harness.complete("p", false).await;
+        (answer, began.elapsed())
+    });
+    let answers = join_all(sends).await;
+    let refused: Vec<_> = answers
+        .iter()
+        .filter(|(answer, _)| answer.status != 200)
+        .collect();
+    assert!(refused.len() >= 3);
+    for (answer, elapsed) in refused {
+        assert_eq!(answer.kind(), "deadline_unreachable");
+        assert!(elapsed.is_zero(), "refused after {elapsed:?}");
+        assert!(retry_after_s(answer) >= 1);
+    }
+}
+
+/// Guards against a cold model that control learns of only with the next report, and against
+/// requests that wait for a load that ends too late.
+#[tokio::test(start_paused = true)]
+async fn cold_model_is_reported_at_once_and_refused_by_estimate() {
+    let harness = Harness::start().await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    harness.control.estimate_cold(ColdEstimate {
+        model: ModelName::new("large"),
+        ready_in_ms: 30_000,
+    });
+    let began = Instant::now();
+    let request = completion(KEY, "p", false).map(|body| {
+        String::from_utf8(body)
+            .unwrap()
+            .replace("small", "large")
+            .into_bytes()
+    });
+    let answer = harness.send(request).await;
+    assert_eq!(
+        (answer.kind().as_str(), answer.run().as_str()),
+        ("deadline_unreachable", "not run")
+    );
+    assert_eq!(
+        answer.headers["retry-after"], "20",
+        "30 s of load less 10 s of deadline"
+    );
+    assert!(
+        began.elapsed() < Duration::from_millis(100),
+        "{:?}",
+        began.elapsed()
+    );
+    let (_, report) = harness.control.reports().pop().unwrap();
+    assert_eq!(report.demand[0].model.as_str(), "large");
+    assert_eq!((report.demand[0].arrived, report.demand[0].queued), (1, 1));
+}
+
+/// Guards against queues without bounds in count and bytes.
+#[tokio::test(start_paused = true)]
+async fn queue_is_bounded_per_customer() {
+    let harness = start_with_one_slot().await;
+    harness.agents.plan_all(Plan::Slow(Duration::from_secs(2)));
+    let small = join_all((0..60).map(|_| harness.complete("p", false))).await;
+    let full = small
+        .iter()
+        .filter(|answer| answer.kind() == "queue_full")
+        .count();
+    assert_eq!(full, 9, "50 wait and one runs");
+    let harness = start_with_one_slot().await;
+    harness.agents.plan_all(Plan::Slow(Duration::from_secs(2)));
+    let long = "x".repeat(3_500);
+    let large = join_all((0..30).map(|_| harness.complete(&long, false))).await;
+    let full = large
+        .iter()
+        .filter(|answer| answer.kind() == "queue_full")
+        .count();
+    assert!(
+        full >= 11,
+        "{full} refused, at most 18 bodies fit into the bytes"
+    );
+    let other = harness.send(completion(OTHER_KEY, "p", false)).await;
+    assert_eq!(other.status, 200);
+}
+
+/// Guards against one customer at several times its share starving another.
+#[tokio::test(start_paused = true)]
+async fn customer_at_five_times_the_load_does_not_starve_another() {
+    let harness = start_with_one_slot().await;
+    harness
+        .agents
+        .plan_all(Plan::Slow(Duration::from_millis(500)));
+    let mut calls = FuturesUnordered::new();
+    for round in 0..10 {
+        for key in [KEY, KEY, KEY, KEY, KEY, OTHER_KEY] {
+            let request = completion(key, "p", true);
+            let harness = &harness;
+            calls.push(async move {
+                tokio::time::sleep(Duration::from_secs(round)).await;
+                let began = Instant::now();
+                (key, harness.send(request).await, began.elapsed())
+            });
+        }
+    }
+    let mut served = [0_u32; 2];
+    let mut longest = Duration::ZERO;
+    while let Some((key, answer, elapsed)) = calls.next().await {
+        let is_other = key == OTHER_KEY;
+        served[usize::from(is_other)] += u32::from(answer.status == 200);
+        if is_other {
+            assert_eq!(answer.status, 200, "{}", answer.text());
+            longest = longest.max(elapsed);
+        }
+    }
+    println!("served {served:?}, longest wait of the smaller customer {longest:?}");
+    assert_eq!(served[1], 10);
+    assert!(longest <= Duration::from_secs(3), "{longest:?}");
+}
+
+/// Guards against sharing by requests in place of tokens.
+#[test]
+fn fair_queue_shares_tokens_not_requests() {
+    let (large, small) = (CustomerId::new("large"), CustomerId::new("small"));
+    let mut queue = FairQueue::new();
+    for id in 0..40 {
+        queue.push(&large, id, 1_000, ("large", 1_000));
+        queue.push(&small, 100 + id, 100, ("small", 100));
+    }
+    let mut served = [0_u64; 2];
+    for _ in 0..33 {
+        let (name, tokens) = queue.pop().unwrap();
+        served[usize::from(name == "small")] += tokens;
+    }
+    assert!(served[0].abs_diff(served[1]) <= 1_000, "{served:?}");
+    assert!(queue.remove(&large, 39).is_some());
+    assert_eq!(queue.len(), 46);
+}
+
+/// Guards against an index without a bound, and against knowledge kept over a gap in the events.
+#[test]
+fn prefix_index_is_bounded_and_drops_on_a_gap() {
+    let (one, two) = (EndpointId::new("one"), EndpointId::new("two"));
+    let prompt = hash_prompt("small", &[b'x'; 2_000]);
+    assert_eq!(prompt.len(), 7);
+    assert_eq!(hash_prompt("small", &[b'x'; 1_000])[..], prompt[..3]);
+    assert_ne!(hash_prompt("large", &[b'x'; 1_000])[0], prompt[0]);
+    let mut index = PrefixIndex::new(10);
+    for block in &prompt {
+        index.insert(&one, *block);
+    }
+    index.insert(&two, prompt[0]);
+    assert_eq!(index.count_leading(&one, &prompt), 7);
+    index.apply(&one, &[CacheEvent::Removed(prompt[2])], false);
+    assert_eq!(index.count_leading(&one, &prompt), 2);
+    index.apply(&one, &[CacheEvent::Stored(prompt[0])], true);
+    assert_eq!(
+        (
+            index.count_leading(&one, &prompt),
+            index.count_leading(&two, &prompt)
+        ),
+        (1, 1)
+    );
+    for block in 0..100 {
+        index.insert(&two, block);
+    }
+    assert!(index.len() <= 10);
+}
--- /dev/null
+++ b/crates/wasabipoint_entry/tests/entry/fake_agents.rs
@@ -0,0 +1,304 @@
+//! A fake of all agents, which counts executions and follows a plan per dispatch.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use serde_json::{Value, json};
+use tokio::time::Instant;
+use wasabipoint_entry::{AgentError, AgentLink, ResponsePieces};
+use wasabipoint_kernel::{ErrorKind, RequestId, RunState};
+use wasabipoint_rpc::{
+    DispatchRequest, Frame, LoadReport, Outcome, OutcomeRequest, StoredResponse, StreamFrame,
+    encode_frame, encode_message,
+};
+
+/// Where a dispatch ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Plan {
+    Answer,
+    NotConnected,
+    Draining,
+    /// The connection breaks before the call starts.
+    LostBeforeStart,
+    /// The connection breaks after the call ran.
+    LostAfterRun,
+    /// The agent dies after the call ran; no outcome can be asked.
+    Killed,
+    /// No byte comes before the head.
+    Hanging,
+    /// The call runs, and nothing follows the head.
+    SilentAfterHead,
+    OtherRequest,
+    RepeatedSequence,
+    NoEnd,
+    WrongByteCount,
+    /// The call runs for this long, with heartbeats.
+    Slow(Duration),
+}
+
+#[derive(Default)]
+struct State {
+    plans: VecDeque<Plan>,
+    default: Option<Plan>,
+    sent: Vec<u8>,
+    requests: Vec<(SocketAddr, DispatchRequest)>,
+    executions: HashMap<Vec<u8>, u32>,
+    history: Vec<(Instant, u64)>,
+    finished: HashMap<RequestId, StoredResponse>,
+    refused: HashSet<RequestId>,
+    unreachable: bool,
+    cancelled: usize,
+}
+
+#[derive(Default)]
+pub(crate) struct FakeAgents {
+    state: std::sync::Arc<Mutex<State>>,
+}
+
+impl FakeAgents {
+    pub(crate) fn plan(&self, plans: &[Plan]) {
+        self.state.lock().unwrap().plans.extend(plans);
+    }
+
+    pub(crate) fn plan_all(&self, plan: Plan) {
+        self.state.lock().unwrap().default = Some(plan);
+    }
+
+    pub(crate) fn sent_bytes(&self) -> Vec<u8> {
+        self.state.lock().unwrap().sent.clone()
+    }
+
+    pub(crate) fn requests(&self) -> Vec<(SocketAddr, DispatchRequest)> {
+        self.state.lock().unwrap().requests.clone()
+    }
+
+    pub(crate) fn executions(&self) -> u32 {
+        self.state.lock().unwrap().executions.values().sum()
+    }
+
+    pub(crate) fn cancelled(&self) -> usize {
+        self.state.lock().unwrap().cancelled
+    }
+
+    /// Times and used tokens of all executed completions.
+    pub(crate) fn history(&self) -> Vec<(Instant, u64)> {
+        self.state.lock().unwrap().history.clone()
+    }
+
+    fn execute(state: &mut State, request: &DispatchRequest) -> StoredResponse {
+        *state.executions.entry(request.body.clone()).or_default() += 1;
+        let response = build_response(request);
+        if let Ok(value) = serde_json::from_slice::<Value>(&request.body)
+            && value["max_tokens"].is_u64()
+        {
+            state.history.push((Instant::now(), used_tokens(&value)));
+        }
+        state.finished.insert(request.request_id, response.clone());
+        response
+    }
+
+    fn start(&self, request: &DispatchRequest) -> Result<Vec<Step>, AgentError> {
+        let mut state = self.state.lock().unwrap();
+        let default = state.default.unwrap_or(Plan::Answer);
+        let plan = state.plans.pop_front().unwrap_or(default);
+        let refusal = |kind| AgentError::Refused {
+            kind,
+            run: RunState::NotRun,
+            detail: String::new(),
+        };
+        if plan == Plan::NotConnected {
+            return Err(AgentError::NotSent("refused".to_owned()));
+        }
+        state.sent.extend(encode_message(request));
+        match plan {
+            _ if state.refused.contains(&request.request_id) => {
+                return Err(refusal(ErrorKind::FencingStale));
+            }
+            Plan::Draining => return Err(refusal(ErrorKind::Draining)),
+            Plan::LostBeforeStart => return Err(AgentError::Interrupted("reset".to_owned())),
+            Plan::Hanging => return Ok(vec![Step::Hang]),
+            _ => {}
+        }
+        let response = Self::execute(&mut state, request);
+        state.unreachable |= plan == Plan::Killed;
+        Ok(build_steps(plan, request, &response))
+    }
+}
+
+fn used_tokens(body: &Value) -> u64 {
+    prompt_tokens(body) + body["max_tokens"].as_u64().unwrap() / 2
+}
+
+fn prompt_tokens(body: &Value) -> u64 {
+    let text = body["prompt"].as_str().unwrap_or_default();
+    text.len().div_ceil(4) as u64
+}
+
+fn build_response(request: &DispatchRequest) -> StoredResponse {
+    let value: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let usage = json!({
+        "prompt_tokens": prompt_tokens(&value),
+        "completion_tokens": value["max_tokens"].as_u64().unwrap_or(0) / 2,
+    });
+    let body = if value["stream"] == json!(true) {
+        format!(
+            "data: {}\n\ndata: {}\n\ndata: {}\n\ndata: [DONE]\n\n",
+            json!({"choices": [{"text": "one"}], "usage": null}),
+            json!({"choices": [{"text": "two"}]}),
+            json!({"choices": [], "usage": usage}),
+        )
+    } else {
+        json!({"choices": [{"text": "one two"}], "usage": usage}).to_string()
+    };
+    StoredResponse {
+        status: 200,
+        headers: Vec::new(),
+        body: body.into_bytes(),
+    }
+}
+
+fn build_steps(plan: Plan, request: &DispatchRequest, response: &StoredResponse) -> Vec<Step> {
+    let body = &response.body;
+    let middle = body.len() / 2;
+    let byte_count = body.len() as u64 + u64::from(plan == Plan::WrongByteCount);
+    let mut frames = vec![
+        Frame::Head {
+            status: response.status,
+            headers: response.headers.clone(),
+        },
+        Frame::Data(body[..middle].to_vec()),
+        Frame::Data(body[middle..].to_vec()),
+        Frame::End {
+            byte_count,
+            load: LoadReport::default(),
+        },
+    ];
+    let mut wait = Duration::ZERO;
+    if let Plan::Slow(time) = plan {
+        wait = time;
+    }
+    match plan {
+        Plan::NoEnd => frames.truncate(3),
+        Plan::LostAfterRun | Plan::Killed | Plan::SilentAfterHead => frames.truncate(1),
+        _ => {}
+    }
+    let mut steps = Vec::new();
+    let mut sequence = 0;
+    let mut push = |steps: &mut Vec<Step>, frame, is_crossed| {
+        let id = RequestId(request.request_id.0 ^ u128::from(is_crossed));
+        let frame = StreamFrame {
+            request_id: id,
+            sequence,
+            frame,
+        };
+        sequence += 1;
+        steps.push(Step::Bytes(encode_frame(&frame)));
+    };
+    for (index, frame) in frames.into_iter().enumerate() {
+        if index == 1 {
+            for _ in 0..wait.as_millis() / 500 {
+                steps.push(Step::Wait(Duration::from_millis(500)));
+                push(&mut steps, Frame::Heartbeat, false);
+            }
+        }
+        push(&mut steps, frame, plan == Plan::OtherRequest && index == 2);
+        if plan == Plan::RepeatedSequence && index == 1 {
+            let repeated = steps.last().cloned().unwrap();
+            steps.push(repeated);
+        }
+    }
+    match plan {
+        Plan::SilentAfterHead => steps.push(Step::Hang),
+        Plan::LostAfterRun | Plan::Killed => steps.push(Step::Break),
+        _ => {}
+    }
+    steps
+}
+
+#[derive(Clone)]
+enum Step {
+    Bytes(Bytes),
+    Wait(Duration),
+    Hang,
+    Break,
+}
+
+struct FakePieces {
+    steps: VecDeque<Step>,
+    waits_until: Option<Instant>,
+    state: std::sync::Arc<Mutex<State>>,
+}
+
+impl ResponsePieces for FakePieces {
+    fn next_piece(&mut self) -> BoxFuture<'_, Result<Option<Bytes>, AgentError>> {
+        Box::pin(async move {
+            loop {
+                match self.steps.front().cloned() {
+                    Some(Step::Bytes(bytes)) => {
+                        self.steps.pop_front();
+                        return Ok(Some(bytes));
+                    }
+                    Some(Step::Wait(time)) => {
+                        let until = *self.waits_until.get_or_insert(Instant::now() + time);
+                        tokio::time::sleep_until(until).await;
+                        self.waits_until = None;
+                        self.steps.pop_front();
+                    }
+                    Some(Step::Hang) => std::future::pending().await,
+                    Some(Step::Break) => return Err(AgentError::Interrupted("reset".to_owned())),
+                    None => return Ok(None),
+                }
+            }
+        })
+    }
+}
+
+impl Drop for FakePieces {
+    fn drop(&mut self) {
+        if !self.steps.is_empty() {
+            self.state.lock().unwrap().cancelled += 1;
+        }
+    }
+}
+
+impl AgentLink for FakeAgents {
+    fn dispatch(
+        &self,
+        address: SocketAddr,
+        request: &DispatchRequest,
+    ) -> BoxFuture<'_, Result<Box<dyn ResponsePieces>, AgentError>> {
+        let request = request.clone();
+        Box::pin(async move {
+            let steps = self.start(&request);
+            let state = std::sync::Arc::clone(&self.state);
+            state.lock().unwrap().requests.push((address, request));
+            Ok(Box::new(FakePieces {
+                steps: steps?.into(),
+                waits_until: None,
+                state,
+            }) as Box<dyn ResponsePieces>)
+        })
+    }
+
+    fn ask_outcome(
+        &self,
+        _address: SocketAddr,
+        request: OutcomeRequest,
+    ) -> BoxFuture<'_, Result<Outcome, AgentError>> {
+        Box::pin(async move {
+            let mut state = self.state.lock().unwrap();
+            if state.unreachable {
+                return Err(AgentError::NotSent("refused".to_owned()));
+            }
+            if let Some(response) = state.finished.get(&request.request_id) {
+                return Ok(Outcome::Finished(response.clone()));
+            }
+            state.refused.insert(request.request_id);
+            Ok(Outcome::NotStarted)
+        })
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_entry/tests/entry/keys.rs
@@ -0,0 +1,199 @@
+//! Keys: verified on arrival and at dispatch, and never passed on.
+
+use std::time::Duration;
+
+use http::Request;
+use serde_json::json;
+use wasabipoint_kernel::KeyId;
+
+use crate::fake_agents::Plan;
+use crate::harness::{Harness, KEY, OTHER_KEY, booking, completion, engine};
+
+fn holds(bytes: &[u8], key: &str) -> bool {
+    bytes
+        .windows(key.len())
+        .any(|window| window == key.as_bytes())
+}
+
+/// Guards against a key that reaches an endpoint, a log line, a metric or an answer.
+#[tokio::test(start_paused = true)]
+async fn key_is_passed_on_nowhere() {
+    let harness = Harness::start().await;
+    let bearer = format!("Bearer {KEY}");
+    let mut answers = Vec::new();
+    answers.push(harness.complete("hello", true).await);
+    answers.push(harness.send(booking(Some("once"))).await);
+    let in_query = format!(
+        "/services/lookup/a?token={KEY}&b=%6b{}&c=1&{KEY}",
+        &KEY[1..]
+    );
+    for (path, name, value) in [
+        (in_query.as_str(), "x-copy", KEY),
+        ("/services/lookup/a", "cookie", KEY),
+        ("/services/lookup/a", "x-note", &format!("a {KEY} b")),
+        (&format!("/services/lookup/{KEY}"), "x-note", "1"),
+        (&format!("/services/{KEY}/a"), "x-note", "1"),
+        ("/services/lookup/a", "idempotency-key", KEY),
+    ] {
+        let request = Request::get(path)
+            .header("authorization", &bearer)
+            .header(name, value);
+        answers.push(harness.send(request.body(Vec::new()).unwrap()).await);
+    }
+    let open = Request::get(format!("/services/public/a?key={KEY}"))
+        .body(Vec::new())
+        .unwrap();
+    answers.push(harness.send(open).await);
+    let escaped = format!("\\u006b{}", &KEY[1..]);
+    for prompt in [KEY, escaped.as_str()] {
+        let body = format!(r#"{{"model":"small","prompt":"{prompt}"}}"#);
+        let request = Request::post("/v1/completions").header("authorization", &bearer);
+        answers.push(harness.send(request.body(body.into_bytes()).unwrap()).await);
+    }
+    let body = json!({"model": KEY, "prompt": "p"})
+        .to_string()
+        .into_bytes();
+    let unkeyed = Request::post("/v1/completions").body(body).unwrap();
+    answers.push(harness.send(unkeyed).await);
+
+    assert!(
+        harness.agents.requests().len() >= 6,
+        "too few requests were sent to show anything"
+    );
+    assert!(!holds(&harness.agents.sent_bytes(), KEY));
+    assert!(!holds(harness.log.text().as_bytes(), KEY));
+    assert!(harness.log.text().contains("routing: chose an endpoint"));
+    assert!(!holds(harness.metrics().await.as_bytes(), KEY));
+    for answer in answers {
+        assert!(!holds(&answer.body, KEY), "{}", answer.text());
+    }
+}
+
+/// Guards against service under a missing, wrong or second key.
+#[tokio::test(start_paused = true)]
+async fn refuses_missing_wrong_and_duplicate_keys() {
+    let harness = Harness::start().await;
+    let build = |values: &[(&str, &str)]| {
+        let mut request = Request::get("/v1/models");
+        for (name, value) in values {
+            request = request.header(*name, *value);
+        }
+        request.body(Vec::new()).unwrap()
+    };
+    let good = format!("Bearer {KEY}");
+    let both = format!("Bearer {KEY}, Bearer {OTHER_KEY}");
+    let cases: [(&[(&str, &str)], &str); 6] = [
+        (&[], "missing_key"),
+        (&[("authorization", "Bearer wrong")], "invalid_key"),
+        (&[("authorization", KEY)], "invalid_key"),
+        (
+            &[("authorization", &good), ("authorization", &good)],
+            "duplicate_key",
+        ),
+        (&[("authorization", &both)], "invalid_key"),
+        (
+            &[("authorization", &good), ("x-api-key", KEY)],
+            "duplicate_key",
+        ),
+    ];
+    for (headers, kind) in cases {
+        assert_eq!(
+            harness.send(build(headers)).await.kind(),
+            kind,
+            "{headers:?}"
+        );
+    }
+    assert_eq!(
+        harness
+            .send(build(&[("authorization", &good)]))
+            .await
+            .status,
+        200
+    );
+}
+
+/// Guards against running a queued request whose key was revoked while it waited.
+#[tokio::test(start_paused = true)]
+async fn revoked_key_stops_a_queued_request() {
+    let harness = Harness::start_with(|view| {
+        view.endpoints
+            .retain(|id, _| id.as_str().starts_with("desk"));
+    })
+    .await;
+    let entry = &harness;
+    let revoke = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        entry.control.change(|view| {
+            view.keys.remove(&KeyId::new("k1"));
+        });
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        entry.control.change(|view| {
+            let engine = engine("engine-1", 11, 4);
+            view.endpoints.insert(engine.endpoint.clone(), engine);
+        });
+    };
+    let (answer, ()) = tokio::join!(harness.complete("hello", false), revoke);
+    assert_eq!(
+        (answer.kind().as_str(), answer.run().as_str()),
+        ("invalid_key", "not run")
+    );
+    assert_eq!(harness.agents.executions(), 0);
+    let other = harness.send(completion(OTHER_KEY, "p", false)).await;
+    assert_eq!(other.status, 200);
+}
+
+/// Guards against keyed service on a view that control no longer confirms, and against refusing
+/// open routes and running streams for it.
+#[tokio::test(start_paused = true)]
+async fn stale_control_refuses_keyed_requests_only() {
+    let harness = Harness::start().await;
+    harness.agents.plan(&[Plan::Slow(Duration::from_secs(9))]);
+    let running = harness.complete("hello", true);
+    let later = async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        harness.control.silence();
+        tokio::time::sleep(Duration::from_millis(3_500)).await;
+        assert_eq!(harness.complete("in time", false).await.status, 200);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        let refused = harness.complete("late", false).await;
+        assert_eq!(refused.kind(), "configuration_stale");
+        assert_eq!(refused.run(), "not run");
+        assert!(refused.headers.contains_key("retry-after"));
+        let open = Request::get("/services/public/a").body(Vec::new()).unwrap();
+        assert_eq!(harness.send(open).await.status, 200);
+    };
+    let (answer, ()) = tokio::join!(running, later);
+    assert!(answer.is_complete);
+    assert_eq!(harness.agents.executions(), 3);
+}
+
+/// Guards against a view that goes back to an earlier revision or configuration.
+#[tokio::test(start_paused = true)]
+async fn view_never_goes_back() {
+    let harness = Harness::start().await;
+    let mut revoked = None;
+    harness.control.change(|view| {
+        revoked = view.keys.remove(&KeyId::new("k1"));
+        view.config_version.0 = 5;
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(harness.complete("p", false).await.kind(), "invalid_key");
+    let revoked = revoked.unwrap();
+    harness.control.change(|view| {
+        view.keys.insert(revoked.id.clone(), revoked.clone());
+        view.config_version.0 = 4;
+    });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(harness.complete("p", false).await.kind(), "invalid_key");
+    let kept = harness.send(completion(OTHER_KEY, "p", false)).await;
+    assert_eq!(kept.status, 200, "{}", kept.text());
+    harness.control.change(|view| {
+        view.config_version.0 = 5;
+        view.revision = 0;
+    });
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    assert_eq!(
+        harness.complete("p", false).await.kind(),
+        "configuration_stale"
+    );
+}
--- /dev/null
+++ b/crates/wasabipoint_entry/tests/entry/quota.rs
@@ -0,0 +1,200 @@
+//! Rates and bursts over all entry processes, with loss and repetition of exchanges.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::Instant;
+use wasabipoint_entry::{AskResult, QuotaLedger};
+use wasabipoint_kernel::{CustomerId, EntryId, Incarnation};
+use wasabipoint_rpc::{FleetView, QuotaGrants, QuotaSlice};
+
+use crate::harness::{Harness, KEY, completion};
+
+const RATE: u64 = 200;
+const BURST: u64 = 1_000;
+
+fn limit_delta(view: &mut FleetView) {
+    let customer = view.inventory.customers.get_mut("delta").unwrap();
+    customer.rate_tokens_per_s = RATE;
+    customer.burst_tokens = BURST;
+}
+
+/// Finds a window in which more tokens were used than burst and rate allow.
+fn find_excess(history: &[(Instant, u64)]) -> Option<(usize, usize, u64)> {
+    for first in 0..history.len() {
+        let mut sum = 0;
+        for last in first..history.len() {
+            sum += history[last].1;
+            let window_s = (history[last].0 - history[first].0).as_secs_f64();
+            if sum as f64 > BURST as f64 + RATE as f64 * window_s + 1.0 {
+                return Some((first, last, sum));
+            }
+        }
+    }
+    None
+}
+
+async fn send_for(harness: &Harness, seed: u64, seconds: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let end = Instant::now() + Duration::from_secs(seconds);
+    while Instant::now() < end {
+        let prompt = "x".repeat(random.random_range(1..300));
+        harness
+            .send(completion(KEY, &prompt, random.random_bool(0.5)))
+            .await;
+        tokio::time::sleep(Duration::from_millis(random.random_range(0..120))).await;
+    }
+}
+
+/// Guards against more tokens than burst and rate in any window, summed over entry processes,
+/// while exchanges and their answers are lost.
+#[tokio::test(start_paused = true)]
+async fn no_window_exceeds_burst_and_rate() {
+    for seed in [1, 2, 3, 4] {
+        let one = Harness::start_with(limit_delta).await;
+        let two = Harness::join(&one.control, &one.agents, "entry-2").await;
+        one.control.lose(if seed % 2 == 0 { 0.3 } else { 0.0 });
+        tokio::join!(send_for(&one, seed, 40), send_for(&two, seed + 100, 40));
+        let history = one.agents.history();
+        let excess = find_excess(&history);
+        assert_eq!(excess, None, "seed {seed}, {} requests", history.len());
+        let used: u64 = history.iter().map(|(_, tokens)| tokens).sum();
+        let allowed = BURST + RATE * 40;
+        println!(
+            "seed {seed}: {used} of {allowed} tokens, {} requests",
+            history.len()
+        );
+        assert!(
+            used * 2 > allowed,
+            "seed {seed}: only {used} of {allowed} tokens were usable"
+        );
+        if seed % 2 == 0 {
+            let sent = one.control.exchange_sequences();
+            assert!(
+                sent.windows(2).any(|pair| pair[0] == pair[1]),
+                "seed {seed}: nothing was resent"
+            );
+        }
+    }
+}
+
+/// Guards against refusing a request whose tokens control holds, and against a refusal without a
+/// time to come back.
+#[tokio::test(start_paused = true)]
+async fn asks_control_once_before_refusing() {
+    let harness = Harness::start_with(limit_delta).await;
+    let prompt = "x".repeat(2_000);
+    assert_eq!(harness.complete(&prompt, false).await.status, 200);
+    let refused = harness.complete(&prompt, false).await;
+    assert_eq!(refused.kind(), "over_rate");
+    assert_eq!(refused.headers["retry-after"], "2");
+    let larger = harness.complete(&"x".repeat(3_990), false).await;
+    assert_eq!(larger.kind(), "exceeds_burst");
+    let metrics = harness.metrics().await;
+    assert!(
+        !metrics.contains("refusals_inside_rate_total{customer=\"delta\""),
+        "{metrics}"
+    );
+}
+
+/// Guards against tokens that stay unusable at an entry process that no longer needs them.
+#[tokio::test(start_paused = true)]
+async fn unused_tokens_return_to_control() {
+    let one = Harness::start_with(limit_delta).await;
+    let two = Harness::join(&one.control, &one.agents, "entry-2").await;
+    for _ in 0..8 {
+        assert_eq!(one.complete(&"x".repeat(300), false).await.status, 200);
+    }
+    tokio::time::sleep(Duration::from_secs(15)).await;
+    let whole_burst = two.complete(&"x".repeat(3_900), false).await;
+    assert_eq!(whole_burst.status, 200, "{}", whole_burst.text());
+}
+
+fn ledger() -> (QuotaLedger, CustomerId) {
+    let ledger = QuotaLedger::new(EntryId::new("e"), Incarnation(1));
+    (ledger, CustomerId::new("delta"))
+}
+
+fn grant(id: u64, tokens: u64) -> QuotaGrants {
+    QuotaGrants {
+        slices: vec![QuotaSlice {
+            slice_id: id,
+            customer: CustomerId::new("delta"),
+            tokens,
+            lifetime_ms: 5_000,
+        }],
+        waits: Vec::new(),
+    }
+}
+
+/// Guards against a lifetime that counts from the last resend, and against a changed resend.
+#[test]
+fn slice_lifetime_counts_from_before_the_first_send() {
+    let (mut ledger, delta) = ledger();
+    let ask = ledger.add_ask(&delta, 100);
+    let sent = ledger.begin_exchange(1_000).unwrap();
+    ledger.add_ask(&delta, 50);
+    assert_eq!(
+        ledger.begin_exchange(4_000).unwrap(),
+        sent,
+        "a resend differs"
+    );
+    let results = ledger.complete_exchange(1, &grant(1, 200), 4_500);
+    assert_eq!(results.len(), 1);
+    assert!(matches!(&results[0], (id, AskResult::Granted(_)) if *id == ask));
+    assert!(ledger.reserve(&delta, 50, 5_999).is_some());
+    assert!(
+        ledger.reserve(&delta, 50, 6_000).is_none(),
+        "the slice outlived its lifetime"
+    );
+    assert!(
+        ledger
+            .complete_exchange(1, &grant(1, 200), 4_600)
+            .is_empty()
+    );
+    assert_eq!(ledger.begin_exchange(6_100).unwrap().sequence, 2);
+}
+
+proptest! {
+    /// Guards against tokens that are created or reported twice by any order of steps.
+    #[test]
+    fn ledger_never_creates_tokens(steps in prop::collection::vec((0_u8..4, 1_u64..400), 1..200)) {
+        let (mut ledger, delta) = ledger();
+        let (mut now_ms, mut granted, mut closed, mut held) = (0, 0, 0, Vec::new());
+        let mut in_flight: u64 = 0;
+        for (step, size) in steps {
+            now_ms += size;
+            match step {
+                0 => if let Some(reserved) = ledger.reserve(&delta, size, now_ms) {
+                    in_flight += reserved.total();
+                    held.push(reserved);
+                },
+                1 => if let Some(reserved) = held.pop() {
+                    in_flight -= reserved.total();
+                    ledger.settle(&reserved, size, now_ms);
+                },
+                _ => {
+                    ledger.add_ask(&delta, size);
+                    if let Some(exchange) = ledger.begin_exchange(now_ms) {
+                        for settled in exchange.items.iter().flat_map(|item| &item.settlements) {
+                            closed += settled.spent_tokens + settled.returned_tokens;
+                        }
+                        let tokens = if step == 2 { size } else { 0 };
+                        granted += tokens;
+                        let id = exchange.sequence;
+                        for (_, result) in ledger.complete_exchange(id, &grant(id, tokens), now_ms) {
+                            if let AskResult::Granted(reserved) = result {
+                                in_flight += reserved.total();
+                                held.push(reserved);
+                            }
+                        }
+                    }
+                }
+            }
+            prop_assert!(closed <= granted);
+            prop_assert!(in_flight <= granted);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_entry/tests/entry/runs.rs
@@ -0,0 +1,144 @@
+//! At most one run of calls that must not be repeated, and refusals that tell the truth.
+
+use wasabipoint_kernel::{EndpointId, Incarnation, RequestId};
+use wasabipoint_rpc::ClaimHolder;
+
+use crate::fake_agents::Plan;
+use crate::harness::{Answer, Harness, booking};
+
+const STEPS: [Plan; 7] = [
+    Plan::Answer,
+    Plan::NotConnected,
+    Plan::Draining,
+    Plan::LostBeforeStart,
+    Plan::LostAfterRun,
+    Plan::Killed,
+    Plan::Hanging,
+];
+
+fn check_truth(answer: &Answer, executions: u32, case: &str) {
+    assert!(executions <= 1, "{case}: {executions} executions");
+    match answer.status {
+        200 => assert_eq!(executions, 1, "{case}"),
+        _ if answer.run() == "not run" => assert_eq!(executions, 0, "{case}"),
+        _ => assert_eq!(answer.run(), "unknown", "{case}: {}", answer.text()),
+    }
+}
+
+/// Guards against a second run of a call, and against `not run` for a call that ran, with the
+/// agent killed at each step of two attempts.
+#[tokio::test(start_paused = true)]
+async fn call_runs_at_most_once_whatever_step_fails() {
+    for first in STEPS {
+        for second in STEPS {
+            for key in [None, Some("once")] {
+                let harness = Harness::start().await;
+                harness.agents.plan(&[first, second]);
+                let answer = harness.send(booking(key)).await;
+                let case = format!("{first:?}, {second:?}, {key:?}");
+                check_truth(&answer, harness.agents.executions(), &case);
+            }
+        }
+    }
+}
+
+/// Guards against a second run when a caller repeats a call under its idempotency key at another
+/// entry process.
+#[tokio::test(start_paused = true)]
+async fn idempotency_key_holds_across_entry_processes() {
+    for first in STEPS {
+        let one = Harness::start().await;
+        let two = Harness::join(&one.control, &one.agents, "entry-2").await;
+        one.agents.plan(&[first, first]);
+        let before = one.send(booking(Some("once"))).await;
+        let after = two.send(booking(Some("once"))).await;
+        let executions = one.agents.executions();
+        let case = format!("{first:?}: {} then {}", before.status, after.status);
+        assert!(executions <= 1, "{case}");
+        if before.status == 200 {
+            assert_eq!((after.status, &after.body), (200, &before.body), "{case}");
+        }
+        check_truth(&after, executions, &case);
+    }
+}
+
+/// Guards against one idempotency key that stands for two different calls.
+#[tokio::test(start_paused = true)]
+async fn idempotency_key_of_another_call_is_refused() {
+    let harness = Harness::start().await;
+    assert_eq!(harness.send(booking(Some("once"))).await.status, 200);
+    let other = booking(Some("once")).map(|_| b"bay 5".to_vec());
+    let answer = harness.send(other).await;
+    assert_eq!(
+        (answer.kind().as_str(), answer.run().as_str()),
+        ("idempotency_mismatch", "not run")
+    );
+    assert_eq!(harness.agents.executions(), 1);
+    assert_eq!(harness.control.claim_count(), 1);
+}
+
+/// Guards against taking over a key from a holder that may still start the call.
+#[tokio::test(start_paused = true)]
+async fn held_key_is_taken_over_only_with_proof() {
+    let harness = Harness::start().await;
+    assert_eq!(harness.send(booking(Some("seed"))).await.status, 200);
+    let (_, fingerprint) = harness.control.claimed("seed");
+    let holder = ClaimHolder {
+        request_id: RequestId(7),
+        endpoint: EndpointId::new("desk-1"),
+        incarnation: Incarnation(1),
+        address: "127.0.0.1:21".parse().unwrap(),
+    };
+    harness.control.hold("stuck", holder, fingerprint);
+    let answer = harness.send(booking(Some("stuck"))).await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert_ne!(harness.control.claimed("stuck").0.request_id, RequestId(7));
+    assert_eq!(harness.agents.executions(), 2);
+}
+
+/// Guards against retries that multiply the load of a failing fleet.
+#[tokio::test(start_paused = true)]
+async fn retries_stay_within_the_budget() {
+    let harness = Harness::start().await;
+    harness.agents.plan_all(Plan::LostBeforeStart);
+    for _ in 0..200 {
+        harness.complete("hello", false).await;
+        tokio::time::sleep(std::time::Duration::from_millis(1_100)).await;
+    }
+    let sent = harness.agents.requests().len();
+    assert!(sent <= 200 + 20 + 10, "{sent} sends for 200 requests");
+    assert!(sent > 200, "nothing was retried");
+}
+
+/// Guards against new work for an endpoint that is leaving, until it has a new run.
+#[tokio::test(start_paused = true)]
+async fn draining_endpoint_gets_no_new_work() {
+    let harness = Harness::start().await;
+    harness.agents.plan(&[Plan::Draining]);
+    assert_eq!(harness.complete("hello", false).await.status, 200);
+    let draining = harness.agents.requests()[0].0;
+    for _ in 0..20 {
+        assert_eq!(harness.complete("hello", false).await.status, 200);
+    }
+    let count = |address| {
+        let requests = harness.agents.requests();
+        requests.iter().filter(|(to, _)| *to == address).count()
+    };
+    assert_eq!(count(draining), 1);
+    tokio::time::sleep(std::time::Duration::from_millis(1_100)).await;
+    harness.control.change(|view| {
+        for endpoint in view.endpoints.values_mut() {
+            endpoint.incarnation = Incarnation(2);
+        }
+    });
+    tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+    for _ in 0..20 {
+        harness.complete("hello", false).await;
+    }
+    assert!(count(draining) > 1);
+    let reports = harness.control.reports();
+    let told = reports
+        .iter()
+        .any(|(_, report)| !report.draining_endpoints.is_empty());
+    assert!(told, "control was not told");
+}
--- /dev/null
+++ b/crates/wasabipoint_entry/tests/entry/streams.rs
@@ -0,0 +1,124 @@
+//! Agent responses that are crossed, late, truncated or silent.
+
+use std::time::Duration;
+
+use wasabipoint_http::OutgoingBody;
+
+use crate::fake_agents::Plan;
+use crate::harness::{Harness, KEY, booking, completion, read, with_body};
+
+const FAULTS: [Plan; 5] = [
+    Plan::OtherRequest,
+    Plan::RepeatedSequence,
+    Plan::NoEnd,
+    Plan::WrongByteCount,
+    Plan::SilentAfterHead,
+];
+
+/// Guards against a damaged stream that looks complete to its caller.
+#[tokio::test(start_paused = true)]
+async fn damaged_stream_never_ends_normally() {
+    for fault in FAULTS {
+        let harness = Harness::start().await;
+        harness.agents.plan_all(fault);
+        let answer = harness.complete("hello", true).await;
+        let is_refused = answer.status != 200 && answer.run() == "unknown";
+        assert!(
+            is_refused || !answer.is_complete,
+            "{fault:?}: {}",
+            answer.text()
+        );
+    }
+}
+
+/// Guards against parts of damaged responses in whole answers, and against a lost request that
+/// could be repeated.
+#[tokio::test(start_paused = true)]
+async fn damaged_whole_response_is_repeated_or_refused() {
+    for fault in FAULTS {
+        let harness = Harness::start().await;
+        harness.agents.plan(&[fault]);
+        let repeated = harness.complete("hello", false).await;
+        assert_eq!(
+            repeated.json()["choices"][0]["text"],
+            "one two",
+            "{fault:?}"
+        );
+        harness.agents.plan(&[fault, fault]);
+        let refused = harness.complete("hello", false).await;
+        assert_eq!(
+            (refused.status, refused.run().as_str()),
+            (502, "unknown"),
+            "{fault:?}"
+        );
+    }
+}
+
+/// Guards against repeating a damaged call that may have run, and against losing its response
+/// while the agent still has it.
+#[tokio::test(start_paused = true)]
+async fn damaged_call_is_answered_from_its_outcome() {
+    for fault in FAULTS {
+        let harness = Harness::start().await;
+        harness.agents.plan(&[fault]);
+        let answer = harness.send(booking(None)).await;
+        assert_eq!(answer.status, 200, "{fault:?}: {}", answer.text());
+        assert_eq!(harness.agents.executions(), 1, "{fault:?}");
+    }
+}
+
+/// Guards against a slow but living agent being taken for a silent one.
+#[tokio::test(start_paused = true)]
+async fn heartbeats_keep_a_slow_response_alive() {
+    let harness = Harness::start().await;
+    harness.agents.plan(&[Plan::Slow(Duration::from_secs(6))]);
+    let whole = harness.complete("hello", false).await;
+    assert_eq!(whole.status, 200);
+    harness.agents.plan(&[Plan::Slow(Duration::from_secs(6))]);
+    let streamed = harness.complete("hello", true).await;
+    assert!(streamed.is_complete);
+    assert!(streamed.text().contains(": keep-alive\n\n"));
+    let data: Vec<&str> = streamed
+        .text()
+        .leak()
+        .split("\n\n")
+        .filter(|event| {
+            !event.is_empty() && !event.starts_with("data: ") && *event != ": keep-alive"
+        })
+        .collect();
+    assert!(data.is_empty(), "events were cut: {data:?}");
+}
+
+/// Guards against engine work for a caller that left its stream.
+#[tokio::test(start_paused = true)]
+async fn caller_that_leaves_cancels_the_work() {
+    let harness = Harness::start().await;
+    harness.agents.plan(&[Plan::Slow(Duration::from_secs(9))]);
+    let request = with_body(completion(KEY, "hello", true));
+    let response = harness.entry.answer(request).await;
+    let OutgoingBody::Stream(receiver) = response.into_body() else {
+        panic!("expected a stream");
+    };
+    drop(receiver);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(harness.agents.cancelled(), 1);
+
+    harness.agents.plan(&[Plan::Slow(Duration::from_secs(9))]);
+    let waiting = harness
+        .entry
+        .answer(with_body(completion(KEY, "hello", false)));
+    assert!(
+        tokio::time::timeout(Duration::from_secs(1), waiting)
+            .await
+            .is_err()
+    );
+    assert_eq!(harness.agents.cancelled(), 2);
+    let next = read(
+        harness
+            .entry
+            .answer(with_body(completion(KEY, "hello", false)))
+            .await,
+    )
+    .await;
+    assert_eq!(next.status, 200);
+}
