--- a/crates/wasabipoint_control/src/platform.rs
+++ b/crates/wasabipoint_control/src/platform.rs
@@ -12,7 +12,8 @@
 use wasabipoint_kernel::VmId;
 
 use crate::control::Control;
-use crate::state::{Command, VmState};
+use crate::office::Office;
+use crate::state::{Command, ControlState, VmState};
 
 /// Time between polls.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
@@ -87,10 +88,18 @@
 }
 
 async fn take_list(control: &Control, vms: Vec<(VmId, VmState)>) {
-    let changed: Vec<_> = control.member.read(|state| {
-        let vms = vms.into_iter();
-        vms.filter(|(vm, listed)| state.fleet.vms.get(vm) != Some(listed))
+    let Some(term) = control.member.leading_term() else {
+        return;
+    };
+    let changed: Vec<_> = control.with_office(term, |office| {
+        control.member.read(|state| {
+            let vms = vms.into_iter();
+            vms.filter(|(vm, listed)| {
+                state.fleet.vms.get(vm) != Some(listed)
+                    && (*listed != VmState::Terminated || is_silent(state, office, vm))
+            })
             .collect()
+        })
     });
     if changed.is_empty() {
         return;
@@ -101,3 +110,11 @@
         warn!(control.logger, "control: VM states were not committed"; "error" => %error);
     }
 }
+
+/// Tells whether no agent of a VM reports. While one does, an entry of the lagging list that calls
+/// the VM terminated is about a predecessor of the same name, and its grants still count.
+fn is_silent(state: &ControlState, office: &Office, vm: &VmId) -> bool {
+    let mut endpoints = state.fleet.endpoints.iter();
+    endpoints
+        .all(|(endpoint, known)| known.vm != *vm || office.is_in_doubt(endpoint, known.incarnation))
+}
--- a/crates/wasabipoint_control/src/state/fleet.rs
+++ b/crates/wasabipoint_control/src/state/fleet.rs
@@ -202,7 +202,7 @@
         next != *known
             || self.grants_of(&report.endpoint).any(|(token, grant)| {
                 let is_untold =
-                    grant.phase != GrantPhase::Revoked && find_replica(report, grant).is_none();
+                    grant.phase != GrantPhase::Revoked && !is_listed(report, token, grant);
                 is_untold || judge(token, grant, report) != Evidence::Nothing
             })
     }
@@ -222,6 +222,12 @@
         .find(|replica| replica.model == grant.model)
 }
 
+/// Tells whether the agent has accepted a grant, or holds the model from before any grant.
+fn is_listed(report: &AgentReport, token: FencingToken, grant: &GrantRecord) -> bool {
+    find_replica(report, grant)
+        .is_some_and(|replica| replica.fencing_token == token || replica.fencing_token.0 == 0)
+}
+
 fn judge(token: FencingToken, grant: &GrantRecord, report: &AgentReport) -> Evidence {
     if !report.is_engine_known {
         return Evidence::Nothing;
--- /dev/null
+++ b/crates/wasabipoint_control/tests/state_machine/configuration.rs
@@ -0,0 +1,58 @@
+//! Compare-and-set of the configuration.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use wasabipoint_control::{ControlState, Outcome};
+use wasabipoint_kernel::{ConfigVersion, ErrorKind};
+
+use crate::samples::{apply, apply_inventory, customer, inventory};
+
+/// A submitted change: how far its expected version is from the current one, its id and content.
+type Submission = (i64, u32, u64);
+
+fn submission() -> impl Strategy<Value = Submission> {
+    (-2_i64..=1, 0_u32..12, 1_u64..4)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(512))]
+
+    /// Guards against two changes that both win under one expected version, a resent change that
+    /// is applied twice or answered differently, and a version that goes back.
+    #[test]
+    fn one_change_wins_per_version(submissions in prop::collection::vec(submission(), 1..80)) {
+        let mut state = ControlState::new();
+        let mut first_answers: BTreeMap<u32, (u64, u64, Outcome)> = BTreeMap::new();
+        for (offset, change, rate) in submissions {
+            let current = state.view.config_version;
+            let expected = current.0.saturating_add_signed(offset);
+            let listed = inventory(Vec::new(), vec![customer(rate, 100)]);
+            let outcome = apply(&mut state, 0, apply_inventory(expected, change, listed.clone()));
+            let next = state.view.config_version;
+            if let Some((first_expected, first_rate, first)) = first_answers.get(&change) {
+                prop_assert_eq!(next, current, "a known change id changes nothing");
+                if (*first_expected, *first_rate) == (expected, rate) {
+                    prop_assert_eq!(&outcome, first);
+                } else {
+                    let is_reused = matches!(
+                        outcome,
+                        Outcome::Refused { kind: ErrorKind::ChangeIdReused, .. }
+                    );
+                    prop_assert!(is_reused, "{:?}", outcome);
+                }
+                continue;
+            }
+            if expected == current.0 {
+                prop_assert_eq!(next, ConfigVersion(current.0 + 1));
+                prop_assert_eq!(&outcome, &Outcome::Applied(next));
+                prop_assert_eq!(&state.view.inventory, &listed);
+            } else {
+                prop_assert_eq!(next, current);
+                let expected = ConfigVersion(expected);
+                prop_assert_eq!(&outcome, &Outcome::Conflict { expected, current });
+            }
+            first_answers.insert(change, (expected, rate, outcome));
+        }
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_control/tests/state_machine/snapshots.rs
@@ -0,0 +1,209 @@
+//! Snapshots of the state and of the fleet view.
+
+use proptest::prelude::*;
+use wasabipoint_consensus::StateMachine;
+use wasabipoint_control::{Command, ControlMachine, ControlState, StampedCommand, VmState};
+use wasabipoint_kernel::{FencingToken, Incarnation, VmId};
+use wasabipoint_rpc::{FleetUpdate, FleetView, ReplicaReport, ReplicaState, SliceSettlement};
+
+use crate::samples::{
+    add_key, apply, apply_inventory, claim, customer, endpoint_id, exchange, inventory, model,
+    model_name, report, revoke_key,
+};
+
+fn replica() -> impl Strategy<Value = ReplicaReport> {
+    let state = prop::sample::select(vec![
+        ReplicaState::Loading,
+        ReplicaState::Loaded,
+        ReplicaState::Unloading,
+        ReplicaState::Failed,
+    ]);
+    (0_usize..2, 0_u64..6, state).prop_map(|(model, token, state)| ReplicaReport {
+        model: model_name(model),
+        version: 1,
+        fencing_token: FencingToken(token),
+        state,
+    })
+}
+
+/// Any command, with small ranges so that commands meet each other's effects.
+fn command() -> impl Strategy<Value = Command> {
+    let replicas = prop::collection::vec(replica(), 0..3);
+    let vm_state = prop::sample::select(vec![VmState::Live, VmState::Leaving, VmState::Terminated]);
+    prop_oneof![
+        (0_u64..8, 0_u32..20, 1_u64..4, 1_u32..4).prop_map(|(expected, change, rate, replicas)| {
+            let models = vec![model(0, 10, replicas), model(1, 20, 1)];
+            let listed = inventory(models, vec![customer(rate * 100, 1_000)]);
+            apply_inventory(expected, change, listed)
+        }),
+        (0_u32..30).prop_map(add_key),
+        (0_u32..30, 0_u32..30).prop_map(|(change, key)| revoke_key(change, key)),
+        (0_usize..3, 1_u64..3, 1_u64..40, any::<bool>(), replicas).prop_map(
+            |(endpoint, incarnation, sequence, is_known, replicas)| {
+                let report = report(endpoint, incarnation, sequence, 50, is_known, replicas);
+                Command::Report(Box::new(report))
+            }
+        ),
+        (0_usize..2, 0_usize..3, 1_u64..3, prop::option::of(1_u64..6)).prop_map(
+            |(index, endpoint, incarnation, replaces)| {
+                Command::Grant(wasabipoint_control::GrantRequest {
+                    model: model_name(index),
+                    version: 1,
+                    endpoint: endpoint_id(endpoint),
+                    incarnation: Incarnation(incarnation),
+                    memory_mib: [10, 20][index],
+                    replaces: replaces.map(FencingToken),
+                })
+            }
+        ),
+        (1_u64..8).prop_map(|token| Command::Revoke(FencingToken(token))),
+        (0_usize..3, 1_u64..3).prop_map(|(endpoint, incarnation)| {
+            Command::MarkLeaving(endpoint_id(endpoint), Incarnation(incarnation))
+        }),
+        (0_usize..3, vm_state).prop_map(|(vm, state)| {
+            Command::Platform(vec![(VmId::new(format!("vm-{vm}")), state)])
+        }),
+        (0_usize..3, 1_u64..3, 1_u64..20, 0_u64..400, 1_u64..10).prop_map(
+            |(entry, incarnation, sequence, wanted, slice_id)| {
+                let settlement = SliceSettlement {
+                    slice_id,
+                    spent_tokens: wanted / 3,
+                    returned_tokens: wanted / 5,
+                };
+                Command::Exchange {
+                    exchange: exchange(entry, incarnation, sequence, wanted, vec![settlement]),
+                    lifetime_ms: 1_000,
+                }
+            }
+        ),
+        (0_u32..4, 0_u128..4, prop::option::of(0_u128..4))
+            .prop_map(|(key, request, replaces)| Command::Claim(claim(key, request, replaces))),
+        prop::collection::vec(any::<u8>(), 0..20).prop_map(|bytes| Command::SaveProfile {
+            policy: "demand_profile".to_owned(),
+            bytes,
+        }),
+    ]
+}
+
+/// Commands with the log time that passes before each.
+fn history() -> impl Strategy<Value = Vec<(u64, Command)>> {
+    let pause_ms = prop_oneof![9 => 0_u64..2_000, 1 => Just(4_000_000)];
+    prop::collection::vec((pause_ms, command()), 1..120)
+}
+
+fn stamp(history: Vec<(u64, Command)>) -> Vec<StampedCommand> {
+    let mut time_ms = 0;
+    let stamped = history.into_iter().map(|(pause_ms, command)| {
+        time_ms += pause_ms;
+        StampedCommand { time_ms, command }
+    });
+    stamped.collect()
+}
+
+proptest! {
+    /// Guards against state that a snapshot loses, and against members that diverge when one of
+    /// them was restored from a snapshot.
+    #[test]
+    fn restored_member_equals_the_others(history in history(), cut in 0_usize..120) {
+        let commands = stamp(history);
+        let mut whole = ControlMachine::new();
+        let mut restored = ControlMachine::new();
+        for (index, command) in commands.iter().enumerate() {
+            if index == cut.min(commands.len() - 1) {
+                restored.restore(&whole.snapshot()).unwrap();
+                prop_assert_eq!(restored.state(), whole.state());
+            }
+            let encoded = postcard::to_stdvec(command).unwrap();
+            let outcome = whole.apply(index as u64, &encoded);
+            if index >= cut.min(commands.len() - 1) {
+                prop_assert_eq!(restored.apply(index as u64, &encoded), outcome);
+            }
+        }
+        prop_assert_eq!(restored.state(), whole.state());
+        prop_assert_eq!(restored.snapshot(), whole.snapshot());
+    }
+
+    /// Guards against a delta that leaves an entry with another view than a snapshot, and against
+    /// a revision that stands for two views.
+    #[test]
+    fn deltas_lead_to_the_same_view_as_snapshots(
+        history in history(),
+        asks in prop::collection::vec(any::<bool>(), 120),
+    ) {
+        let mut state = ControlState::new();
+        let mut held = FleetView::new();
+        for (stamped, asks) in stamp(history).into_iter().zip(asks) {
+            let before = state.view.clone();
+            state.apply(stamped);
+            prop_assert!(state.view == before || state.view.revision > before.revision);
+            prop_assert!(state.view.config_version >= before.config_version);
+            if asks {
+                follow(&mut held, &state);
+                prop_assert_eq!(&held, &state.view);
+            }
+        }
+    }
+}
+
+fn follow(held: &mut FleetView, state: &ControlState) {
+    let reply = state.watch_reply(held.revision);
+    match reply.update {
+        FleetUpdate::Delta(changes) => {
+            for change in &changes {
+                held.apply(change);
+            }
+            held.revision = reply.revision;
+        }
+        FleetUpdate::Snapshot(view) => *held = *view,
+    }
+}
+
+/// Guards against a delta with missing changes for a caller that is further behind than the
+/// changes that are kept, and against a snapshot for one that is not.
+#[test]
+fn caller_that_is_too_far_behind_gets_a_snapshot() {
+    let mut state = ControlState::new();
+    let listed = inventory(Vec::new(), vec![customer(1, 1)]);
+    apply(&mut state, 0, apply_inventory(0, 1, listed));
+    let first = state.view.revision;
+    for change in 0..1_024 {
+        apply(&mut state, 0, add_key(change));
+    }
+    let mut held = FleetView::new();
+    let behind = state.watch_reply(first);
+    assert!(matches!(behind.update, FleetUpdate::Delta(changes) if changes.len() == 1_024));
+    let too_far = state.watch_reply(first - 1);
+    assert!(matches!(too_far.update, FleetUpdate::Snapshot(_)));
+    let ahead = state.watch_reply(state.view.revision + 1);
+    assert!(matches!(ahead.update, FleetUpdate::Snapshot(_)));
+    follow(&mut held, &state);
+    assert_eq!(held, state.view);
+}
+
+/// Guards against a claim that is forgotten within its hour, is taken over without proof, or is
+/// kept for ever.
+#[test]
+fn claim_is_held_for_an_hour_and_replaced_only_by_name() {
+    use wasabipoint_control::Outcome::Claim;
+    use wasabipoint_rpc::ClaimOutcome::{Claimed, Held};
+
+    let mut state = ControlState::new();
+    let mut ask = |time_ms, request, replaces| {
+        apply(
+            &mut state,
+            time_ms,
+            Command::Claim(claim(1, request, replaces)),
+        )
+    };
+    assert_eq!(ask(0, 1, None), Claim(Claimed));
+    assert_eq!(
+        ask(3_599_999, 2, None),
+        Claim(Held(claim(1, 1, None).holder))
+    );
+    assert_eq!(ask(3_599_999, 2, Some(1)), Claim(Claimed));
+    assert_eq!(
+        ask(3_599_999, 3, Some(1)),
+        Claim(Held(claim(1, 2, None).holder))
+    );
+    assert_eq!(ask(3_600_000, 3, None), Claim(Claimed));
+}
