Test the agent against the fakes

Grants that did not fit are tried again as soon as they fit. The control fixture counted a report of a dropped agent as in flight for good, which failed the random history; it now counts by incarnation until the report is answered or its agent ends.

--- a/crates/wasabipoint_agent/src/plan.rs
+++ b/crates/wasabipoint_agent/src/plan.rs
@@ -33,6 +33,8 @@
     pub retry_at_ms: u64,
     /// Failures in a row.
     pub attempts: u32,
+    /// Whether the replica did not fit; it is then tried again as soon as it fits.
+    pub is_memory_short: bool,
 }
 
 /// What the decision is based on.
@@ -133,14 +135,20 @@
         .grants
         .iter()
         .filter(|grant| !grant.is_revoked && !input.replicas.contains_key(&grant.model))
-        .filter(|grant| may_try(input, &grant.model, grant.fencing_token))
         .collect();
     wanted.sort_by_key(|grant| grant.fencing_token);
-    let fits = |grant: &&&Grant| grant.memory_mib <= input.memory.free_mib();
-    if let Some(grant) = wanted.iter().find(fits) {
-        return Some(Step::Load((*grant).clone()));
+    let fits = |grant: &&Grant| grant.memory_mib <= input.memory.free_mib();
+    let is_due = |grant: &&Grant| may_try(input, &grant.model, grant.fencing_token);
+    let was_short = |grant: &&Grant| {
+        let failure = input.failures.get(&grant.model);
+        failure.is_some_and(|failure| failure.is_memory_short)
+    };
+    let mut loadable = wanted.iter().copied().filter(fits);
+    if let Some(grant) = loadable.find(|grant| is_due(grant) || was_short(grant)) {
+        return Some(Step::Load(grant.clone()));
     }
-    let grant = wanted.first()?;
+    let mut too_large = wanted.iter().copied().filter(|grant| !fits(grant));
+    let grant = too_large.find(is_due)?;
     let is_unload_expected = input
         .replicas
         .values()
@@ -150,6 +158,6 @@
     }
     Some(match input.idle_adapters.first() {
         Some(adapter) => Step::EvictAdapter(adapter.clone()),
-        None => Step::RefuseLoad((*grant).clone()),
+        None => Step::RefuseLoad(grant.clone()),
     })
 }
--- a/crates/wasabipoint_agent/src/state.rs
+++ b/crates/wasabipoint_agent/src/state.rs
@@ -156,6 +156,7 @@
         &mut self,
         model: &ModelName,
         fencing_token: FencingToken,
+        is_memory_short: bool,
         now_ms: u64,
     ) {
         let attempts = self
@@ -170,6 +171,7 @@
                 fencing_token,
                 retry_at_ms: now_ms + pause_ms,
                 attempts,
+                is_memory_short,
             },
         );
     }
--- /dev/null
+++ b/crates/wasabipoint_agent/tests/agent/history.rs
@@ -0,0 +1,294 @@
+//! What the engine saw under random grants and faults.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+use wasabipoint_agent::{Agent, HttpEndpoint};
+use wasabipoint_fakes::{EngineFaults, EngineOptions, FakeEngine, HistoryKind, answer_text};
+use wasabipoint_kernel::Incarnation;
+use wasabipoint_rpc::ReplicaState;
+
+use crate::support::{
+    TestControl, call, completion, find_state, seeds, settings, start_agent, start_engine,
+    wait_until,
+};
+
+/// Memory that models may use: 1,200 MiB without the KV reserve of 200 MiB.
+const USABLE_MIB: u64 = 1_000;
+
+fn held(engine: &FakeEngine) -> BTreeMap<String, u64> {
+    let state = engine.state();
+    let models = state["models"].as_array().unwrap().iter();
+    models
+        .filter(|model| model["state"] == "loaded")
+        .map(|model| {
+            let name = model["model"].as_str().unwrap().to_owned();
+            (name, model["fencing_token"].as_u64().unwrap())
+        })
+        .collect()
+}
+
+fn count(engine: &FakeEngine, kind: HistoryKind) -> usize {
+    let history = engine.history();
+    history.iter().filter(|event| event.kind == kind).count()
+}
+
+/// Guards against a load that is repeated because its answer was lost.
+#[tokio::test]
+async fn a_lost_load_answer_is_resolved_by_asking() {
+    let setup = start_engine(EngineOptions::for_tests(), "").await;
+    setup.engine.set_faults(EngineFaults {
+        lost_load_answer: 1,
+        ..EngineFaults::default()
+    });
+    setup.control.grant("n", 2, 300);
+    setup.control.wait_for_loaded("n").await;
+    assert_eq!(count(&setup.engine, HistoryKind::LoadStarted), 2);
+    assert_eq!(count(&setup.engine, HistoryKind::Loaded), 2);
+}
+
+/// Guards against a load that is given up when the engine exits during it.
+#[tokio::test]
+async fn an_engine_exit_in_a_load_is_repaired() {
+    let setup = start_engine(EngineOptions::for_tests(), "").await;
+    setup.engine.set_faults(EngineFaults {
+        exit_in_load: 1,
+        ..EngineFaults::default()
+    });
+    setup.control.grant("n", 2, 300);
+    wait_until("the engine exited", || {
+        count(&setup.engine, HistoryKind::Exited) == 1
+    })
+    .await;
+    wait_until("both models are loaded", || held(&setup.engine).len() == 2).await;
+}
+
+/// Guards against a replica that is unloaded under a request, or kept without a grant.
+#[tokio::test]
+async fn a_revoked_replica_drains_and_is_unloaded() {
+    let setup = start_engine(EngineOptions::for_tests(), "").await;
+    let request = completion("running", &json!({"max_tokens": 100}));
+    let id = request.request_id;
+    let frames = setup.agent.dispatch(request);
+    wait_until("the request runs", || setup.engine.state()["running"] == 1).await;
+    setup.control.revoke("m");
+    setup
+        .control
+        .wait_for("m unloading", |report| {
+            find_state(report, "m") == Some(ReplicaState::Unloading)
+        })
+        .await;
+    let refused = call(&setup.agent, completion("refused", &json!({}))).await;
+    assert!(refused.failed.is_some());
+    let received = crate::support::receive(id, frames).await;
+    assert_eq!(received.text(), answer_text("running", 100));
+    setup.control.wait_for_absent("m").await;
+    assert!(held(&setup.engine).is_empty());
+}
+
+/// Guards against memory that is overcommitted by a grant that does not fit.
+#[tokio::test]
+async fn a_grant_that_does_not_fit_is_refused() {
+    let setup = start_engine(
+        EngineOptions {
+            memory_mib: 10_000,
+            ..EngineOptions::for_tests()
+        },
+        "",
+    )
+    .await;
+    setup.control.grant("big", 2, 601);
+    setup
+        .control
+        .wait_for("big failed", |report| {
+            find_state(report, "big") == Some(ReplicaState::Failed)
+        })
+        .await;
+    setup.control.grant("big", 3, 600);
+    setup.control.wait_for_loaded("big").await;
+    assert_eq!(setup.engine.state()["peak_memory_mib"], USABLE_MIB);
+}
+
+/// Guards against a late load of an earlier agent that undoes a later decision.
+#[tokio::test]
+async fn a_late_command_of_an_earlier_agent_is_fenced() {
+    let engine = FakeEngine::start(EngineOptions::for_tests()).await.unwrap();
+    engine.set_faults(EngineFaults {
+        late_command: 1,
+        late_command_ms: 700,
+        ..EngineFaults::default()
+    });
+    let control = TestControl::new();
+    control.grant("m", 5, 400);
+    let first = start(&engine, &control, Incarnation(1));
+    wait_until("the load is under way", || {
+        control
+            .reports()
+            .iter()
+            .any(|report| find_state(report, "m").is_some())
+    })
+    .await;
+    drop(first);
+    control.grant("m", 6, 500);
+    let _second = start(&engine, &control, Incarnation(2));
+    wait_until("the late load was refused", || {
+        count(&engine, HistoryKind::Fenced) == 1
+    })
+    .await;
+    assert_eq!(held(&engine), BTreeMap::from([("m".to_owned(), 6)]));
+    assert_eq!(engine.state()["peak_memory_mib"], 500);
+}
+
+/// Guards against a restarted agent that commands an engine before its predecessor's load shows,
+/// when the engine ignores fencing tokens.
+#[tokio::test]
+async fn a_restarted_agent_waits_for_its_predecessor() {
+    let engine = FakeEngine::start(EngineOptions {
+        ignore_fencing: true,
+        memory_mib: 1_200,
+        ..EngineOptions::for_tests()
+    })
+    .await
+    .unwrap();
+    engine.set_faults(EngineFaults {
+        late_command: 1,
+        late_command_ms: 100,
+        ..EngineFaults::default()
+    });
+    let control = TestControl::new();
+    control.grant("m", 5, 700);
+    let first = start_waiting(&engine, &control, Incarnation(1), 500);
+    wait_until("the load is under way", || {
+        control
+            .reports()
+            .iter()
+            .any(|report| find_state(report, "m").is_some())
+    })
+    .await;
+    drop(first);
+    control.change(|directive| directive.grants.clear());
+    control.grant("n", 6, 700);
+    let _second = start_waiting(&engine, &control, Incarnation(2), 500);
+    wait_until("only the later model is held", || {
+        held(&engine) == BTreeMap::from([("n".to_owned(), 6)])
+    })
+    .await;
+    assert_eq!(engine.state()["peak_memory_mib"], 700);
+    assert_eq!(count(&engine, HistoryKind::MemoryShort), 0);
+}
+
+fn start(engine: &FakeEngine, control: &Arc<TestControl>, incarnation: Incarnation) -> Arc<Agent> {
+    start_waiting(engine, control, incarnation, 50)
+}
+
+fn start_waiting(
+    engine: &FakeEngine,
+    control: &Arc<TestControl>,
+    incarnation: Incarnation,
+    wait_ms: u64,
+) -> Arc<Agent> {
+    let mut config = settings("engine", &engine.address().to_string(), "");
+    config.predecessor_wait = Duration::from_millis(wait_ms);
+    let endpoint = Arc::new(HttpEndpoint::new(engine.address()));
+    start_agent(config, incarnation, endpoint, control)
+}
+
+/// Guards against overcommitted memory, replicas without a grant and grants without a replica,
+/// under random grants, engine exits, lost and late commands and agent restarts.
+#[tokio::test]
+async fn random_grants_never_overcommit() {
+    let runs = seeds(8)
+        .into_iter()
+        .map(|seed| tokio::spawn(async move { run_history(seed).await }));
+    for run in runs.collect::<Vec<_>>() {
+        run.await.unwrap();
+    }
+}
+
+async fn run_history(seed: u64) {
+    println!("seed {seed}");
+    let mut random = StdRng::seed_from_u64(seed);
+    // The engine has more memory than the agent may use, so that only the ledger holds the bound.
+    let engine = FakeEngine::start(EngineOptions {
+        memory_mib: 5_000,
+        ignore_fencing: random.random_bool(0.5),
+        ..EngineOptions::for_tests()
+    })
+    .await
+    .unwrap();
+    let control = TestControl::new();
+    let mut token = 0;
+    let mut granted = BTreeMap::new();
+    let mut issued = BTreeSet::new();
+    let mut incarnation = Incarnation(1);
+    let mut agent = start(&engine, &control, incarnation);
+    for _ in 0..40 {
+        let model = format!("model-{}", random.random_range(0..5));
+        match random.random_range(0..10) {
+            0..4 => {
+                token += 1;
+                let memory_mib = 100 * random.random_range(1..8);
+                // The decision for a model names one size.
+                let memory_mib = *granted.entry(model.clone()).or_insert(memory_mib);
+                issued.insert((model.clone(), token));
+                control.grant(&model, token, memory_mib);
+            }
+            4..6 => control.revoke(&model),
+            6 => engine.exit(),
+            7 => {
+                incarnation.0 += 1;
+                drop(agent);
+                agent = start(&engine, &control, incarnation);
+            }
+            _ => engine.set_faults(random_faults(&mut random)),
+        }
+        tokio::time::sleep(Duration::from_millis(random.random_range(0..150))).await;
+    }
+    engine.set_faults(EngineFaults::default());
+    control.change(|directive| {
+        let mut free = USABLE_MIB;
+        for grant in &mut directive.grants {
+            if !grant.is_revoked && grant.memory_mib <= free {
+                free -= grant.memory_mib;
+            } else {
+                grant.is_revoked = true;
+            }
+        }
+    });
+    let mut wanted = BTreeSet::new();
+    control.change(|directive| {
+        let valid = directive.grants.iter().filter(|grant| !grant.is_revoked);
+        wanted = valid.map(|grant| grant.model.to_string()).collect();
+    });
+    wait_until(&format!("seed {seed}: the engine holds {wanted:?}"), || {
+        held(&engine).into_keys().collect::<BTreeSet<_>>() == wanted
+    })
+    .await;
+    for event in engine.history() {
+        assert!(
+            event.memory_used_mib <= USABLE_MIB,
+            "seed {seed}: {event:?}"
+        );
+        if event.kind == HistoryKind::LoadStarted {
+            let load = (event.model.clone(), event.fencing_token);
+            assert!(issued.contains(&load), "seed {seed}: {event:?}");
+        }
+    }
+    drop(agent);
+}
+
+fn random_faults(random: &mut StdRng) -> EngineFaults {
+    EngineFaults {
+        exit_in_load: u32::from(random.random_bool(0.3)),
+        lost_load_answer: u32::from(random.random_bool(0.3)),
+        failed_load: u32::from(random.random_bool(0.3)),
+        late_command: u32::from(random.random_bool(0.3)),
+        // Within the wait of a new agent for its predecessor.
+        late_command_ms: 30,
+        ..EngineFaults::default()
+    }
+}
--- a/crates/wasabipoint_agent/tests/agent/main.rs
+++ b/crates/wasabipoint_agent/tests/agent/main.rs
@@ -2,5 +2,9 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+mod adapters;
 mod dispatch;
+mod drain;
+mod executions;
+mod history;
 mod support;
--- a/crates/wasabipoint_agent/tests/agent/support.rs
+++ b/crates/wasabipoint_agent/tests/agent/support.rs
@@ -19,7 +19,7 @@
 };
 
 /// Time after which a test that waits for an event fails; not a bound on the machine's speed.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(50);
 
 pub(crate) const INCARNATION: Incarnation = Incarnation(7);
 
@@ -27,7 +27,8 @@
 pub(crate) struct TestControl {
     directive: Mutex<AgentDirective>,
     reports: Mutex<Vec<AgentReport>>,
-    in_flight: Mutex<usize>,
+    // Incarnations with a report in flight.
+    in_flight: Mutex<Vec<Incarnation>>,
     reported: Notify,
 }
 
@@ -95,9 +96,9 @@
                 reported.await;
             }
         };
-        if tokio::time::timeout(PATIENCE, wait).await.is_err() {
-            panic!("no report with {what}; last {:?}", self.reports().last());
-        }
+        let result = tokio::time::timeout(PATIENCE, wait).await;
+        let last = self.reports().pop();
+        assert!(result.is_ok(), "no report with {what}; last {last:?}");
     }
 
     pub(crate) async fn wait_for_loaded(&self, model: &str) {
@@ -122,17 +123,39 @@
         .map(|replica| replica.state)
 }
 
+/// A report in flight, until it is answered or its agent ends.
+struct InFlight<'a> {
+    control: &'a TestControl,
+    incarnation: Incarnation,
+}
+
+impl<'a> InFlight<'a> {
+    fn new(control: &'a TestControl, incarnation: Incarnation) -> Self {
+        let mut in_flight = control.in_flight.lock().unwrap();
+        let is_other = in_flight.contains(&incarnation);
+        in_flight.push(incarnation);
+        drop(in_flight);
+        assert!(!is_other, "one report is in flight at a time");
+        Self {
+            control,
+            incarnation,
+        }
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        let mut in_flight = self.control.in_flight.lock().unwrap();
+        in_flight.retain(|incarnation| *incarnation != self.incarnation);
+    }
+}
+
 impl ControlLink for TestControl {
     fn report(&self, report: AgentReport) -> BoxFuture<'_, Result<AgentDirective, ControlError>> {
         Box::pin(async move {
-            {
-                let mut in_flight = self.in_flight.lock().unwrap();
-                *in_flight += 1;
-                assert_eq!(*in_flight, 1, "one report is in flight at a time");
-            }
+            let _in_flight = InFlight::new(self, report.incarnation);
             self.reports.lock().unwrap().push(report);
             tokio::task::yield_now().await;
-            *self.in_flight.lock().unwrap() -= 1;
             self.reported.notify_waiters();
             Ok(self.directive.lock().unwrap().clone())
         })
@@ -303,3 +326,22 @@
     let id = request.request_id;
     receive(id, agent.dispatch(request)).await
 }
+
+/// Polls a fake until a condition holds.
+pub(crate) async fn wait_until(what: &str, is_met: impl Fn() -> bool) {
+    let wait = async {
+        while !is_met() {
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+    };
+    let result = tokio::time::timeout(PATIENCE, wait).await;
+    assert!(result.is_ok(), "waited in vain until {what}");
+}
+
+/// Seeds of a randomised test: `count` fixed ones, or the one in `WASABIPOINT_SEED`.
+pub(crate) fn seeds(count: u64) -> Vec<u64> {
+    match std::env::var("WASABIPOINT_SEED") {
+        Ok(seed) => vec![seed.parse().unwrap()],
+        Err(_) => (1..=count).collect(),
+    }
+}
