Add wasabipoint-load with the experiments placement, routing and cost

The experiments run the registered policies against small models of engines and of the weight store under a discrete clock and write Markdown tables and SVG plots.

--- /dev/null
+++ b/crates/wasabipoint_load/src/main.rs
@@ -0,0 +1,7 @@
+//! Load generator and experiments.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    wasabipoint_load::run()
+}
--- /dev/null
+++ b/crates/wasabipoint_load/src/measures.rs
@@ -0,0 +1,31 @@
+//! Percentiles of waiting times.
+
+use hdrhistogram::Histogram;
+
+/// Waiting times in milliseconds.
+#[derive(Debug, Clone)]
+pub(crate) struct Waits(Histogram<u64>);
+
+impl Waits {
+    pub(crate) fn new() -> Self {
+        Self(Histogram::new(3).expect("three significant digits are supported"))
+    }
+
+    pub(crate) fn record_ms(&mut self, wait_ms: u64) {
+        self.0
+            .record(wait_ms)
+            .expect("the histogram resizes itself");
+    }
+
+    pub(crate) fn add(&mut self, other: &Self) {
+        self.0.add(&other.0).expect("the histogram resizes itself");
+    }
+
+    pub(crate) fn quantile_ms(&self, quantile: f64) -> u64 {
+        self.0.value_at_quantile(quantile)
+    }
+
+    pub(crate) fn count(&self) -> u64 {
+        self.0.len()
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_load/src/placement.rs
@@ -0,0 +1,231 @@
+//! Experiment `placement`: cold starts and idle accelerators under each placement policy.
+
+mod fleet;
+mod oracle;
+mod workload;
+
+use wasabipoint_kernel::Rules;
+use wasabipoint_policy::{PlacementPolicy, build_placement_policy};
+
+use self::fleet::Fleet;
+use self::oracle::Oracle;
+use self::workload::Workload;
+use crate::measures::Waits;
+use crate::report::{Plot, Report, Table};
+
+pub use workload::Deployment;
+
+const POLICIES: [&str; 4] = ["load_on_demand", "keep_loaded", "demand_profile", "oracle"];
+/// Runs under consecutive seeds that are merged into one row.
+const SEEDS: u64 = 4;
+const MEASURED_AFTER_DAYS: u32 = 2;
+const SCENARIOS: [PlacementScenario; 3] = [
+    PlacementScenario {
+        name: "normal",
+        store_speed_percent: 100,
+        endpoints_lost: 0,
+    },
+    PlacementScenario {
+        name: "store at a quarter of its speed",
+        store_speed_percent: 25,
+        endpoints_lost: 0,
+    },
+    PlacementScenario {
+        name: "two endpoints lost at dawn",
+        store_speed_percent: 100,
+        endpoints_lost: 2,
+    },
+];
+
+/// Faults of a run.
+#[derive(Debug, Clone, Copy)]
+pub struct PlacementScenario {
+    /// Name in tables.
+    pub name: &'static str,
+    /// Speed of the weight store.
+    pub store_speed_percent: u64,
+    /// Endpoints that are lost every day at dawn.
+    pub endpoints_lost: usize,
+}
+
+/// Measures of a run.
+#[derive(Debug, Clone)]
+pub struct PlacementOutcome {
+    pub(crate) cold_waits: Waits,
+    pub(crate) idle_accelerator_s: f64,
+    pub(crate) refused: u64,
+    pub(crate) requests: u64,
+}
+
+impl PlacementOutcome {
+    pub(crate) fn new() -> Self {
+        Self {
+            cold_waits: Waits::new(),
+            idle_accelerator_s: 0.0,
+            refused: 0,
+            requests: 0,
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.cold_waits.add(&other.cold_waits);
+        self.idle_accelerator_s += other.idle_accelerator_s;
+        self.refused += other.refused;
+        self.requests += other.requests;
+    }
+
+    /// Cold starts.
+    pub fn cold_starts(&self) -> u64 {
+        self.cold_waits.count()
+    }
+
+    /// A quantile of the cold-start time.
+    pub fn cold_start_ms(&self, quantile: f64) -> u64 {
+        self.cold_waits.quantile_ms(quantile)
+    }
+
+    /// Hours in which accelerators held replicas without a running request.
+    pub fn idle_accelerator_hours(&self) -> f64 {
+        self.idle_accelerator_s / 3_600.0
+    }
+
+    /// Requests that were not served before their deadline.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+}
+
+/// Runs one policy over generated demand. The policy `oracle` knows all arrivals.
+pub fn run_placement(
+    policy: &str,
+    deployment: Deployment,
+    scenario: PlacementScenario,
+    days: u32,
+    seed: u64,
+) -> Option<PlacementOutcome> {
+    let workload = Workload::generate(deployment, days, seed);
+    let mut policy: Box<dyn PlacementPolicy> = match policy {
+        "oracle" => Box::new(Oracle::new(&workload)),
+        name => build_placement_policy(name)?,
+    };
+    let mut fleet = Fleet::new(&workload, scenario, Rules::default().placement);
+    fleet.run(policy.as_mut(), days);
+    Some(fleet.outcome)
+}
+
+/// Runs all policies under the seeds, in parallel, and returns their outcomes in order.
+pub fn compare_placement(
+    deployment: Deployment,
+    scenario: PlacementScenario,
+    days: u32,
+    seed: u64,
+) -> Vec<(&'static str, PlacementOutcome)> {
+    std::thread::scope(|scope| {
+        let runs = POLICIES.map(|policy| {
+            scope.spawn(move || {
+                let mut merged = PlacementOutcome::new();
+                for seed in seed..seed + SEEDS {
+                    let outcome = run_placement(policy, deployment, scenario, days, seed);
+                    merged.add(&outcome.expect("all compared policies are registered"));
+                }
+                (policy, merged)
+            })
+        });
+        let joined = runs.map(|run| run.join().expect("a run ends without a panic"));
+        joined.into_iter().collect()
+    })
+}
+
+pub(crate) fn report(seed: u64, days: u32) -> Report {
+    let measured_days = u64::from(days.saturating_sub(MEASURED_AFTER_DAYS)).max(1) * SEEDS;
+    let mut report = Report::new("placement").with_paragraph(format!(
+        "Command: `wasabipoint-load placement --seed {seed} --days {days}`. Seeds {seed} to {}, \
+         of each run the first {MEASURED_AFTER_DAYS} days are not measured. A cold start is the \
+         first request after a pause of `idle_unload_ms`, or a request that finds no replica; its \
+         time is the wait until a replica is loaded, zero when one is. Idle hours and refused \
+         requests are per day.",
+        seed + SEEDS - 1
+    ));
+    for deployment in [Deployment::Delta, Deployment::GujaratWest] {
+        for scenario in SCENARIOS {
+            let outcomes = compare_placement(deployment, scenario, days, seed);
+            let title = format!("{}, {}", deployment.name(), scenario.name);
+            report = report.with_table(Table {
+                title: title.clone(),
+                columns: [
+                    "policy",
+                    "cold starts",
+                    "p50 s",
+                    "p90 s",
+                    "p99 s",
+                    "max s",
+                    "p99 / load_on_demand",
+                    "p99 / oracle",
+                    "idle accelerator h/day",
+                    "refused/day",
+                    "requests/day",
+                ]
+                .map(str::to_owned)
+                .to_vec(),
+                rows: table_rows(&outcomes, measured_days),
+            });
+            report = report.with_plot(plot_quantiles(&title, &outcomes));
+        }
+    }
+    report
+}
+
+fn table_rows(
+    outcomes: &[(&'static str, PlacementOutcome)],
+    measured_days: u64,
+) -> Vec<Vec<String>> {
+    let p99_of = |name: &str| {
+        let mut outcomes = outcomes.iter();
+        let found = outcomes.find(|(policy, _)| *policy == name);
+        found.map_or(0, |(_, outcome)| outcome.cold_start_ms(0.99))
+    };
+    let (demand_ms, oracle_ms) = (p99_of("load_on_demand"), p99_of("oracle"));
+    let seconds = |ms: u64| format!("{:.1}", ms as f64 / 1_000.0);
+    let ratio = |ms: u64, of_ms: u64| match of_ms {
+        0 => "-".to_owned(),
+        _ => format!("{:.2}", ms as f64 / of_ms as f64),
+    };
+    let row = |(policy, outcome): &(&'static str, PlacementOutcome)| {
+        let p99_ms = outcome.cold_start_ms(0.99);
+        vec![
+            (*policy).to_owned(),
+            outcome.cold_starts().to_string(),
+            seconds(outcome.cold_start_ms(0.5)),
+            seconds(outcome.cold_start_ms(0.9)),
+            seconds(p99_ms),
+            seconds(outcome.cold_start_ms(1.0)),
+            ratio(p99_ms, demand_ms),
+            ratio(p99_ms, oracle_ms),
+            format!(
+                "{:.0}",
+                outcome.idle_accelerator_hours() / measured_days as f64
+            ),
+            format!("{:.1}", outcome.refused as f64 / measured_days as f64),
+            format!("{:.0}", outcome.requests as f64 / measured_days as f64),
+        ]
+    };
+    outcomes.iter().map(row).collect()
+}
+
+fn plot_quantiles(title: &str, outcomes: &[(&'static str, PlacementOutcome)]) -> Plot {
+    let file_part = title.to_lowercase().replace(", ", "-").replace(' ', "-");
+    let series = outcomes.iter().map(|(policy, outcome)| {
+        let points = (0..=200).map(|step| {
+            let wait_ms = outcome.cold_start_ms(f64::from(step) / 200.0);
+            (f64::from(step) / 2.0, wait_ms as f64 / 1_000.0)
+        });
+        ((*policy).to_owned(), points.collect())
+    });
+    Plot {
+        file: format!("placement-{file_part}.svg"),
+        title: format!("Cold-start time: {title}"),
+        x_label: "percentile".to_owned(),
+        y_label: "seconds".to_owned(),
+        series: series.collect(),
+    }
+}
