--- a/crates/wasabipoint_load/src/placement.rs
+++ b/crates/wasabipoint_load/src/placement.rs
@@ -9,7 +9,7 @@
 
 use self::fleet::Fleet;
 use self::oracle::Oracle;
-use self::workload::Workload;
+use self::workload::{HABITS, Workload};
 use crate::measures::Waits;
 use crate::report::{Plot, Report, Table};
 
@@ -55,6 +55,8 @@
     pub(crate) idle_accelerator_s: f64,
     pub(crate) refused: u64,
     pub(crate) requests: u64,
+    /// Cold starts that waited, by habit of the model.
+    pub(crate) waited_by_habit: [u64; HABITS.len()],
 }
 
 impl PlacementOutcome {
@@ -64,6 +66,7 @@
             idle_accelerator_s: 0.0,
             refused: 0,
             requests: 0,
+            waited_by_habit: [0; HABITS.len()],
         }
     }
 
@@ -72,6 +75,10 @@
         self.idle_accelerator_s += other.idle_accelerator_s;
         self.refused += other.refused;
         self.requests += other.requests;
+        let counts = self.waited_by_habit.iter_mut();
+        for (count, other) in counts.zip(other.waited_by_habit) {
+            *count += other;
+        }
     }
 
     /// Cold starts.
@@ -155,6 +162,7 @@
                 columns: [
                     "policy",
                     "cold starts",
+                    "of them waited (dawn, daytime, rare)",
                     "p50 s",
                     "p90 s",
                     "p99 s",
@@ -195,6 +203,10 @@
         vec![
             (*policy).to_owned(),
             outcome.cold_starts().to_string(),
+            outcome
+                .waited_by_habit
+                .map(|count| count.to_string())
+                .join(", "),
             seconds(outcome.cold_start_ms(0.5)),
             seconds(outcome.cold_start_ms(0.9)),
             seconds(p99_ms),
--- a/crates/wasabipoint_load/src/placement/fleet.rs
+++ b/crates/wasabipoint_load/src/placement/fleet.rs
@@ -210,6 +210,8 @@
                 if is_measured && waiting.is_cold_start {
                     let wait_ms = start_ms - waiting.arrival_ms;
                     self.outcome.cold_waits.record_ms(wait_ms);
+                    let habit = self.workload.models[index].habit_index();
+                    self.outcome.waited_by_habit[habit] += u64::from(wait_ms > 0);
                 }
             }
             for waiting in &mut state.queue {
--- a/crates/wasabipoint_load/src/placement/workload.rs
+++ b/crates/wasabipoint_load/src/placement/workload.rs
@@ -42,6 +42,9 @@
     gap_ms: u64,
 }
 
+/// Names of the habits in tables.
+pub(crate) const HABITS: [&str; 3] = ["dawn", "daytime", "rare"];
+
 /// When a model is requested.
 enum Habit {
     /// Every morning, shortly after dawn.
@@ -147,6 +150,15 @@
         }
     }
 
+    /// Index of the habit in `HABITS`.
+    pub(crate) fn habit_index(&self) -> usize {
+        match self.habit {
+            Habit::Dawn { .. } => 0,
+            Habit::Daytime { .. } => 1,
+            Habit::Rare => 2,
+        }
+    }
+
     fn session_starts(&self, rng: &mut StdRng) -> Vec<u64> {
         match &self.habit {
             Habit::Dawn { offset_ms } => {
