Test the entry process over connections; read bodies after the head is checked

A response that has begun is never reported as not run, whole answers get time beyond the deadline of their first token, and a drain waits until the last piece of a stream was taken.

--- a/crates/wasabipoint_entry/src/api.rs
+++ b/crates/wasabipoint_entry/src/api.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, HeaderValue};
@@ -23,6 +24,9 @@
 use crate::entry::Entry;
 use crate::fleet::Caller;
 
+/// Time in which a request body must arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// A request after its head was checked.
 pub(crate) struct Arrival {
     pub(crate) request_id: RequestId,
@@ -127,6 +131,21 @@
         }
     }
 
+    /// Checks what can be checked before the body is read.
+    fn check_head(&self, parts: &Parts) -> Result<(), Refusal> {
+        let endpoint = find_endpoint(parts)?;
+        let key = read_key(&parts.headers)?;
+        match endpoint {
+            Endpoint::Completion(_) => self.authenticate(key.as_ref()).map(drop),
+            Endpoint::Service(route) => {
+                self.fleet.check_ready()?;
+                let rule = self.find_route(&route)?;
+                self.authenticate_route(&rule, key.as_ref()).map(drop)
+            }
+            _ => Ok(()),
+        }
+    }
+
     /// Verifies the key of a request on a keyed route.
     pub(crate) fn authenticate(&self, key: Option<&CallerKey>) -> Result<Caller, Refusal> {
         self.fleet.check_fresh()?;
@@ -244,7 +263,15 @@
     ) -> Pin<Box<dyn Future<Output = HttpResponse> + Send + '_>> {
         Box::pin(async move {
             let (parts, body) = request.into_parts();
-            let body = body.read(self.0.config.body_bytes).await;
+            // A refused head is answered without reading the body, so that callers without a key
+            // take no memory.
+            let body = if self.0.check_head(&parts).is_ok() {
+                let reading = body.read(self.0.config.body_bytes);
+                let read = tokio::time::timeout(BODY_TIMEOUT, reading).await;
+                read.unwrap_or(Err(BodyError::Incomplete))
+            } else {
+                Ok(Bytes::new())
+            };
             self.0.answer(Request::from_parts(parts, body)).await
         })
     }
--- a/crates/wasabipoint_entry/src/calls.rs
+++ b/crates/wasabipoint_entry/src/calls.rs
@@ -25,6 +25,10 @@
 /// Longest idempotency key.
 const IDEMPOTENCY_KEY_BYTES: usize = 255;
 
+/// Time per token that a whole answer gets beyond the deadline, which is that of its first token.
+/// About twice the aim of 46 ms.
+const TOKEN_ALLOWANCE_MS: u64 = 100;
+
 /// Priority of calls on open routes; the default of customers.
 const OPEN_PRIORITY: u8 = 5;
 
@@ -82,6 +86,11 @@
             body: body.into(),
             is_idempotent: true,
             is_streamed,
+            run_allowance_ms: if is_streamed {
+                0
+            } else {
+                answer_tokens * TOKEN_ALLOWANCE_MS
+            },
             priority: customer.priority,
             claim: None,
         };
@@ -242,6 +251,7 @@
             body: arrival.body.clone(),
             is_idempotent,
             is_streamed: false,
+            run_allowance_ms: 0,
             priority: priority.unwrap_or(OPEN_PRIORITY),
             claim,
         })
--- a/crates/wasabipoint_entry/src/frames.rs
+++ b/crates/wasabipoint_entry/src/frames.rs
@@ -127,7 +127,15 @@
                 }
             }
             Frame::Heartbeat => Ok(None),
-            Frame::Failed { kind, run, detail } => Err(StreamError::Failed { kind, run, detail }),
+            Frame::Failed { kind, run, detail } => {
+                // A response that has begun contradicts `not run`.
+                let run = if self.has_head {
+                    RunState::Unknown
+                } else {
+                    run
+                };
+                Err(StreamError::Failed { kind, run, detail })
+            }
             Frame::Head { .. } | Frame::Data(_) | Frame::End { .. } => {
                 Err(StreamError::Broken("a frame has no place there"))
             }
--- a/crates/wasabipoint_entry/src/relay.rs
+++ b/crates/wasabipoint_entry/src/relay.rs
@@ -114,6 +114,9 @@
     match end {
         End::Complete => {
             let _ = sender.send(None).await;
+            // The request counts as running until its last piece was taken, so that a drain does
+            // not stop the server before.
+            let _ = timeout(CALLER_TIMEOUT, sender.closed()).await;
         }
         End::CallerLeft => {
             info!(context.logger, "entry: the caller left its stream";
--- a/crates/wasabipoint_entry/src/run.rs
+++ b/crates/wasabipoint_entry/src/run.rs
@@ -44,6 +44,8 @@
     pub(crate) body: Bytes,
     pub(crate) is_idempotent: bool,
     pub(crate) is_streamed: bool,
+    /// Time after the deadline in which an answer that began in time may end.
+    pub(crate) run_allowance_ms: u64,
     pub(crate) priority: u8,
     pub(crate) claim: Option<Claim>,
 }
@@ -111,7 +113,7 @@
     ) -> Result<Reply, Refusal> {
         self.budget.note_request();
         let mut turn = self.wait_for_turn(call).await?;
-        let deadline = self.deadline(call);
+        let deadline = self.deadline(call) + Duration::from_millis(call.run_allowance_ms);
         let mut attempt_id = call.waiting.request_id;
         let mut replaces = None;
         let mut tried: Vec<EndpointId> = Vec::new();
@@ -264,7 +266,7 @@
             incarnation: turn.endpoint.incarnation,
             model,
             adapter: call.waiting.adapter.clone(),
-            remaining_ms: call.waiting.deadline_ms.saturating_sub(now_ms),
+            remaining_ms: (call.waiting.deadline_ms + call.run_allowance_ms).saturating_sub(now_ms),
             is_idempotent: call.is_idempotent,
             priority: call.priority,
             method: call.method.clone(),
--- a/crates/wasabipoint_entry/tests/entry/quota.rs
+++ b/crates/wasabipoint_entry/tests/entry/quota.rs
@@ -157,6 +157,31 @@
     assert_eq!(ledger.begin_exchange(6_100).unwrap().sequence, 2);
 }
 
+/// Guards against a direct ask per request at a steady use, and against holding tokens after it.
+#[test]
+fn recent_use_is_prefetched_and_then_returned() {
+    let (mut ledger, delta) = ledger();
+    let mut now_ms = 0;
+    for _ in 0..100 {
+        now_ms += 100;
+        assert!(ledger.reserve(&delta, 10, now_ms).is_none());
+    }
+    let item = ledger.begin_exchange(now_ms).unwrap().items.remove(0);
+    assert!((80..=120).contains(&item.wanted_tokens), "{item:?}");
+    assert!(item.accepts_partial);
+    ledger.complete_exchange(1, &grant(1, item.wanted_tokens), now_ms);
+    assert!(ledger.reserve(&delta, 50, now_ms).is_some());
+    let later = ledger
+        .begin_exchange(now_ms + 4_900)
+        .unwrap()
+        .items
+        .remove(0);
+    assert_eq!(
+        later.settlements[0].returned_tokens,
+        item.wanted_tokens - 50
+    );
+}
+
 proptest! {
     /// Guards against tokens that are created or reported twice by any order of steps.
     #[test]
--- /dev/null
+++ b/crates/wasabipoint_entry/tests/sockets.rs
@@ -0,0 +1,318 @@
+//! The entry process over real connections: callers, control and agent on loopback.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::process::Command;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http::{Request, Response, StatusCode};
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use wasabipoint_entry::{Entry, EntryConfig, EntryHandler, HttpAgentLink, RpcControlLink};
+use wasabipoint_http::{
+    HttpClient, HttpHandler, HttpRequest, HttpResponse, HttpServer, OutgoingBody,
+};
+use wasabipoint_kernel::{
+    CustomerId, ENTRY_SETTINGS, EndpointId, FailureDomain, Incarnation, Inventory, KeyDigester,
+    KeyId, ModelName, Rules, ServiceName, Settings,
+};
+use wasabipoint_rpc::{
+    AgentDirective, AgentReport, ClaimOutcome, ClaimRequest, ControlRefusal, ControlRpc,
+    DispatchRequest, EndpointKind, EndpointView, EntryDirective, EntryReport, FleetUpdate,
+    FleetView, Frame, KeyRecord, LoadReport, QuotaExchange, QuotaGrants, QuotaSlice, StreamFrame,
+    WatchReply, WatchRequest, decode_message, encode_frame, listen_rpc,
+};
+
+const KEY: &str = "k-delta-7f3a9c";
+
+const SETTINGS: &str = "[entry]\nentry = entry-1\nlisten = 127.0.0.1:0\ncontrol = 127.0.0.1:1\n\
+    failure_domain = tanta\nkey_secret = secret\noperator_token = token\ndrain_grace_ms = 0\n";
+
+#[derive(Clone)]
+struct Control(Arc<FleetView>);
+
+impl ControlRpc for Control {
+    async fn watch(self, _: Context, request: WatchRequest) -> Result<WatchReply, ControlRefusal> {
+        let update = if request.known_revision == 0 {
+            FleetUpdate::Snapshot(Box::new((*self.0).clone()))
+        } else {
+            tokio::time::sleep(Duration::from_millis(request.wait_ms)).await;
+            FleetUpdate::Delta(Vec::new())
+        };
+        Ok(WatchReply {
+            revision: 1,
+            update,
+        })
+    }
+
+    async fn report_entry(
+        self,
+        _: Context,
+        _: EntryReport,
+    ) -> Result<EntryDirective, ControlRefusal> {
+        Ok(EntryDirective {
+            cold_estimates: Vec::new(),
+            next_report_ms: 1_000,
+        })
+    }
+
+    async fn exchange_quota(
+        self,
+        _: Context,
+        exchange: QuotaExchange,
+    ) -> Result<QuotaGrants, ControlRefusal> {
+        let slices = exchange.items.into_iter().map(|item| QuotaSlice {
+            slice_id: exchange.sequence,
+            customer: item.customer,
+            tokens: item.wanted_tokens,
+            lifetime_ms: 5_000,
+        });
+        Ok(QuotaGrants {
+            slices: slices.collect(),
+            waits: Vec::new(),
+        })
+    }
+
+    async fn claim(self, _: Context, _: ClaimRequest) -> Result<ClaimOutcome, ControlRefusal> {
+        Ok(ClaimOutcome::Claimed)
+    }
+
+    async fn report_agent(
+        self,
+        _: Context,
+        _: AgentReport,
+    ) -> Result<AgentDirective, ControlRefusal> {
+        Err(ControlRefusal::Unavailable)
+    }
+}
+
+/// Answers dispatches with a short stream; one whose prompt asks for it never ends.
+#[derive(Default)]
+struct Agent {
+    received: Mutex<Vec<u8>>,
+    left: Arc<tokio::sync::Notify>,
+}
+
+impl HttpHandler for Agent {
+    fn handle(
+        &self,
+        request: HttpRequest,
+    ) -> Pin<Box<dyn Future<Output = HttpResponse> + Send + '_>> {
+        Box::pin(async move {
+            let body = request.into_body().read(1 << 20).await.unwrap();
+            self.received.lock().unwrap().extend_from_slice(&body);
+            let dispatch: DispatchRequest = decode_message(&body).unwrap();
+            let (sender, body) = OutgoingBody::stream(4);
+            let left = Arc::clone(&self.left);
+            tokio::spawn(async move { answer(dispatch, sender, left).await });
+            Response::new(body)
+        })
+    }
+}
+
+async fn answer(
+    dispatch: DispatchRequest,
+    sender: tokio::sync::mpsc::Sender<Option<Bytes>>,
+    left: Arc<tokio::sync::Notify>,
+) {
+    let is_endless = String::from_utf8_lossy(&dispatch.body).contains("endless");
+    let data = b"data: {}\n\n".to_vec();
+    let byte_count = data.len() as u64;
+    let head = Frame::Head {
+        status: 200,
+        headers: Vec::new(),
+    };
+    let end = Frame::End {
+        byte_count,
+        load: LoadReport::default(),
+    };
+    let last = if is_endless { Frame::Heartbeat } else { end };
+    let mut sequence = 0;
+    for frame in [head, Frame::Data(data), last] {
+        send(&sender, &dispatch, &mut sequence, frame).await;
+    }
+    while is_endless && send(&sender, &dispatch, &mut sequence, Frame::Heartbeat).await {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    if is_endless {
+        left.notify_one();
+    }
+    let _ = sender.send(None).await;
+}
+
+async fn send(
+    sender: &tokio::sync::mpsc::Sender<Option<Bytes>>,
+    dispatch: &DispatchRequest,
+    sequence: &mut u64,
+    frame: Frame,
+) -> bool {
+    let frame = StreamFrame {
+        request_id: dispatch.request_id,
+        sequence: *sequence,
+        frame,
+    };
+    *sequence += 1;
+    sender.send(Some(encode_frame(&frame))).await.is_ok()
+}
+
+fn build_view(agent: SocketAddr) -> FleetView {
+    let inventory = "[inventory]\nmodels = 1\nadapters = 0\ncustomers = 1\n\
+        [model small]\nversion = 1\nmemory_mib = 1\n\
+        [customer delta]\nrate_tokens_per_s = 1000\nburst_tokens = 9000\nmodels = small\n";
+    let mut view = FleetView::new();
+    view.revision = 1;
+    view.inventory = Inventory::parse("inventory", inventory).unwrap();
+    view.rules = Rules::parse("rules", "[routing]\npolicy = least_loaded\n").unwrap();
+    let id = KeyId::new("k1");
+    view.keys.insert(
+        id.clone(),
+        KeyRecord {
+            id,
+            customer: CustomerId::new("delta"),
+            digest: KeyDigester::new("secret").digest(KEY),
+        },
+    );
+    let endpoint = EndpointView {
+        endpoint: EndpointId::new("engine-1"),
+        incarnation: Incarnation(1),
+        address: agent,
+        failure_domain: FailureDomain::new("tanta"),
+        kind: EndpointKind::Engine,
+        service: ServiceName::new("none"),
+        models: vec![ModelName::new("small")],
+        concurrency: 4,
+        is_leaving: false,
+    };
+    view.endpoints.insert(endpoint.endpoint.clone(), endpoint);
+    view
+}
+
+async fn start_control(view: FleetView) -> SocketAddr {
+    let mut incoming = listen_rpc("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let address = incoming.local_addr();
+    let control = Control(Arc::new(view));
+    tokio::spawn(async move {
+        while let Some(Ok(transport)) = incoming.next().await {
+            let requests = BaseChannel::with_defaults(transport).execute(control.clone().serve());
+            tokio::spawn(requests.for_each_concurrent(None, |request| request));
+        }
+    });
+    address
+}
+
+struct Setup {
+    entry: Arc<Entry>,
+    agent: Arc<Agent>,
+    base: String,
+    client: HttpClient,
+}
+
+async fn start() -> Setup {
+    let agent = Arc::new(Agent::default());
+    let agent_server = HttpServer::new("127.0.0.1:0".parse().unwrap()).unwrap();
+    let agent_address = agent_server.local_address().unwrap();
+    agent_server
+        .serve(Arc::clone(&agent) as Arc<dyn HttpHandler>)
+        .unwrap();
+    let control = start_control(build_view(agent_address)).await;
+    let settings = Settings::parse("entry.ini", SETTINGS, "entry", ENTRY_SETTINGS).unwrap();
+    let server = HttpServer::new(settings.address("listen")).unwrap();
+    let address = server.local_address().unwrap();
+    let entry = Entry::start(
+        EntryConfig::from_settings(&settings, address, Incarnation(1)),
+        Arc::new(RpcControlLink::new(&[control])),
+        Arc::new(HttpAgentLink::new()),
+        slog::Logger::root(slog::Discard, slog::o!()),
+    );
+    server
+        .serve(Arc::new(EntryHandler::new(Arc::clone(&entry))))
+        .unwrap();
+    entry.wait_until_ready().await;
+    Setup {
+        entry,
+        agent,
+        base: format!("http://{address}"),
+        client: HttpClient::new(Duration::from_secs(5)),
+    }
+}
+
+impl Setup {
+    fn complete(&self, prompt: &str) -> Request<Bytes> {
+        let body = format!(r#"{{"model":"small","prompt":"{prompt}","stream":true}}"#);
+        Request::post(format!("{}/v1/completions", self.base))
+            .header("authorization", format!("Bearer {KEY}"))
+            .body(Bytes::from(body))
+            .unwrap()
+    }
+}
+
+/// Guards against links whose messages do not fit those of control and agents, and against a key
+/// in the bytes that an agent receives.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn serves_a_stream_over_connections() {
+    let setup = start().await;
+    let timeout = Duration::from_secs(30);
+    let response = setup
+        .client
+        .fetch(setup.complete("hello"), 1 << 20, timeout)
+        .await
+        .unwrap();
+    assert_eq!(response.status(), StatusCode::OK);
+    assert_eq!(response.body(), "data: {}\n\n");
+    let received = setup.agent.received.lock().unwrap().clone();
+    assert!(!received.is_empty());
+    assert!(
+        !received
+            .windows(KEY.len())
+            .any(|window| window == KEY.as_bytes())
+    );
+    let wrong = Request::post(format!("{}/v1/completions", setup.base))
+        .header("authorization", "Bearer wrong")
+        .body(Bytes::from(vec![b'x'; 100_000]))
+        .unwrap();
+    let refused = setup.client.fetch(wrong, 1 << 20, timeout).await.unwrap();
+    assert_eq!(refused.status(), StatusCode::UNAUTHORIZED);
+    tokio::time::timeout(timeout, setup.entry.drain())
+        .await
+        .unwrap();
+}
+
+/// Guards against an engine that works on for a caller whose connection is closed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn closed_caller_connection_ends_the_dispatch() {
+    let setup = start().await;
+    let response = setup.client.send(setup.complete("endless")).await.unwrap();
+    let mut body = response.into_body();
+    assert_eq!(body.next_piece().await.unwrap().unwrap(), "data: {}\n\n");
+    drop(body);
+    let left = setup.agent.left.notified();
+    tokio::time::timeout(Duration::from_secs(30), left)
+        .await
+        .unwrap();
+}
+
+/// Guards against a program that accepts faulty settings, or refuses good ones.
+#[test]
+fn program_checks_its_settings() {
+    let folder = std::env::temp_dir();
+    let file = folder.join(format!("wasabipoint-entry-{}.ini", std::process::id()));
+    for (settings, code) in [
+        (SETTINGS.to_owned(), 0),
+        (format!("{SETTINGS}odd = 1\n"), 10),
+    ] {
+        std::fs::write(&file, settings).unwrap();
+        let output = Command::new(env!("CARGO_BIN_EXE_wasabipoint-entry"))
+            .args(["--check", "--settings"])
+            .arg(&file)
+            .output()
+            .unwrap();
+        assert_eq!(output.status.code(), Some(code), "{output:?}");
+    }
+    std::fs::remove_file(&file).unwrap();
+}
