--- a/crates/wasabipoint_control/src/platform.rs
+++ b/crates/wasabipoint_control/src/platform.rs
@@ -94,9 +94,9 @@
     let changed: Vec<_> = control.with_office(term, |office| {
         control.member.read(|state| {
             let vms = vms.into_iter();
-            vms.filter(|(vm, listed)| {
-                state.fleet.vms.get(vm) != Some(listed)
-                    && (*listed != VmState::Terminated || is_silent(state, office, vm))
+            vms.filter(|(vm, listed)| match listed {
+                VmState::Terminated => is_terminated(state, office, vm),
+                listed => state.fleet.vms.get(vm) != Some(listed),
             })
             .collect()
         })
@@ -111,10 +111,15 @@
     }
 }
 
-/// Tells whether no agent of a VM reports. While one does, an entry of the lagging list that calls
-/// the VM terminated is about a predecessor of the same name, and its grants still count.
-fn is_silent(state: &ControlState, office: &Office, vm: &VmId) -> bool {
-    let mut endpoints = state.fleet.endpoints.iter();
-    endpoints
-        .all(|(endpoint, known)| known.vm != *vm || office.is_in_doubt(endpoint, known.incarnation))
+/// Tells whether the termination of a VM is to be acted on. While one of its agents reports, the
+/// entry of the lagging list is about a predecessor of the same name, and its grants still count.
+fn is_terminated(state: &ControlState, office: &Office, vm: &VmId) -> bool {
+    let endpoints = state.fleet.endpoints.iter();
+    let mut on_vm = endpoints.filter(|(_, known)| known.vm == *vm);
+    let is_silent = on_vm
+        .clone()
+        .all(|(endpoint, known)| office.is_in_doubt(endpoint, known.incarnation));
+    let is_new = state.fleet.vms.get(vm) != Some(&VmState::Terminated);
+    let is_idle = on_vm.any(|(endpoint, _)| state.fleet.grants_of(endpoint).next().is_none());
+    is_silent && (is_new || is_idle)
 }
--- a/crates/wasabipoint_control/src/state/fleet.rs
+++ b/crates/wasabipoint_control/src/state/fleet.rs
@@ -423,13 +423,13 @@
         Outcome::Done
     }
 
-    /// Acts on changed VM states only: the list lags, and a repeated state may be about the
-    /// predecessor of a run that has registered since.
+    /// Acts on changed VM states: the list lags, and a repeated state may be about the predecessor
+    /// of a run that has registered since. A terminated VM that is listed again only loses
+    /// endpoints without grants, which a report that was still under way had registered; an agent
+    /// that runs after all registers again with its next report.
     pub(super) fn take_platform(&mut self, vms: Vec<(VmId, VmState)>) -> Outcome {
         for (vm, state) in vms {
-            if self.fleet.vms.insert(vm.clone(), state) == Some(state) {
-                continue;
-            }
+            let is_repeated = self.fleet.vms.insert(vm.clone(), state) == Some(state);
             let on_vm: Vec<_> = self
                 .fleet
                 .endpoints
@@ -439,23 +439,28 @@
                 .collect();
             for (endpoint, incarnation) in on_vm {
                 match state {
-                    VmState::Live => {}
-                    VmState::Leaving => {
+                    VmState::Leaving if !is_repeated => {
                         self.mark_leaving(&endpoint, incarnation);
                     }
-                    VmState::Terminated => self.retire(&endpoint, incarnation),
+                    VmState::Terminated if !is_repeated => {
+                        self.fleet.retired.insert(endpoint.clone(), incarnation);
+                        self.remove_endpoint(&endpoint);
+                    }
+                    VmState::Terminated if self.fleet.grants_of(&endpoint).next().is_none() => {
+                        self.remove_endpoint(&endpoint);
+                    }
+                    _ => {}
                 }
             }
         }
         Outcome::Done
     }
 
-    fn retire(&mut self, endpoint: &EndpointId, incarnation: Incarnation) {
+    fn remove_endpoint(&mut self, endpoint: &EndpointId) {
         self.fleet.endpoints.remove(endpoint);
         self.fleet
             .grants
             .retain(|_, grant| grant.endpoint != *endpoint);
-        self.fleet.retired.insert(endpoint.clone(), incarnation);
         if self.view.endpoints.contains_key(endpoint) {
             self.change_view(FleetChange::RemoveEndpoint(endpoint.clone()));
         }
--- a/crates/wasabipoint_control/tests/state_machine/engines.rs
+++ b/crates/wasabipoint_control/tests/state_machine/engines.rs
@@ -76,11 +76,12 @@
         }
     }
 
-    /// An old copy of a report reaches control; nobody waits for the answer.
+    /// An old copy of a report is committed. It may have been judged before a newer report was
+    /// committed; nobody waits for the answer.
     pub(crate) fn repeat(&self, state: &mut ControlState, back: usize, apply: Apply) {
         let index = self.sent.len().checked_sub(back + 1);
         if let Some(report) = index.and_then(|index| self.sent.get(index)) {
-            answer(state, report, apply);
+            apply(state, report);
         }
     }
 
@@ -199,6 +200,19 @@
         self.in_transit = None;
     }
 
+    /// Lists the models and tokens that the report in flight shows as loaded.
+    pub(crate) fn serving(&self) -> Vec<(usize, u64)> {
+        let is_reported = self
+            .in_flight
+            .as_ref()
+            .is_some_and(|report| report.is_engine_known);
+        let loaded = self
+            .accepted
+            .iter()
+            .filter(|(_, held)| is_reported && held.state == ReplicaState::Loaded);
+        loaded.map(|(model, held)| (*model, held.token)).collect()
+    }
+
     /// Lists the models that the engine holds or that the agent may begin to load.
     pub(crate) fn possible_models(&self) -> Vec<usize> {
         let is_possible = |model: &usize| {
--- a/crates/wasabipoint_control/tests/state_machine/fleet.rs
+++ b/crates/wasabipoint_control/tests/state_machine/fleet.rs
@@ -1,7 +1,9 @@
 //! Replicas and memory under random reports, restarts, lost answers and late reports.
 
+use std::collections::BTreeMap;
+
 use proptest::prelude::*;
-use wasabipoint_control::{Command, ControlState, GrantRequest, Outcome, VmState};
+use wasabipoint_control::{Command, ControlState, GrantPhase, GrantRequest, Outcome, VmState};
 use wasabipoint_kernel::{FencingToken, Incarnation, VmId};
 use wasabipoint_rpc::AgentReport;
 
@@ -57,6 +59,8 @@
 struct World {
     state: ControlState,
     agents: Vec<TestEngine>,
+    /// Runs that were registered when the platform called their VM terminated.
+    terminated: BTreeMap<usize, Incarnation>,
 }
 
 fn commit(state: &mut ControlState, report: &AgentReport) {
@@ -75,6 +79,7 @@
         Self {
             state,
             agents: agents.collect(),
+            terminated: BTreeMap::new(),
         }
     }
 
@@ -84,7 +89,7 @@
             Step::Send(e) => self.agents[e].send(),
             Step::Handle(e) => self.agents[e].handle(state, commit),
             Step::Take(e) => self.agents[e].take(),
-            Step::Exchange(e) => self.exchange(e),
+            Step::Exchange(e) => return self.exchange(e),
             Step::Repeat(e, back) => self.agents[e].repeat(state, back, commit),
             Step::Work(e, model, is_failing) => self.agents[e].work(model, is_failing),
             Step::RestartAgent(e) => self.agents[e].restart_agent(),
@@ -103,21 +108,41 @@
         Ok(())
     }
 
-    fn exchange(&mut self, e: usize) {
+    fn exchange(&mut self, e: usize) -> Result<(), TestCaseError> {
         self.agents[e].send();
+        let serving = self.agents[e].serving();
         self.agents[e].handle(&mut self.state, commit);
+        // A replica that is reported as loaded under a live grant gets requests.
+        let endpoint = endpoint_id(e);
+        for (model, token) in serving {
+            let grant = self.state.fleet.grants.get(&FencingToken(token));
+            if grant.is_some_and(|grant| grant.phase != GrantPhase::Revoked) {
+                let view = &self.state.view.endpoints[&endpoint];
+                prop_assert!(view.models.contains(&model_name(model)), "{view:?}");
+            }
+        }
         self.agents[e].take();
+        Ok(())
+    }
+
+    fn incarnation(&self, e: usize) -> Option<Incarnation> {
+        let registered = self.state.fleet.endpoints.get(&endpoint_id(e));
+        registered.map(|registered| registered.incarnation)
     }
 
     fn list_terminated(&mut self, e: usize) {
         if self.agents[e].is_alive {
             return;
         }
+        let registered = self.incarnation(e);
         let vm = VmId::new(format!("vm-{e}"));
         for state in [VmState::Terminated, VmState::Live] {
             let command = Command::Platform(vec![(vm.clone(), state)]);
             apply(&mut self.state, 0, command);
         }
+        if let Some(incarnation) = registered {
+            self.terminated.insert(e, incarnation);
+        }
     }
 
     /// A policy without any sense proposes a grant.
@@ -168,6 +193,13 @@
                 "model {model}: {counted} counted"
             );
         }
+        for (e, terminated) in &self.terminated {
+            let registered = self.incarnation(*e);
+            prop_assert!(
+                registered.is_none_or(|registered| registered > *terminated),
+                "a late report registered the terminated run {terminated} of endpoint {e} again"
+            );
+        }
         for agent in &self.agents {
             let endpoint = endpoint_id(agent.index);
             let mut possible_mib = 0;
@@ -186,7 +218,7 @@
     }
 
     /// Revokes everything and lets all messages through.
-    fn settle(&mut self) {
+    fn settle(&mut self) -> Result<(), TestCaseError> {
         let tokens: Vec<_> = self.state.fleet.grants.keys().copied().collect();
         for token in tokens {
             apply(&mut self.state, 0, Command::Revoke(token));
@@ -200,9 +232,10 @@
                     self.agents[e].work(model, false);
                 }
                 self.agents[e].read_engine();
-                self.exchange(e);
+                self.exchange(e)?;
             }
         }
+        Ok(())
     }
 }
 
@@ -218,7 +251,7 @@
             world.run(step)?;
             world.check()?;
         }
-        world.settle();
+        world.settle()?;
         world.check()?;
         prop_assert!(world.state.fleet.grants.is_empty(), "{:?}", world.state.fleet.grants);
     }
--- a/crates/wasabipoint_control/tests/state_machine/quota.rs
+++ b/crates/wasabipoint_control/tests/state_machine/quota.rs
@@ -8,7 +8,8 @@
 
 use crate::samples::{apply, apply_inventory, customer, exchange, inventory};
 
-const RATE: u64 = 200;
+/// Low, so that tokens granted twice show within the time that a slice is kept.
+const RATE: u64 = 40;
 const BURST: u64 = 500;
 const LIFETIME_MS: u64 = 1_000;
 const ENTRIES: usize = 3;
@@ -222,20 +223,18 @@
                 "bucket over its burst: {bucket:?}"
             );
         }
-        // Tokens that entries can still use are outstanding, or nobody accounts for them.
-        let usable: u64 = self
-            .entries
-            .iter()
-            .flat_map(|entry| entry.slices.values())
-            .filter(|slice| slice.usable_until_ms > self.real_ms)
-            .map(|slice| slice.tokens)
-            .sum();
-        let mut buckets = self.state.quota.buckets.values();
-        let outstanding = buckets.next().map_or(0, |bucket| bucket.outstanding_tokens);
-        prop_assert!(
-            usable <= outstanding,
-            "{usable} usable, {outstanding} outstanding"
-        );
+        // Tokens that an entry can still use or settle are in control's record of the slice.
+        for (slice_id, slice) in self.entries.iter().flat_map(|entry| &entry.slices) {
+            let held = slice.tokens + slice.spent;
+            if slice.usable_until_ms > self.real_ms && held > 0 {
+                let record = self.state.quota.slices.get(slice_id);
+                let recorded = record.map_or(0, |record| record.tokens);
+                prop_assert!(
+                    held <= recorded,
+                    "slice {slice_id}: {held} held, {recorded} recorded"
+                );
+            }
+        }
         Ok(())
     }
 
--- a/crates/wasabipoint_control/tests/state_machine/snapshots.rs
+++ b/crates/wasabipoint_control/tests/state_machine/snapshots.rs
@@ -95,7 +95,12 @@
     let mut time_ms = 0;
     let stamped = history.into_iter().map(|(pause_ms, command)| {
         time_ms += pause_ms;
-        StampedCommand { time_ms, command }
+        // Proposals of one leader can be committed in another order than they were stamped.
+        let stamped_ms = time_ms.saturating_sub(time_ms * 7 % 50);
+        StampedCommand {
+            time_ms: stamped_ms,
+            command,
+        }
     });
     stamped.collect()
 }
@@ -134,7 +139,9 @@
         let mut held = FleetView::new();
         for (stamped, asks) in stamp(history).into_iter().zip(asks) {
             let before = state.view.clone();
+            let before_ms = state.time_ms;
             state.apply(stamped);
+            prop_assert!(state.time_ms >= before_ms, "log time went back");
             prop_assert!(state.view == before || state.view.revision > before.revision);
             prop_assert!(state.view.config_version >= before.config_version);
             if asks {
