--- a/crates/wasabipoint_agent/src/adapters.rs
+++ b/crates/wasabipoint_agent/src/adapters.rs
@@ -11,7 +11,8 @@
 use crate::memory_ledger::Holding;
 use crate::state::{AdapterEntry, AdapterState, AgentState};
 
-/// Pause between questions about an adapter whose command was not answered.
+/// Pause before an adapter is tried again, and between questions about an adapter whose command
+/// was not answered.
 const ASK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time in which an adapter command must be answered. An adapter loads in a few milliseconds.
@@ -89,6 +90,8 @@
             Ok(Err(CommandError::Refused(detail))) => {
                 warn!(self.logger, "agent: the engine refused an adapter";
                     "adapter" => %command.adapter, "detail" => detail);
+                // Waiting requests try again at once when the adapter is settled.
+                tokio::time::sleep(ASK_INTERVAL).await;
                 false
             }
             _ => self.ask_for_adapter(&command.adapter).await,
--- a/crates/wasabipoint_agent/src/reconcile.rs
+++ b/crates/wasabipoint_agent/src/reconcile.rs
@@ -250,19 +250,25 @@
     }
 
     /// Asks the engine whether it holds a model after a command without a success answer.
-    async fn ask_for_model(&self, model: &ModelName, version: u64, error: &CommandError) -> bool {
+    async fn ask_for_model(
+        &mut self,
+        model: &ModelName,
+        version: u64,
+        error: &CommandError,
+    ) -> bool {
         if matches!(error, CommandError::Unanswered(_)) {
             // The command may still be on its way; the engine gets the same time as for the
             // commands of an earlier agent.
             tokio::time::sleep(self.core.config.predecessor_wait).await;
         }
         loop {
-            if let Ok(snapshot) = self.core.endpoint.read_state().await {
-                match find_state(&snapshot, model, version) {
+            match self.core.endpoint.read_state().await {
+                Ok(snapshot) => match find_state(&snapshot, model, version) {
                     Some(ReplicaState::Loaded) => return true,
                     Some(_) => {}
                     None => return false,
-                }
+                },
+                Err(error) => self.note_failed_read(error.detail()),
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
--- /dev/null
+++ b/crates/wasabipoint_agent/tests/ledgers.rs
@@ -0,0 +1,396 @@
+//! Property tests of the pure parts: memory ledger, execution ledger, response check, cache log
+//! and command plan.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::prelude::*;
+use wasabipoint_agent::{
+    Admission, CacheLog, CheckError, EventStreamCheck, ExecutionBounds, ExecutionLedger, Holding,
+    HoldingState, LoadFailure, MemoryLedger, PlanInput, Replica, Step, plan_step,
+};
+use wasabipoint_kernel::{EndpointId, FencingToken, ModelName, RequestId};
+use wasabipoint_rpc::{CacheEvent, Grant, Outcome, ReplicaState, StoredResponse};
+
+fn holding(index: u8) -> Holding {
+    Holding::Replica(ModelName::new(format!("m{index}")))
+}
+
+proptest! {
+    /// Guards against a load that is accepted without room, and against memory that is freed
+    /// before its absence is confirmed.
+    #[test]
+    fn memory_is_never_overcommitted(
+        steps in prop::collection::vec((0..4_u8, 0..6_u8, 1..500_u64), 1..200),
+    ) {
+        let mut ledger = MemoryLedger::new(1_200, 200);
+        let mut expected: BTreeMap<u8, u64> = BTreeMap::new();
+        for (step, index, mib) in steps {
+            match step {
+                0 | 1 => {
+                    let others: u64 = expected
+                        .iter()
+                        .filter(|(held, _)| **held != index)
+                        .map(|(_, mib)| mib)
+                        .sum();
+                    let is_accepted = ledger.begin_load(holding(index), mib).is_ok();
+                    prop_assert_eq!(is_accepted, others + mib <= 1_000);
+                    if is_accepted {
+                        expected.insert(index, mib);
+                    }
+                }
+                2 => {
+                    ledger.confirm_load(&holding(index));
+                    ledger.begin_unload(&holding(index));
+                }
+                _ => {
+                    ledger.confirm_absent(&holding(index));
+                    expected.remove(&index);
+                }
+            }
+            prop_assert_eq!(ledger.used_mib(), expected.values().sum::<u64>());
+            prop_assert!(ledger.used_mib() <= ledger.usable_mib());
+        }
+    }
+
+    /// Guards against loads over memory whose holder the agent does not know.
+    #[test]
+    fn reported_memory_counts(known in 0..500_u64, reported in 0..2_000_u64, wanted in 1..1_500_u64) {
+        let mut ledger = MemoryLedger::new(1_200, 200);
+        ledger.observe(holding(0), known, HoldingState::Loaded);
+        ledger.set_reported(reported);
+        prop_assert_eq!(ledger.used_mib(), known.max(reported));
+        let is_accepted = ledger.begin_load(holding(1), wanted).is_ok();
+        prop_assert_eq!(is_accepted, known.max(reported) + wanted <= 1_000);
+    }
+}
+
+const BOUNDS: ExecutionBounds = ExecutionBounds {
+    responses: 4,
+    response_bytes: 100,
+    response_age_ms: 50,
+    ids: 12,
+    id_age_ms: 200,
+};
+
+fn stored(bytes: usize) -> StoredResponse {
+    StoredResponse {
+        status: 200,
+        headers: Vec::new(),
+        body: vec![b'x'; bytes],
+    }
+}
+
+/// What a reference without bounds knows of an id.
+#[derive(Debug, Clone, PartialEq)]
+enum Truth {
+    Waiting,
+    Running,
+    Finished(usize),
+    Refused,
+}
+
+proptest! {
+    /// Guards against a second start of an id, a start after "not started", an answer of "not
+    /// started" for an id that started, a stored response that is another's, and bounds that are
+    /// exceeded.
+    #[test]
+    fn executions_agree_with_an_unbounded_reference(
+        steps in prop::collection::vec((0..6_u8, 0..16_u128, 0..60_usize, 0..15_u64), 1..300),
+    ) {
+        let mut ledger = ExecutionLedger::new(BOUNDS);
+        let mut truth: BTreeMap<u128, Truth> = BTreeMap::new();
+        let mut decided_at: BTreeMap<u128, u64> = BTreeMap::new();
+        let mut now_ms = 0;
+        for (step, number, bytes, passed_ms) in steps {
+            now_ms += passed_ms;
+            let id = RequestId(number);
+            // Ids are unique; one that is older than the bound is not used again.
+            let age_ms = decided_at.get(&number).map_or(0, |at| now_ms - at);
+            if age_ms >= BOUNDS.id_age_ms {
+                continue;
+            }
+            match step {
+                0 | 1 => match ledger.admit(id, now_ms) {
+                    Admission::Admitted => {
+                        // A run that was decided is only forgotten when the count of ids is over.
+                        let is_known = truth.contains_key(&number);
+                        prop_assert!(!is_known || truth.len() > BOUNDS.ids);
+                        truth.insert(number, Truth::Waiting);
+                    }
+                    Admission::Finished(response) => {
+                        let size = response.body.len();
+                        prop_assert_eq!(&truth[&number], &Truth::Finished(size));
+                    }
+                    Admission::InProgress => prop_assert!(
+                        matches!(truth[&number], Truth::Waiting | Truth::Running)
+                    ),
+                    Admission::Refused => prop_assert_eq!(&truth[&number], &Truth::Refused),
+                    Admission::Forgotten => {
+                        prop_assert!(matches!(truth[&number], Truth::Finished(_)));
+                    }
+                },
+                2 => {
+                    let may_start = truth.get(&number) == Some(&Truth::Waiting);
+                    prop_assert_eq!(ledger.start(id), may_start);
+                    if may_start {
+                        truth.insert(number, Truth::Running);
+                    }
+                }
+                3 if truth.get(&number) == Some(&Truth::Running) => {
+                    ledger.finish(id, Some(stored(bytes)), now_ms);
+                    truth.insert(number, Truth::Finished(bytes));
+                    decided_at.insert(number, now_ms);
+                }
+                4 | 5 => match ledger.outcome(id, now_ms) {
+                    Outcome::NotStarted => {
+                        prop_assert!(matches!(
+                            truth.get(&number),
+                            None | Some(Truth::Waiting | Truth::Refused)
+                        ), "{:?}", truth.get(&number));
+                        if truth.insert(number, Truth::Refused) != Some(Truth::Refused) {
+                            decided_at.insert(number, now_ms);
+                        }
+                    }
+                    Outcome::Running => prop_assert_eq!(&truth[&number], &Truth::Running),
+                    Outcome::Finished(response) => {
+                        let size = response.body.len();
+                        prop_assert_eq!(&truth[&number], &Truth::Finished(size));
+                    }
+                    Outcome::Unknown => {}
+                },
+                _ => {}
+            }
+            prop_assert!(ledger.stored_bytes() <= BOUNDS.response_bytes);
+            let open = truth
+                .values()
+                .filter(|truth| matches!(truth, Truth::Waiting | Truth::Running))
+                .count();
+            prop_assert!(ledger.len() <= BOUNDS.ids + open);
+        }
+    }
+}
+
+/// Guards against an evicted response that is taken for a call that never ran.
+#[test]
+fn evicted_ids_answer_unknown() {
+    let mut ledger = ExecutionLedger::new(BOUNDS);
+    let mut run = |number: u128, bytes: usize, now_ms: u64| {
+        let id = RequestId(number);
+        assert_eq!(ledger.admit(id, now_ms), Admission::Admitted);
+        assert!(ledger.start(id));
+        ledger.finish(id, Some(stored(bytes)), now_ms);
+    };
+    for number in 0..5 {
+        run(number, 1, 0);
+    }
+    run(5, 98, 10);
+    assert_eq!(
+        ledger.outcome(RequestId(0), 10),
+        Outcome::Unknown,
+        "by count"
+    );
+    assert_eq!(
+        ledger.outcome(RequestId(2), 10),
+        Outcome::Unknown,
+        "by bytes"
+    );
+    assert_eq!(
+        ledger.outcome(RequestId(5), 10),
+        Outcome::Finished(stored(98))
+    );
+    assert_eq!(ledger.outcome(RequestId(5), 60), Outcome::Unknown, "by age");
+    assert_eq!(ledger.admit(RequestId(5), 60), Admission::Forgotten);
+    for number in 6..40 {
+        assert_eq!(ledger.admit(RequestId(number), 60), Admission::Admitted);
+        assert!(ledger.start(RequestId(number)));
+        ledger.finish(RequestId(number), None, 60);
+    }
+    assert_eq!(ledger.outcome(RequestId(5), 61), Outcome::Unknown, "by ids");
+    assert_eq!(ledger.outcome(RequestId(99), 300), Outcome::NotStarted);
+}
+
+fn chunk(id: &str, index: usize) -> String {
+    format!("data: {{\"id\": \"{id}\", \"n\": {index}}}\n\n")
+}
+
+proptest! {
+    /// Guards against bytes of another request that are released, and own bytes that are lost,
+    /// however the stream is cut into pieces.
+    #[test]
+    fn only_own_events_are_released(
+        own in 0..6_usize,
+        foreign_at in prop::option::of(0..6_usize),
+        cut_at in prop::option::of(0..200_usize),
+        sizes in prop::collection::vec(1..40_usize, 1..20),
+    ) {
+        let mut stream = String::new();
+        let mut own_bytes = 0;
+        for index in 0..own {
+            if foreign_at == Some(index) {
+                own_bytes = stream.len();
+                stream.push_str(&chunk("other", index));
+            }
+            stream.push_str(&chunk("own", index));
+        }
+        stream.push_str("data: [DONE]\n\n");
+        let is_crossed = foreign_at.is_some_and(|at| at < own);
+        if !is_crossed {
+            own_bytes = stream.len();
+        }
+        let whole = stream.len();
+        stream.truncate(cut_at.unwrap_or(whole));
+        let mut check = EventStreamCheck::new("own".to_owned());
+        let mut released = Vec::new();
+        let mut rest = stream.as_bytes();
+        let mut result = Ok(());
+        let mut sizes = sizes.iter().cycle();
+        while !rest.is_empty() && result.is_ok() {
+            let size = rest.len().min(*sizes.next().unwrap());
+            match check.push(&rest[..size]) {
+                Ok(bytes) => released.extend(bytes),
+                Err(error) => result = Err(error),
+            }
+            rest = &rest[size..];
+        }
+        let result = result.and_then(|()| check.finish());
+        prop_assert!(stream.as_bytes().starts_with(&released));
+        prop_assert!(released.len() <= own_bytes);
+        let is_whole = stream.len() == whole;
+        match result {
+            Ok(()) => prop_assert!(is_whole && !is_crossed && released.len() == whole),
+            Err(CheckError::Crossed) => prop_assert!(is_crossed),
+            Err(error) => prop_assert!(error == CheckError::Truncated && !is_whole),
+        }
+    }
+
+    /// Guards against readers of the cache log that miss events without being told.
+    #[test]
+    fn cache_readers_miss_nothing_silently(
+        steps in prop::collection::vec((0..8_u8, 0..700_usize), 1..30),
+    ) {
+        let mut log = CacheLog::new();
+        let mut next = 0_u64;
+        let mut known = 0;
+        let mut seen = 0;
+        for (step, count) in steps {
+            match step {
+                0 => {
+                    log.mark_gap();
+                    next += 1;
+                }
+                1..4 => {
+                    let first = next;
+                    next += count as u64;
+                    log.append((first..next).map(CacheEvent::Stored));
+                }
+                _ => {
+                    let update = log.since(known);
+                    for event in &update.events {
+                        let CacheEvent::Stored(number) = event else { unreachable!() };
+                        prop_assert!(*number == seen || update.has_gap);
+                        seen = number + 1;
+                    }
+                    if update.has_gap && update.events.is_empty() {
+                        seen = next;
+                    }
+                    known = update.sequence;
+                }
+            }
+        }
+    }
+}
+
+fn grant(index: u8, token: u64, memory_mib: u64, is_revoked: bool) -> Grant {
+    Grant {
+        model: ModelName::new(format!("m{index}")),
+        version: 1,
+        endpoint: EndpointId::new("endpoint-1"),
+        fencing_token: FencingToken(token),
+        memory_mib,
+        is_revoked,
+    }
+}
+
+proptest! {
+    /// Guards against commands that no grant justifies, and against a plan that stands still.
+    #[test]
+    fn the_plan_reaches_the_grants(
+        grants in prop::collection::btree_map(0..8_u8, (1..300_u64, any::<bool>()), 0..8),
+        held in prop::collection::btree_map(0..8_u8, 1..120_u64, 0..8),
+    ) {
+        let mut memory = MemoryLedger::new(1_000, 0);
+        let mut replicas = BTreeMap::new();
+        let grants: Vec<_> = grants
+            .iter()
+            .zip(1_u64..)
+            .map(|((index, (mib, is_revoked)), token)| grant(*index, token, *mib, *is_revoked))
+            .collect();
+        let is_valid = |model: &ModelName| {
+            grants.iter().any(|grant| grant.model == *model && !grant.is_revoked)
+        };
+        for (index, mib) in held {
+            let model = ModelName::new(format!("m{index}"));
+            memory.observe(holding(index), mib, HoldingState::Loaded);
+            let replica = Replica {
+                version: 1,
+                fencing_token: FencingToken(0),
+                state: ReplicaState::Loaded,
+                invalid_since_ms: (!is_valid(&model)).then_some(0),
+            };
+            replicas.insert(model, replica);
+        }
+        let mut failures = BTreeMap::new();
+        let mut refused = BTreeSet::new();
+        for _ in 0..40 {
+            let step = plan_step(&PlanInput {
+                now_ms: 0,
+                is_draining: false,
+                grants: &grants,
+                replicas: &replicas,
+                running: &BTreeMap::new(),
+                failures: &failures,
+                memory: &memory,
+                idle_adapters: &[],
+            });
+            match step {
+                None => break,
+                Some(Step::Unload { model, fencing_token }) => {
+                    prop_assert!(!is_valid(&model));
+                    let granted = grants.iter().filter(|grant| grant.model == model);
+                    prop_assert!(granted.map(|grant| grant.fencing_token).all(|token| token < fencing_token));
+                    replicas.remove(&model);
+                    memory.confirm_absent(&Holding::Replica(model));
+                }
+                Some(Step::Load(grant)) => {
+                    prop_assert!(!grant.is_revoked && !replicas.contains_key(&grant.model));
+                    memory.begin_load(Holding::Replica(grant.model.clone()), grant.memory_mib).unwrap();
+                    replicas.insert(grant.model, Replica {
+                        version: 1,
+                        fencing_token: grant.fencing_token,
+                        state: ReplicaState::Loaded,
+                        invalid_since_ms: None,
+                    });
+                }
+                Some(Step::RefuseLoad(grant)) => {
+                    prop_assert!(grant.memory_mib > memory.free_mib());
+                    refused.insert(grant.model.clone());
+                    failures.insert(grant.model, LoadFailure {
+                        fencing_token: grant.fencing_token,
+                        retry_at_ms: 1,
+                        attempts: 1,
+                        is_memory_short: true,
+                    });
+                }
+                Some(Step::EvictAdapter(_)) => prop_assert!(false, "there is no adapter"),
+            }
+        }
+        for model in replicas.keys() {
+            prop_assert!(is_valid(model));
+        }
+        for grant in grants.iter().filter(|grant| !grant.is_revoked) {
+            prop_assert!(replicas.contains_key(&grant.model) || refused.contains(&grant.model));
+        }
+    }
+}
