--- a/crates/wasabipoint_agent/src/main.rs
+++ b/crates/wasabipoint_agent/src/main.rs
@@ -42,7 +42,13 @@
     if options.check {
         return ExitCode::SUCCESS;
     }
-    match run(&settings) {
+    let result = tokio::runtime::Runtime::new().and_then(|runtime| {
+        let result = runtime.block_on(run(&settings));
+        // Workers wait up to 30 s for idle connections, on threads that the runtime would wait for.
+        runtime.shutdown_background();
+        result
+    });
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("agent: {error}");
@@ -51,7 +57,6 @@
     }
 }
 
-#[tokio::main]
 async fn run(settings: &Settings) -> std::io::Result<()> {
     let format = match settings.text("log_format") {
         "json" => LogFormat::Json,
