--- a/crates/wasabipoint_agent/tests/agent/adapters.rs
+++ b/crates/wasabipoint_agent/tests/agent/adapters.rs
@@ -84,8 +84,35 @@
     );
 }
 
-/// Guards against one load per request of a burst, and against more adapters in memory or in
-/// transit than allowed.
+/// Guards against more adapters in transit than the endpoint's share, and against one load per
+/// request.
+#[tokio::test]
+async fn adapter_loads_stay_within_the_transit_share() {
+    let setup = start().await;
+    setup.control.change(|directive| {
+        for (_, _, memory_mib) in &mut directive.adapters {
+            *memory_mib = 10;
+        }
+    });
+    setup.control.wait_for("any state", |_| true).await;
+    setup.control.wait_for("any state", |_| true).await;
+    let mut calls = Vec::new();
+    for index in 0..30 {
+        let adapter = format!("a{}", index % 10);
+        let request = with_adapter(completion(&adapter, &json!({})), &adapter);
+        let id = request.request_id;
+        let frames = setup.agent.dispatch(request);
+        calls.push(tokio::spawn(crate::support::receive(id, frames)));
+    }
+    for (index, received) in calls.into_iter().enumerate() {
+        let expected = answer_text(&format!("a{}", index % 10), 8);
+        assert_eq!(received.await.unwrap().text(), expected);
+    }
+    assert_eq!(loaded(&setup).len(), 10);
+    assert_eq!(setup.engine.state()["peak_adapters_in_transit"], 2);
+}
+
+/// Guards against more adapters in memory than fit when a burst needs many.
 #[tokio::test]
 async fn a_burst_over_many_adapters_stays_within_memory() {
     let setup = start().await;
--- a/crates/wasabipoint_agent/tests/agent/history.rs
+++ b/crates/wasabipoint_agent/tests/agent/history.rs
@@ -51,6 +51,22 @@
     assert_eq!(count(&setup.engine, HistoryKind::Loaded), 2);
 }
 
+/// Guards against an agent that stands still while the engine's state is not answered.
+#[tokio::test]
+async fn a_silent_state_answer_is_given_up() {
+    let setup = start_engine(EngineOptions::for_tests(), "").await;
+    setup.engine.set_faults(EngineFaults {
+        silent_state: 1,
+        ..EngineFaults::default()
+    });
+    wait_until("the state is read again", || {
+        setup.engine.faults().silent_state == 0
+    })
+    .await;
+    setup.control.grant("n", 2, 300);
+    setup.control.wait_for_loaded("n").await;
+}
+
 /// Guards against a load that is given up when the engine exits during it.
 #[tokio::test]
 async fn an_engine_exit_in_a_load_is_repaired() {
--- a/crates/wasabipoint_fakes/src/engine.rs
+++ b/crates/wasabipoint_fakes/src/engine.rs
@@ -27,7 +27,7 @@
 use cache::PrefixCache;
 pub use cache::{chat_text, completion_text, prefix_hashes};
 pub use completion::answer_text;
-use memory::{EngineMemory, LoadStart, ModelCommand};
+use memory::{AdapterCommand, EngineMemory, LoadStart, ModelCommand};
 pub use memory::{HistoryEvent, HistoryKind};
 
 /// What an exit of the engine does.
@@ -123,6 +123,8 @@
     completed: Mutex<BTreeMap<String, u64>>,
     // Another request's id and prompt, for crossed responses.
     previous: Mutex<(String, String)>,
+    // Adapter loads that run, and the most that ran at once.
+    adapters_in_transit: Mutex<(u64, u64)>,
     loads: Mutex<JoinSet<()>>,
     connections: OnceLock<Arc<Mutex<JoinSet<()>>>>,
 }
@@ -149,6 +151,7 @@
             running: Mutex::default(),
             completed: Mutex::default(),
             previous: Mutex::new(("another-request".to_owned(), "another prompt".to_owned())),
+            adapters_in_transit: Mutex::default(),
             loads: Mutex::default(),
             connections: OnceLock::new(),
             options,
@@ -174,6 +177,11 @@
         *lock(&self.engine.faults) = faults;
     }
 
+    /// Returns the faults that are left.
+    pub fn faults(&self) -> EngineFaults {
+        lock(&self.engine.faults).clone()
+    }
+
     /// Exits as the options say.
     pub fn exit(&self) {
         self.engine.exit();
@@ -218,9 +226,7 @@
                 (Method::POST, "/admin/unload") => Ok(self.unload(&body)),
                 (Method::POST, "/admin/load_adapter") => match parse(&body) {
                     Ok(command) => {
-                        tokio::time::sleep(Duration::from_millis(self.options.adapter_load_ms))
-                            .await;
-                        let (status, value) = lock(&self.memory).load_adapter(&command);
+                        let (status, value) = self.load_adapter(&command).await;
                         Ok(json(status, &value))
                     }
                     Err(response) => Ok(*response),
@@ -288,6 +294,7 @@
         state["running"] = json!(running);
         state["queued"] = json!(queued);
         state["checkpoints"] = json!(checkpoints);
+        state["peak_adapters_in_transit"] = json!(lock(&self.adapters_in_transit).1);
         state
     }
 
@@ -304,6 +311,17 @@
         }
     }
 
+    async fn load_adapter(&self, command: &AdapterCommand) -> (u16, Value) {
+        {
+            let mut transit = lock(&self.adapters_in_transit);
+            transit.0 += 1;
+            transit.1 = transit.1.max(transit.0);
+        }
+        tokio::time::sleep(Duration::from_millis(self.options.adapter_load_ms)).await;
+        lock(&self.adapters_in_transit).0 -= 1;
+        lock(&self.memory).load_adapter(command)
+    }
+
     fn unload(&self, body: &[u8]) -> http::Response<crate::server::FakeBody> {
         match parse(body) {
             Ok(command) => {
