Let calls wait again at full endpoints and bound quota exchanges per second

An endpoint whose agent has no room is passed over for 100 ms and the call keeps its deadline, in place of a refusal within the customer's rate. Exchanges are at least 50 ms apart, so that a customer far over its rate cannot load control.

--- a/crates/wasabipoint_entry/src/calls.rs
+++ b/crates/wasabipoint_entry/src/calls.rs
@@ -114,8 +114,6 @@
             Reply::Whole(response) => {
                 let used = count_used(&response, is_streamed, prompt_tokens);
                 self.settle(&call, &mut reservation, used);
-                self.measures
-                    .record_first_token(&call.waiting.customer, arrived.elapsed());
                 Ok(self.finish_whole(&call.waiting.customer, response, arrived))
             }
         }
--- a/crates/wasabipoint_entry/src/endpoints.rs
+++ b/crates/wasabipoint_entry/src/endpoints.rs
@@ -13,9 +13,6 @@
 /// Age beyond which a load report says nothing about the present.
 const REPORT_MAX_AGE_MS: u64 = 2_000;
 
-/// Time for which an endpoint is passed over after its agent could not be reached.
-const SUSPECT_MS: u64 = 1_000;
-
 /// Blocks in the prefix index; about 20 MB.
 const PREFIX_BLOCKS: usize = 200_000;
 
@@ -30,7 +27,7 @@
     adapters: Vec<AdapterName>,
     cache_sequence: u64,
     is_draining: bool,
-    suspect_until_ms: u64,
+    passed_over_until_ms: u64,
 }
 
 impl LocalState {
@@ -43,7 +40,7 @@
             adapters: Vec::new(),
             cache_sequence: 0,
             is_draining: false,
-            suspect_until_ms: 0,
+            passed_over_until_ms: 0,
         }
     }
 }
@@ -147,15 +144,12 @@
         needs_slot: bool,
         now_ms: u64,
     ) -> Option<&'static str> {
-        if endpoint.is_leaving {
+        if self.is_leaving(endpoint) {
             return Some("leaving");
         }
         let state = self.states.get(&endpoint.endpoint)?;
-        if state.is_draining && state.incarnation == endpoint.incarnation {
-            return Some("draining");
-        }
-        if now_ms < state.suspect_until_ms {
-            return Some("not reachable");
+        if now_ms < state.passed_over_until_ms {
+            return Some("not reachable or full");
         }
         let is_fresh = state
             .reported_ms
@@ -168,13 +162,41 @@
 
     /// Counts the slots of all endpoints that serve the target, whether free or not.
     pub(crate) fn total_slots(&self, view: &FleetView, target: &Target, now_ms: u64) -> u32 {
-        let (eligible, _) = self.partition(view, target, &[], false, now_ms);
-        eligible.iter().map(|endpoint| endpoint.concurrency).sum()
+        self.usable(view, target, false, now_ms)
+            .map(|endpoint| endpoint.concurrency)
+            .sum()
     }
 
     pub(crate) fn has_free_slot(&self, view: &FleetView, target: &Target, now_ms: u64) -> bool {
-        let (eligible, _) = self.partition(view, target, &[], true, now_ms);
-        !eligible.is_empty()
+        self.usable(view, target, true, now_ms).next().is_some()
+    }
+
+    /// Tells whether any endpoint of the target is not leaving, even if it has no room now.
+    pub(crate) fn has_staying(&self, view: &FleetView, target: &Target) -> bool {
+        view.endpoints
+            .values()
+            .any(|endpoint| target.is_at(endpoint) && !self.is_leaving(endpoint))
+    }
+
+    /// Tells whether the fleet view or a refusal of this run of the agent says that the endpoint
+    /// is leaving.
+    fn is_leaving(&self, endpoint: &EndpointView) -> bool {
+        let state = self.states.get(&endpoint.endpoint);
+        endpoint.is_leaving
+            || state
+                .is_some_and(|state| state.is_draining && state.incarnation == endpoint.incarnation)
+    }
+
+    fn usable<'a>(
+        &'a self,
+        view: &'a FleetView,
+        target: &'a Target,
+        needs_slot: bool,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &'a EndpointView> {
+        view.endpoints.values().filter(move |endpoint| {
+            target.is_at(endpoint) && self.find_fault(endpoint, needs_slot, now_ms).is_none()
+        })
     }
 
     /// Chooses an endpoint and counts the request there.
@@ -293,10 +315,10 @@
         }
     }
 
-    /// Passes over an endpoint for a short time.
-    pub(crate) fn mark_suspect(&mut self, endpoint: &EndpointId, now_ms: u64) {
+    /// Gives an endpoint no requests for a short time.
+    pub(crate) fn pass_over(&mut self, endpoint: &EndpointId, until_ms: u64) {
         if let Some(state) = self.states.get_mut(endpoint) {
-            state.suspect_until_ms = now_ms + SUSPECT_MS;
+            state.passed_over_until_ms = state.passed_over_until_ms.max(until_ms);
         }
     }
 
--- a/crates/wasabipoint_entry/src/quota.rs
+++ b/crates/wasabipoint_entry/src/quota.rs
@@ -6,6 +6,7 @@
 
 use slog::{Logger, warn};
 use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
 use wasabipoint_kernel::{CustomerId, EntryId, ErrorKind, Incarnation, MonotonicClock, Refusal};
 use wasabipoint_rpc::{ControlError, QuotaGrants};
 
@@ -15,6 +16,10 @@
 /// Time between exchanges without a direct ask.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Shortest time between exchanges. Direct asks of a customer far over its rate are thereby asked
+/// for together, and cost control at most 20 exchanges per second.
+const MIN_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Pause before an unanswered exchange is sent again.
 const RESEND_PAUSE: Duration = Duration::from_millis(100);
 
@@ -92,7 +97,9 @@
         loop {
             // A timeout only means that no request asked directly.
             let _ = tokio::time::timeout(EXCHANGE_INTERVAL, self.wake.notified()).await;
+            let began = Instant::now();
             self.exchange(control, logger).await;
+            tokio::time::sleep_until(began + MIN_INTERVAL).await;
         }
     }
 
--- a/crates/wasabipoint_entry/src/relay.rs
+++ b/crates/wasabipoint_entry/src/relay.rs
@@ -31,6 +31,9 @@
 /// Time after which a caller that takes no data counts as gone, so that it holds no slot forever.
 const CALLER_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Time for which an endpoint is passed over after its stream broke off.
+const BROKEN_MS: u64 = 1_000;
+
 /// Headers that belong to a connection and are not passed on.
 const CONNECTION_HEADERS: &[&str] = &[
     "connection",
@@ -171,7 +174,7 @@
                 return End::Complete;
             }
             Ok(Ok(StreamEvent::Head { .. }) | Err(_)) => {
-                open.turn.mark_suspect();
+                open.turn.pass_over(BROKEN_MS);
                 return End::Broken;
             }
             Err(_) => {
--- a/crates/wasabipoint_entry/src/run.rs
+++ b/crates/wasabipoint_entry/src/run.rs
@@ -33,6 +33,12 @@
 /// Time between outcome queries while a call still runs.
 const OUTCOME_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time for which an endpoint is passed over after its agent had no room for a call.
+const BUSY_MS: u64 = 100;
+
+/// Time for which an endpoint is passed over after its agent could not be reached.
+const UNREACHABLE_MS: u64 = 1_000;
+
 /// A request ready to be queued and sent.
 pub(crate) struct Call {
     pub(crate) waiting: WaitingRequest,
@@ -68,6 +74,8 @@
 struct Failure {
     refusal: Refusal,
     is_retryable: bool,
+    /// Whether the agent lives and merely could not take the call now.
+    may_wait: bool,
 }
 
 impl Failure {
@@ -77,6 +85,7 @@
                 .with_run(RunState::NotRun)
                 .with_retry_after_ms(1_000),
             is_retryable: true,
+            may_wait: false,
         }
     }
 
@@ -84,6 +93,7 @@
         Self {
             refusal: Refusal::new(ErrorKind::EndpointFailed, detail).with_retry_after_ms(1_000),
             is_retryable: true,
+            may_wait: false,
         }
     }
 
@@ -149,13 +159,19 @@
             let may_repeat =
                 failure.is_retryable && (call.is_idempotent || !may_have_run) && self.budget.take();
             let next = may_repeat.then(|| self.scheduler.route_again(&call.waiting, &tried));
-            let Some(next) = next.flatten() else {
-                return Err(finish(call, failure.refusal, may_have_run));
+            turn = match next.flatten() {
+                Some(turn) => turn,
+                // The agents that were tried refused for reasons that pass; the call waits for its
+                // turn again, as long as its deadline allows.
+                None if failure.may_wait && !may_have_run => {
+                    tried.clear();
+                    self.wait_for_turn(call).await?
+                }
+                None => return Err(finish(call, failure.refusal, may_have_run)),
             };
-            info!(self.logger, "routing: repeats a request at another endpoint";
+            info!(self.logger, "routing: sends a request again";
                 "request" => %call.waiting.request_id, "cause" => %failure.refusal.kind,
                 "may_have_run" => may_have_run);
-            turn = next;
             replaces = Some(attempt_id);
             attempt_id = RequestId::random();
         }
@@ -193,7 +209,8 @@
         let pieces = match timeout(self.silence_bound, sent).await {
             Ok(Ok(pieces)) => pieces,
             Ok(Err(AgentError::NotSent(detail))) => {
-                self.scheduler.mark_suspect(&turn.endpoint.endpoint);
+                self.scheduler
+                    .pass_over(&turn.endpoint.endpoint, UNREACHABLE_MS);
                 return Err(Failure::not_run(ErrorKind::NoEndpoint, detail));
             }
             Ok(Err(AgentError::Refused { kind, run, detail })) => {
@@ -208,7 +225,10 @@
         let start = self.read_start(call, &turn, &mut reader).await;
         match start {
             Ok(Start::Whole(response)) => {
-                self.note_first(&call.waiting.target, began_ms);
+                // The end of a whole completion says nothing of its first token.
+                if matches!(call.waiting.target, Target::Service(_)) {
+                    self.note_first(&call.waiting.target, began_ms);
+                }
                 Ok(Reply::Whole(response))
             }
             Ok(Start::Open { headers, first }) => {
@@ -340,9 +360,15 @@
         detail: String,
     ) -> Failure {
         let endpoint = &turn.endpoint;
-        if kind == ErrorKind::Draining {
-            self.scheduler
-                .mark_draining(&endpoint.endpoint, endpoint.incarnation);
+        match kind {
+            ErrorKind::Draining => {
+                self.scheduler
+                    .mark_draining(&endpoint.endpoint, endpoint.incarnation);
+            }
+            ErrorKind::QueueFull | ErrorKind::MemoryFull | ErrorKind::FencingStale => {
+                self.scheduler.pass_over(&endpoint.endpoint, BUSY_MS);
+            }
+            _ => {}
         }
         if run == RunState::Unknown {
             return Failure {
@@ -360,6 +386,7 @@
         };
         let mut failure = Failure::not_run(shown, detail);
         failure.is_retryable = is_retryable;
+        failure.may_wait = shown == ErrorKind::NoEndpoint || shown == ErrorKind::QueueFull;
         if !is_retryable {
             failure.refusal.retry_after_ms = None;
         }
@@ -375,7 +402,7 @@
         request_id: RequestId,
     ) -> Result<Reply, Failure> {
         let endpoint = &turn.endpoint;
-        self.scheduler.mark_suspect(&endpoint.endpoint);
+        self.scheduler.pass_over(&endpoint.endpoint, UNREACHABLE_MS);
         if call.is_idempotent {
             return Err(Failure::unknown("the connection to the endpoint was lost"));
         }
--- a/crates/wasabipoint_entry/src/scheduler.rs
+++ b/crates/wasabipoint_entry/src/scheduler.rs
@@ -105,8 +105,9 @@
         self.scheduler.record_load(&self.endpoint, load);
     }
 
-    pub(crate) fn mark_suspect(&self) {
-        self.scheduler.mark_suspect(&self.endpoint.endpoint);
+    /// Gives the endpoint no requests for a time.
+    pub(crate) fn pass_over(&self, time_ms: u64) {
+        self.scheduler.pass_over(&self.endpoint.endpoint, time_ms);
     }
 }
 
@@ -230,7 +231,7 @@
         let now_ms = self.clock.now_ms();
         let state = self.lock();
         if matches!(request.target, Target::Service(_))
-            && state.endpoints.total_slots(&view, &request.target, now_ms) == 0
+            && !state.endpoints.has_staying(&view, &request.target)
         {
             return Err(Refusal::new(ErrorKind::NoEndpoint, "").with_retry_after_ms(1_000));
         }
@@ -452,9 +453,10 @@
         self.lock().endpoints.mark_draining(endpoint, incarnation);
     }
 
-    pub(crate) fn mark_suspect(&self, endpoint: &EndpointId) {
-        let now_ms = self.clock.now_ms();
-        self.lock().endpoints.mark_suspect(endpoint, now_ms);
+    /// Gives an endpoint no requests for a time.
+    pub(crate) fn pass_over(&self, endpoint: &EndpointId, time_ms: u64) {
+        let until_ms = self.clock.now_ms() + time_ms;
+        self.lock().endpoints.pass_over(endpoint, until_ms);
     }
 
     /// Lists draining endpoints and the demand per model since the last call.
--- a/crates/wasabipoint_entry/tests/entry/completions.rs
+++ b/crates/wasabipoint_entry/tests/entry/completions.rs
@@ -32,6 +32,27 @@
     assert_eq!(request.body, b"bay 4");
 }
 
+/// Guards against measures that are missing or lose their unit.
+#[tokio::test(start_paused = true)]
+async fn metrics_hold_the_measures_of_the_design() {
+    let harness = Harness::start().await;
+    harness.complete("hello", true).await;
+    harness.complete("hello", false).await;
+    harness
+        .send(Request::get("/v2").body(Vec::new()).unwrap())
+        .await;
+    let metrics = harness.metrics().await;
+    for line in [
+        "wasabipoint_entry_time_to_first_token_seconds_count{customer=\"delta\"",
+        "wasabipoint_entry_time_between_tokens_seconds_count",
+        "wasabipoint_entry_request_duration_seconds_count{customer=\"delta\"",
+        "wasabipoint_entry_tokens_total{customer=\"delta\"",
+        "wasabipoint_entry_refusals_total{customer=\"none\",kind=\"not_found\"",
+    ] {
+        assert!(metrics.contains(line), "{line} is missing:\n{metrics}");
+    }
+}
+
 /// Guards against refusals with a wrong or unclear kind, and against sending refused requests.
 #[tokio::test(start_paused = true)]
 async fn refuses_faulty_requests_with_clear_errors() {
--- a/crates/wasabipoint_entry/tests/entry/drain.rs
+++ b/crates/wasabipoint_entry/tests/entry/drain.rs
@@ -49,6 +49,22 @@
     assert_eq!(harness.agents.executions(), 2);
 }
 
+/// Guards against prefetched tokens that are lost to their customer with the process.
+#[tokio::test(start_paused = true)]
+async fn drain_returns_unused_tokens() {
+    let harness = Harness::start().await;
+    for _ in 0..50 {
+        harness.complete("hello", false).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(
+        harness.control.outstanding_tokens() > 0,
+        "nothing was prefetched"
+    );
+    harness.entry.drain().await;
+    assert_eq!(harness.control.outstanding_tokens(), 0);
+}
+
 /// Guards against serving anything from an empty view before control confirmed one.
 #[tokio::test(start_paused = true)]
 async fn serves_nothing_before_the_first_confirmed_reply() {
--- a/crates/wasabipoint_entry/tests/entry/fake_agents.rs
+++ b/crates/wasabipoint_entry/tests/entry/fake_agents.rs
@@ -21,7 +21,13 @@
 pub(crate) enum Plan {
     Answer,
     NotConnected,
+    /// Neither the call nor a question about it reaches the agent.
+    Dead,
     Draining,
+    /// The agent has no room for the call now.
+    Full,
+    /// The agent claims that the call did not run, after it did and its response began.
+    FalseRefusal,
     /// The connection breaks before the call starts.
     LostBeforeStart,
     /// The connection breaks after the call ran.
@@ -34,6 +40,8 @@
     SilentAfterHead,
     OtherRequest,
     RepeatedSequence,
+    /// Two pieces of the body arrive in the wrong order.
+    Reordered,
     NoEnd,
     WrongByteCount,
     /// The call runs for this long, with heartbeats.
@@ -51,6 +59,7 @@
     finished: HashMap<RequestId, StoredResponse>,
     refused: HashSet<RequestId>,
     unreachable: bool,
+    loads: HashMap<u16, LoadReport>,
     cancelled: usize,
 }
 
@@ -68,6 +77,11 @@
         self.state.lock().unwrap().default = Some(plan);
     }
 
+    /// Sets the load that the agent at a port reports at the end of each response.
+    pub(crate) fn report_load(&self, port: u16, load: LoadReport) {
+        self.state.lock().unwrap().loads.insert(port, load);
+    }
+
     pub(crate) fn sent_bytes(&self) -> Vec<u8> {
         self.state.lock().unwrap().sent.clone()
     }
@@ -101,7 +115,7 @@
         response
     }
 
-    fn start(&self, request: &DispatchRequest) -> Result<Vec<Step>, AgentError> {
+    fn start(&self, port: u16, request: &DispatchRequest) -> Result<Vec<Step>, AgentError> {
         let mut state = self.state.lock().unwrap();
         let default = state.default.unwrap_or(Plan::Answer);
         let plan = state.plans.pop_front().unwrap_or(default);
@@ -110,7 +124,8 @@
             run: RunState::NotRun,
             detail: String::new(),
         };
-        if plan == Plan::NotConnected {
+        state.unreachable |= plan == Plan::Dead;
+        if matches!(plan, Plan::NotConnected | Plan::Dead) {
             return Err(AgentError::NotSent("refused".to_owned()));
         }
         state.sent.extend(encode_message(request));
@@ -118,6 +133,7 @@
             _ if state.refused.contains(&request.request_id) => {
                 return Err(refusal(ErrorKind::FencingStale));
             }
+            Plan::Full => return Err(refusal(ErrorKind::QueueFull)),
             Plan::Draining => return Err(refusal(ErrorKind::Draining)),
             Plan::LostBeforeStart => return Err(AgentError::Interrupted("reset".to_owned())),
             Plan::Hanging => return Ok(vec![Step::Hang]),
@@ -125,7 +141,8 @@
         }
         let response = Self::execute(&mut state, request);
         state.unreachable |= plan == Plan::Killed;
-        Ok(build_steps(plan, request, &response))
+        let load = state.loads.get(&port).cloned().unwrap_or_default();
+        Ok(build_steps(plan, request, &response, load))
     }
 }
 
@@ -161,7 +178,12 @@
     }
 }
 
-fn build_steps(plan: Plan, request: &DispatchRequest, response: &StoredResponse) -> Vec<Step> {
+fn build_steps(
+    plan: Plan,
+    request: &DispatchRequest,
+    response: &StoredResponse,
+    load: LoadReport,
+) -> Vec<Step> {
     let body = &response.body;
     let middle = body.len() / 2;
     let byte_count = body.len() as u64 + u64::from(plan == Plan::WrongByteCount);
@@ -172,10 +194,7 @@
         },
         Frame::Data(body[..middle].to_vec()),
         Frame::Data(body[middle..].to_vec()),
-        Frame::End {
-            byte_count,
-            load: LoadReport::default(),
-        },
+        Frame::End { byte_count, load },
     ];
     let mut wait = Duration::ZERO;
     if let Plan::Slow(time) = plan {
@@ -183,6 +202,14 @@
     }
     match plan {
         Plan::NoEnd => frames.truncate(3),
+        Plan::FalseRefusal => {
+            frames.truncate(1);
+            frames.push(Frame::Failed {
+                kind: ErrorKind::Unavailable,
+                run: RunState::NotRun,
+                detail: String::new(),
+            });
+        }
         Plan::LostAfterRun | Plan::Killed | Plan::SilentAfterHead => frames.truncate(1),
         _ => {}
     }
@@ -198,6 +225,7 @@
         sequence += 1;
         steps.push(Step::Bytes(encode_frame(&frame)));
     };
+    let data_step = steps.len() + 1;
     for (index, frame) in frames.into_iter().enumerate() {
         if index == 1 {
             for _ in 0..wait.as_millis() / 500 {
@@ -211,6 +239,9 @@
             steps.push(repeated);
         }
     }
+    if plan == Plan::Reordered {
+        steps.swap(data_step, data_step + 1);
+    }
     match plan {
         Plan::SilentAfterHead => steps.push(Step::Hang),
         Plan::LostAfterRun | Plan::Killed => steps.push(Step::Break),
@@ -273,7 +304,7 @@
     ) -> BoxFuture<'_, Result<Box<dyn ResponsePieces>, AgentError>> {
         let request = request.clone();
         Box::pin(async move {
-            let steps = self.start(&request);
+            let steps = self.start(address.port(), &request);
             let state = std::sync::Arc::clone(&self.state);
             state.lock().unwrap().requests.push((address, request));
             Ok(Box::new(FakePieces {
--- a/crates/wasabipoint_entry/tests/entry/fake_control.rs
+++ b/crates/wasabipoint_entry/tests/entry/fake_control.rs
@@ -33,6 +33,7 @@
 struct State {
     view: FleetView,
     is_silent: bool,
+    reply_delay: Duration,
     loss: f64,
     random: StdRng,
     buckets: HashMap<CustomerId, Bucket>,
@@ -56,6 +57,7 @@
             state: Mutex::new(State {
                 view,
                 is_silent: false,
+                reply_delay: Duration::ZERO,
                 loss: 0.0,
                 random: StdRng::seed_from_u64(seed),
                 buckets: HashMap::new(),
@@ -83,6 +85,17 @@
         self.state.lock().unwrap().is_silent = true;
     }
 
+    /// Holds back replies that were made, as a slow network would.
+    pub(crate) fn delay_replies(&self, delay: Duration) {
+        self.state.lock().unwrap().reply_delay = delay;
+    }
+
+    /// Tokens of all slices that were not settled or returned.
+    pub(crate) fn outstanding_tokens(&self) -> u64 {
+        let state = self.state.lock().unwrap();
+        state.outstanding.values().map(|slice| slice.tokens).sum()
+    }
+
     pub(crate) fn lose(&self, share: f64) {
         self.state.lock().unwrap().loss = share;
     }
@@ -115,6 +128,20 @@
 }
 
 impl State {
+    fn make_reply(&self, request: &WatchRequest, limit: Instant) -> Option<(WatchReply, Duration)> {
+        let is_new = self.view.revision > request.known_revision;
+        if self.is_silent || !(is_new || Instant::now() >= limit) {
+            return None;
+        }
+        let update = if is_new {
+            FleetUpdate::Snapshot(Box::new(self.view.clone()))
+        } else {
+            FleetUpdate::Delta(Vec::new())
+        };
+        let revision = self.view.revision;
+        Some((WatchReply { revision, update }, self.reply_delay))
+    }
+
     fn draw(&mut self, share: f64) -> bool {
         self.random.random_bool(share)
     }
@@ -203,20 +230,10 @@
             let limit = Instant::now() + Duration::from_millis(request.wait_ms);
             loop {
                 let changed = self.changed.notified();
-                {
-                    let state = self.state.lock().unwrap();
-                    let is_new = state.view.revision > request.known_revision;
-                    if !state.is_silent && (is_new || Instant::now() >= limit) {
-                        let update = if is_new {
-                            FleetUpdate::Snapshot(Box::new(state.view.clone()))
-                        } else {
-                            FleetUpdate::Delta(Vec::new())
-                        };
-                        return Ok(WatchReply {
-                            revision: state.view.revision,
-                            update,
-                        });
-                    }
+                let made = self.state.lock().unwrap().make_reply(&request, limit);
+                if let Some((reply, delay)) = made {
+                    tokio::time::sleep(delay).await;
+                    return Ok(reply);
                 }
                 if Instant::now() >= limit {
                     std::future::pending::<()>().await;
--- a/crates/wasabipoint_entry/tests/entry/keys.rs
+++ b/crates/wasabipoint_entry/tests/entry/keys.rs
@@ -40,6 +40,9 @@
             .header(name, value);
         answers.push(harness.send(request.body(Vec::new()).unwrap()).await);
     }
+    let in_body = Request::post("/services/lookup/a").header("authorization", &bearer);
+    let body = format!("a={KEY}").into_bytes();
+    answers.push(harness.send(in_body.body(body).unwrap()).await);
     let open = Request::get(format!("/services/public/a?key={KEY}"))
         .body(Vec::new())
         .unwrap();
@@ -167,6 +170,22 @@
     assert_eq!(harness.agents.executions(), 3);
 }
 
+/// Guards against counting freshness from the arrival of a delayed reply.
+#[tokio::test(start_paused = true)]
+async fn delayed_reply_confirms_the_time_of_its_poll() {
+    let harness = Harness::start().await;
+    harness.control.delay_replies(Duration::from_millis(2_500));
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    harness.control.silence();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(harness.complete("p", false).await.status, 200);
+    tokio::time::sleep(Duration::from_millis(1_400)).await;
+    assert_eq!(
+        harness.complete("p", false).await.kind(),
+        "configuration_stale"
+    );
+}
+
 /// Guards against a view that goes back to an earlier revision or configuration.
 #[tokio::test(start_paused = true)]
 async fn view_never_goes_back() {
--- a/crates/wasabipoint_entry/tests/entry/runs.rs
+++ b/crates/wasabipoint_entry/tests/entry/runs.rs
@@ -1,15 +1,17 @@
 //! At most one run of calls that must not be repeated, and refusals that tell the truth.
 
 use wasabipoint_kernel::{EndpointId, Incarnation, RequestId};
-use wasabipoint_rpc::ClaimHolder;
+use wasabipoint_rpc::{ClaimHolder, LoadReport};
 
 use crate::fake_agents::Plan;
 use crate::harness::{Answer, Harness, booking};
 
-const STEPS: [Plan; 7] = [
+const STEPS: [Plan; 9] = [
     Plan::Answer,
     Plan::NotConnected,
     Plan::Draining,
+    Plan::Full,
+    Plan::FalseRefusal,
     Plan::LostBeforeStart,
     Plan::LostAfterRun,
     Plan::Killed,
@@ -42,6 +44,31 @@
     }
 }
 
+/// Guards against `not run` for a repeated completion of which any attempt ran.
+#[tokio::test(start_paused = true)]
+async fn repeated_completion_tells_the_truth() {
+    for first in STEPS {
+        for second in STEPS {
+            let harness = Harness::start().await;
+            harness.agents.plan(&[first, second]);
+            let answer = harness.complete("hello", false).await;
+            let is_told_not_run = answer.run() == "not run";
+            let executions = harness.agents.executions();
+            assert!(!is_told_not_run || executions == 0, "{first:?}, {second:?}");
+        }
+    }
+}
+
+/// Guards against giving up a claimed call whose first agent cannot even be asked about it.
+#[tokio::test(start_paused = true)]
+async fn claimed_call_moves_on_from_a_dead_agent() {
+    let harness = Harness::start().await;
+    harness.agents.plan(&[Plan::Dead]);
+    let answer = harness.send(booking(Some("once"))).await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert_eq!(harness.agents.executions(), 1);
+}
+
 /// Guards against a second run when a caller repeats a call under its idempotency key at another
 /// entry process.
 #[tokio::test(start_paused = true)]
@@ -96,6 +123,58 @@
     assert_eq!(harness.agents.executions(), 2);
 }
 
+/// Guards against refusing a call that only has to wait for room at its endpoints.
+#[tokio::test(start_paused = true)]
+async fn full_endpoints_are_waited_for() {
+    let harness = Harness::start().await;
+    harness.agents.plan(&[Plan::Full; 30]);
+    let answer = harness.send(booking(Some("once"))).await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    assert_eq!(harness.agents.executions(), 1);
+    harness.agents.plan_all(Plan::Full);
+    let answer = harness.send(booking(None)).await;
+    assert_eq!(
+        (answer.kind().as_str(), answer.run().as_str()),
+        ("deadline_exceeded", "not run")
+    );
+}
+
+/// Guards against load reports and cache positions that routing does not use.
+#[tokio::test(start_paused = true)]
+async fn reported_load_moves_requests_elsewhere() {
+    let harness = Harness::start().await;
+    let busy = LoadReport {
+        running: 3,
+        cache_sequence: 5,
+        ..LoadReport::default()
+    };
+    harness.agents.report_load(11, busy);
+    for _ in 0..20 {
+        harness.complete("hello", false).await;
+    }
+    let ports: Vec<u16> = harness
+        .agents
+        .requests()
+        .iter()
+        .map(|(to, _)| to.port())
+        .collect();
+    assert!(
+        ports.iter().filter(|port| **port == 11).count() <= 1,
+        "{ports:?}"
+    );
+    harness
+        .agents
+        .plan_all(Plan::Slow(std::time::Duration::from_secs(1)));
+    let calls = (0..8).map(|_| harness.complete("hello", false));
+    futures::future::join_all(calls).await;
+    tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+    let calls = (0..8).map(|_| harness.complete("hello", false));
+    futures::future::join_all(calls).await;
+    let requests = harness.agents.requests();
+    let known = requests.iter().rev().find(|(to, _)| to.port() == 11);
+    assert_eq!(known.unwrap().1.known_cache_sequence, 5);
+}
+
 /// Guards against retries that multiply the load of a failing fleet.
 #[tokio::test(start_paused = true)]
 async fn retries_stay_within_the_budget() {
--- a/crates/wasabipoint_entry/tests/entry/streams.rs
+++ b/crates/wasabipoint_entry/tests/entry/streams.rs
@@ -7,9 +7,10 @@
 use crate::fake_agents::Plan;
 use crate::harness::{Harness, KEY, booking, completion, read, with_body};
 
-const FAULTS: [Plan; 5] = [
+const FAULTS: [Plan; 6] = [
     Plan::OtherRequest,
     Plan::RepeatedSequence,
+    Plan::Reordered,
     Plan::NoEnd,
     Plan::WrongByteCount,
     Plan::SilentAfterHead,
