--- a/crates/wasabipoint_consensus/tests/schedules.rs
+++ b/crates/wasabipoint_consensus/tests/schedules.rs
@@ -31,6 +31,9 @@
     LoseDisk { pick: usize },
     Change { kind: u8, pick: usize },
     Loss { percent: u32 },
+    Crashes { percent: u32 },
+    SlowClock { pick: usize, percent: u32 },
+    SlowLeader,
 }
 
 fn any_event() -> impl Strategy<Value = Event> {
@@ -46,6 +49,10 @@
         2 => steps.prop_map(|durable_steps| Event::CrashLeader { durable_steps }),
         3 => Just(Event::Heal),
         1 => pick.clone().prop_map(|pick| Event::LoseDisk { pick }),
+        2 => (0..40_u32).prop_map(|percent| Event::Crashes { percent }),
+        1 => (pick.clone(), 0..=100_u32)
+            .prop_map(|(pick, percent)| Event::SlowClock { pick, percent }),
+        2 => Just(Event::SlowLeader),
         4 => (any::<u8>(), pick).prop_map(|(kind, pick)| Event::Change { kind, pick }),
         2 => (0..30_u32).prop_map(|percent| Event::Loss { percent }),
     ]
@@ -91,6 +98,15 @@
             Event::Heal => simulation.heal(),
             Event::LoseDisk { pick } => simulation.lose_disk(id(pick)),
             Event::Change { kind, pick } => simulation.change_membership(*kind, *pick),
+            Event::Crashes { percent } => simulation.crash_percent = *percent,
+            Event::SlowClock { pick, percent } => simulation.slow_clock(id(pick), *percent),
+            Event::SlowLeader => {
+                // The process is suspended, then answers calls before it notices the time.
+                if let Some((leader, _)) = simulation.leader() {
+                    simulation.slow_clock(leader, 100);
+                    simulation.isolate(leader);
+                }
+            }
             Event::Loss { percent } => simulation.loss_percent = *percent,
         }
         simulation.run(*rounds);
