--- a/crates/wasabipoint_consensus/src/storage.rs
+++ b/crates/wasabipoint_consensus/src/storage.rs
@@ -94,7 +94,7 @@
         let path = folder.join(LOG_FILE);
         let bytes = fs::read(&path).map_err(at(&path))?;
         let (salt, scan) = scan_log(&path, &bytes)?;
-        let recovered = replay(&path, &scan.payloads, snapshot)?;
+        let (recovered, is_outdated) = replay(&path, &scan.payloads, snapshot)?;
         let log = OpenOptions::new().write(true).open(&path);
         let log = log.map_err(at(&path))?;
         let truncated_bytes = (bytes.len() - scan.valid_bytes) as u64;
@@ -102,7 +102,7 @@
             let cut = log.set_len(scan.valid_bytes as u64);
             cut.and_then(|()| log.sync_all()).map_err(at(&path))?;
         }
-        let storage = Self {
+        let mut storage = Self {
             folder: folder.to_owned(),
             log,
             log_bytes: scan.valid_bytes as u64,
@@ -111,6 +111,11 @@
             hook: None,
             _lock: lock,
         };
+        if is_outdated {
+            // Entries appended to the outdated log would be discarded with it at the next start.
+            let (index, term) = (recovered.base_index, recovered.base_term);
+            storage.replace_log(index, term, recovered.hard.clone(), Vec::new())?;
+        }
         let opened = Opened {
             disk: identity.disk,
             recovered,
@@ -169,11 +174,26 @@
         let path = self.folder.join(SNAPSHOT_FILE);
         self.check_hook(&path)?;
         replace_file(&self.folder, SNAPSHOT_FILE, &encode_snapshot(&compaction))?;
-        let mut records = Vec::new();
-        let base = Record::Base(compaction.base_index, compaction.base_term);
-        push_record(&mut records, &base);
-        push_record(&mut records, &Record::Hard(compaction.hard));
-        for entry in compaction.entries {
+        let Compaction {
+            hard,
+            base_index,
+            base_term,
+            entries,
+            ..
+        } = compaction;
+        self.replace_log(base_index, base_term, hard, entries)
+    }
+
+    fn replace_log(
+        &mut self,
+        base_index: u64,
+        base_term: u64,
+        hard: HardState,
+        entries: Vec<Entry>,
+    ) -> Result<(), DiskError> {
+        let mut records = base_record(base_index, base_term);
+        push_record(&mut records, &Record::Hard(hard));
+        for entry in entries {
             push_record(&mut records, &Record::Entry(entry));
         }
         self.check_hook(&self.folder.join(LOG_FILE))?;
@@ -335,11 +355,12 @@
     Ok((salt, scan))
 }
 
+/// Returns what the log and the snapshot hold, and whether the log is outdated.
 fn replay(
     path: &Path,
     payloads: &[&[u8]],
     snapshot: Option<Snapshot>,
-) -> Result<Recovered, StartError> {
+) -> Result<(Recovered, bool), StartError> {
     let damaged = || corrupt(path, "a record cannot be decoded");
     let mut recovered = Recovered::default();
     for payload in payloads {
@@ -356,14 +377,15 @@
             }
         }
     }
+    let mut is_outdated = false;
     match snapshot {
-        Some(snapshot) => use_snapshot(path, &mut recovered, snapshot)?,
+        Some(snapshot) => is_outdated = use_snapshot(path, &mut recovered, snapshot)?,
         None if recovered.base_index > 0 => {
             return Err(corrupt(path, "the snapshot before the log is missing"));
         }
         None => {}
     }
-    Ok(recovered)
+    Ok((recovered, is_outdated))
 }
 
 fn push_replayed(path: &Path, recovered: &mut Recovered, entry: Entry) -> Result<(), StartError> {
@@ -381,12 +403,13 @@
     }
 }
 
-/// Combines log and snapshot. After a crash between their replacements the log is the older one.
+/// Combines log and snapshot. After a crash between their replacements the log may end before
+/// the snapshot or contradict it; then its entries are of no use and true is returned.
 fn use_snapshot(
     path: &Path,
     recovered: &mut Recovered,
     snapshot: Snapshot,
-) -> Result<(), StartError> {
+) -> Result<bool, StartError> {
     if snapshot.index < recovered.base_index {
         return Err(corrupt(path, "the snapshot is older than the log"));
     }
@@ -395,12 +418,13 @@
         Some(position) => recovered.entries.get(position).map(|e| e.term),
         None => Some(recovered.base_term),
     };
-    if term != Some(snapshot.term) {
+    let is_outdated = term != Some(snapshot.term);
+    if is_outdated {
         recovered.entries.clear();
         (recovered.base_index, recovered.base_term) = (snapshot.index, snapshot.term);
     }
     recovered.snapshot = Some(Arc::new(snapshot));
-    Ok(())
+    Ok(is_outdated)
 }
 
 /// The snapshot file is one frame in the format of the log file.
--- a/crates/wasabipoint_consensus/tests/schedules/disk.rs
+++ b/crates/wasabipoint_consensus/tests/schedules/disk.rs
@@ -69,24 +69,24 @@
         }
     }
 
-    pub(crate) fn recover(&self) -> Recovered {
-        let mut recovered = Recovered {
-            hard: self.hard.clone(),
-            snapshot: self.snapshot.clone(),
-            base_index: self.base.0,
-            base_term: self.base.1,
-            entries: self.entries.clone(),
-        };
+    /// Reads the state at a start. A log that the snapshot contradicts is replaced.
+    pub(crate) fn recover(&mut self) -> Recovered {
         if let Some(snapshot) = &self.snapshot {
             let term = match (snapshot.index - self.base.0) as usize {
                 0 => Some(self.base.1),
                 position => self.entries.get(position - 1).map(|e| e.term),
             };
             if term != Some(snapshot.term) {
-                recovered.entries.clear();
-                (recovered.base_index, recovered.base_term) = (snapshot.index, snapshot.term);
+                self.entries.clear();
+                self.base = (snapshot.index, snapshot.term);
             }
         }
-        recovered
+        Recovered {
+            hard: self.hard.clone(),
+            snapshot: self.snapshot.clone(),
+            base_index: self.base.0,
+            base_term: self.base.1,
+            entries: self.entries.clone(),
+        }
     }
 }
