--- a/crates/wasabipoint_consensus/tests/schedules/simulation.rs
+++ b/crates/wasabipoint_consensus/tests/schedules/simulation.rs
@@ -185,12 +185,15 @@
 
     /// Starts a member again with an empty disk under its old id, unless too few disks remain.
     pub(crate) fn lose_disk(&mut self, id: u64) {
-        let configurations = self.oracle.live_configurations();
-        let is_tolerable = !configurations.is_empty()
-            && configurations.iter().all(|configuration| {
+        let cores = self.nodes.values().filter_map(|n| n.core.as_ref());
+        let appended = cores.map(Core::configuration);
+        let written = self.oracle.live_configurations();
+        let has_started = !written.is_empty();
+        let is_tolerable = has_started
+            && written.into_iter().chain(appended).all(|configuration| {
                 let voters = configuration.voters.keys();
                 let healthy = voters.filter(|v| v.0 != id && !self.nodes[&v.0].has_lost_disk);
-                healthy.count() >= configuration.quorum()
+                configuration.voters.is_empty() || healthy.count() >= configuration.quorum()
             });
         if !is_tolerable || self.nodes.get(&id).is_none_or(|n| n.has_lost_disk) {
             return;
