--- a/crates/wasabipoint_entry/tests/sockets.rs
+++ b/crates/wasabipoint_entry/tests/sockets.rs
@@ -163,8 +163,10 @@
 
 fn build_view(agent: SocketAddr) -> FleetView {
     let inventory = "[inventory]\nmodels = 1\nadapters = 0\ncustomers = 1\n\
-        [model small]\nversion = 1\nmemory_mib = 1\n\
-        [customer delta]\nrate_tokens_per_s = 1000\nburst_tokens = 9000\nmodels = small\n";
+        [model small]\nversion = 1\nmemory_mib = 1\nmax_replicas = 2\n\
+        max_answer_tokens = 512\n\
+        [customer delta]\nrate_tokens_per_s = 1000\nburst_tokens = 9000\nmodels = small\n\
+        routes =\npriority = 5\n";
     let mut view = FleetView::new();
     view.revision = 1;
     view.inventory = Inventory::parse("inventory", inventory).unwrap();
