Measure placement under irregular demand

A tenth of the sessions is skipped, a tenth moved by up to an hour, and any model may be requested at any time.

--- a/crates/wasabipoint_load/src/measures.rs
+++ b/crates/wasabipoint_load/src/measures.rs
@@ -25,6 +25,10 @@
         self.0.value_at_quantile(quantile)
     }
 
+    pub(crate) fn mean_ms(&self) -> f64 {
+        self.0.mean()
+    }
+
     pub(crate) fn count(&self) -> u64 {
         self.0.len()
     }
--- a/crates/wasabipoint_load/src/placement.rs
+++ b/crates/wasabipoint_load/src/placement.rs
@@ -19,21 +19,30 @@
 /// Runs under consecutive seeds that are merged into one row.
 const SEEDS: u64 = 4;
 const MEASURED_AFTER_DAYS: u32 = 2;
-const SCENARIOS: [PlacementScenario; 3] = [
+const SCENARIOS: [PlacementScenario; 4] = [
     PlacementScenario {
         name: "normal",
         store_speed_percent: 100,
         endpoints_lost: 0,
+        is_irregular: false,
     },
     PlacementScenario {
         name: "store at a quarter of its speed",
         store_speed_percent: 25,
         endpoints_lost: 0,
+        is_irregular: false,
     },
     PlacementScenario {
         name: "two endpoints lost at dawn",
         store_speed_percent: 100,
         endpoints_lost: 2,
+        is_irregular: false,
+    },
+    PlacementScenario {
+        name: "irregular demand",
+        store_speed_percent: 100,
+        endpoints_lost: 0,
+        is_irregular: true,
     },
 ];
 
@@ -46,6 +55,8 @@
     pub store_speed_percent: u64,
     /// Endpoints that are lost every day at dawn.
     pub endpoints_lost: usize,
+    /// Whether sessions are skipped, moved and added at random.
+    pub is_irregular: bool,
 }
 
 /// Measures of a run.
@@ -110,7 +121,7 @@
     days: u32,
     seed: u64,
 ) -> Option<PlacementOutcome> {
-    let workload = Workload::generate(deployment, days, seed);
+    let workload = Workload::generate(deployment, scenario.is_irregular, days, seed);
     let mut policy: Box<dyn PlacementPolicy> = match policy {
         "oracle" => Box::new(Oracle::new(&workload)),
         name => build_placement_policy(name)?,
@@ -163,6 +174,7 @@
                     "policy",
                     "cold starts",
                     "of them waited (dawn, daytime, rare)",
+                    "mean s",
                     "p50 s",
                     "p90 s",
                     "p99 s",
@@ -207,6 +219,7 @@
                 .waited_by_habit
                 .map(|count| count.to_string())
                 .join(", "),
+            seconds(outcome.cold_waits.mean_ms() as u64),
             seconds(outcome.cold_start_ms(0.5)),
             seconds(outcome.cold_start_ms(0.9)),
             seconds(p99_ms),
--- a/crates/wasabipoint_load/src/placement/workload.rs
+++ b/crates/wasabipoint_load/src/placement/workload.rs
@@ -73,8 +73,14 @@
 }
 
 impl Workload {
-    /// Generates endpoints, 30 models and the arrivals of some days.
-    pub(crate) fn generate(deployment: Deployment, days: u32, seed: u64) -> Self {
+    /// Generates endpoints, 30 models and the arrivals of some days. Irregular demand skips and
+    /// moves sessions, and any model may be requested at any time.
+    pub(crate) fn generate(
+        deployment: Deployment,
+        is_irregular: bool,
+        days: u32,
+        seed: u64,
+    ) -> Self {
         let mut rng = StdRng::seed_from_u64(seed ^ deployment.name().len() as u64);
         let (count, domains, loads_per_s) = deployment.shape();
         let endpoints: Vec<_> = (0..count)
@@ -89,7 +95,11 @@
         let mut arrivals = Vec::new();
         for day in 0..u64::from(days) {
             for (index, model) in models.iter().enumerate() {
-                for start_ms in model.session_starts(&mut rng) {
+                let mut sessions = model.session_starts(&mut rng);
+                if is_irregular {
+                    sessions = make_irregular(&sessions, &mut rng);
+                }
+                for start_ms in sessions {
                     let start_ms = day * DAY_MS + start_ms;
                     let requests = model.session(start_ms, &mut rng);
                     arrivals.extend(requests.map(|arrival_ms| (arrival_ms, index)));
@@ -191,3 +201,23 @@
 fn jitter_ms(span_ms: u64, rng: &mut StdRng) -> u64 {
     (0..3).map(|_| rng.random_range(0..=span_ms / 3)).sum()
 }
+
+/// Skips a tenth of the sessions, moves a tenth by up to an hour either way, and adds a session
+/// at a random time on a tenth of the days.
+fn make_irregular(starts_ms: &[u64], rng: &mut StdRng) -> Vec<u64> {
+    let mut irregular = Vec::new();
+    for start_ms in starts_ms {
+        match rng.random_range(0..10) {
+            0 => {}
+            1 => {
+                let earliest_ms = start_ms.saturating_sub(60 * MINUTE_MS);
+                irregular.push(rng.random_range(earliest_ms..start_ms + 60 * MINUTE_MS));
+            }
+            _ => irregular.push(*start_ms),
+        }
+    }
+    if rng.random_bool(0.1) {
+        irregular.push(rng.random_range(0..DAY_MS));
+    }
+    irregular
+}
--- a/crates/wasabipoint_load/tests/experiments.rs
+++ b/crates/wasabipoint_load/tests/experiments.rs
@@ -10,6 +10,7 @@
     name: "normal",
     store_speed_percent: 100,
     endpoints_lost: 0,
+    is_irregular: false,
 };
 
 // Guards against results that their printed seed does not reproduce.
