--- a/crates/wasabipoint_testbed/src/fleet.rs
+++ b/crates/wasabipoint_testbed/src/fleet.rs
@@ -91,8 +91,9 @@
     pub agents: Vec<Process>,
     /// Entry processes.
     pub entries: Vec<Process>,
-    /// For each entry process, its links to the control members.
-    pub entry_links: Vec<Vec<Link>>,
+    /// Links in front of the control members, when the plan has them. Every process, also the
+    /// other members, reaches a member through its link.
+    pub control_links: Vec<Link>,
 }
 
 impl Fleet {
@@ -140,8 +141,15 @@
             controls: Vec::new(),
             agents: Vec::new(),
             entries: Vec::new(),
-            entry_links: Vec::new(),
+            control_links: Vec::new(),
         };
+        if fleet.plan.has_control_links {
+            for target in &fleet.control_rpc {
+                fleet
+                    .control_links
+                    .push(Link::start(&fleet.host, *target).await?);
+            }
+        }
         for index in 0..count {
             fleet.controls.push(None);
             fleet.start_control(index).await?;
@@ -155,8 +163,6 @@
             fleet.agents.push(agent);
         }
         for index in 0..fleet.plan.entries {
-            let links = fleet.start_links().await?;
-            fleet.entry_links.push(links);
             let entry = fleet.start_entry(index).await?;
             fleet.entries.push(entry);
         }
@@ -208,7 +214,7 @@
     pub async fn start_control(&mut self, index: usize) -> Result<(), FleetError> {
         let member = index + 1;
         let members: Vec<String> = self
-            .control_rpc
+            .control_addresses()
             .iter()
             .enumerate()
             .map(|(index, address)| format!("{}={address}", index + 1))
@@ -280,7 +286,7 @@
             self.failure_domain(index),
             self.endpoints[index].http_address(),
             self.host,
-            join(&self.control_rpc),
+            join(&self.control_addresses()),
             memory_mib / 10,
             if is_engine { 8 } else { 0 },
         );
@@ -290,17 +296,12 @@
 
     /// Starts an entry process.
     pub async fn start_entry(&self, index: usize) -> Result<Process, FleetError> {
-        let control = if self.plan.has_entry_links {
-            self.entry_links[index].iter().map(Link::address).collect()
-        } else {
-            self.control_rpc.clone()
-        };
         let settings = format!(
             "[entry]\nentry = entry-{index}\nlisten = {}:0\ncontrol = {}\nfailure_domain = {}\n\
              key_secret = {KEY_SECRET}\noperator_token = {OPERATOR_TOKEN}\ndrain_grace_ms = {}\n\
              freshness_bound_ms = 3000\n",
             self.host,
-            join(&control),
+            join(&self.control_addresses()),
             self.failure_domain(index),
             self.plan.drain_grace_ms,
         );
@@ -320,14 +321,12 @@
         Ok(Process::start(&self.folder, name, program, &arguments).await?)
     }
 
-    async fn start_links(&self) -> Result<Vec<Link>, FleetError> {
-        let mut links = Vec::new();
-        if self.plan.has_entry_links {
-            for target in &self.control_rpc {
-                links.push(Link::start(&self.host, *target).await?);
-            }
+    /// Returns the addresses at which processes reach the control members.
+    fn control_addresses(&self) -> Vec<SocketAddr> {
+        if self.control_links.is_empty() {
+            return self.control_rpc.clone();
         }
-        Ok(links)
+        self.control_links.iter().map(Link::address).collect()
     }
 
     fn write_operator_settings(&self) -> Result<(), FleetError> {
@@ -390,6 +389,16 @@
         })
     }
 
+    /// Returns the address of a control member's operator API.
+    pub fn control_address(&self, index: usize) -> SocketAddr {
+        self.control_http[index]
+    }
+
+    /// Returns a caller of the operator API at one address, without following the leader.
+    pub fn operator(&self, address: &str) -> Caller {
+        Caller::new(address).with_key(OPERATOR_TOKEN)
+    }
+
     /// Returns the index of the control member that leads.
     pub async fn leader(&self) -> Result<usize, FleetError> {
         let status = self.operate(&["status"]).await?;
--- a/crates/wasabipoint_testbed/src/plan.rs
+++ b/crates/wasabipoint_testbed/src/plan.rs
@@ -25,7 +25,7 @@
     pub(crate) engine_load_ms: u64,
     pub(crate) fencing: EngineFencing,
     pub(crate) drain_grace_ms: u64,
-    pub(crate) has_entry_links: bool,
+    pub(crate) has_control_links: bool,
 }
 
 impl FleetPlan {
@@ -48,7 +48,7 @@
             engine_load_ms: 200,
             fencing: EngineFencing::Checked,
             drain_grace_ms: 500,
-            has_entry_links: false,
+            has_control_links: false,
         }
     }
 
@@ -96,10 +96,10 @@
         self
     }
 
-    /// Puts a link that can be silenced between each entry process and each control member.
+    /// Puts a link that can be silenced in front of each control member.
     #[must_use]
-    pub fn with_entry_links(mut self) -> Self {
-        self.has_entry_links = true;
+    pub fn with_control_links(mut self) -> Self {
+        self.has_control_links = true;
         self
     }
 }
--- a/crates/wasabipoint_testbed/tests/failures.rs
+++ b/crates/wasabipoint_testbed/tests/failures.rs
@@ -7,7 +7,7 @@
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
 use tokio::time::Instant;
-use wasabipoint_testbed::{Caller, Fleet, FleetPlan};
+use wasabipoint_testbed::{Caller, Fleet, FleetPlan, LinkState};
 
 /// Bound on the time until a withdrawn key or a new version is in force; the requirement says
 /// seconds, 16 s at the design size.
@@ -152,6 +152,91 @@
     assert!(!names.contains(&withdrawn.id), "{names}");
 }
 
+/// Guards against an entry process that admits keyed requests while it is cut off from control,
+/// when withdrawals cannot reach it, and against one that stops serving open routes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_off_entry_process_refuses_keyed_requests_only() {
+    // One member, so that the withdrawal commits while the entry process reaches no member.
+    let plan = FleetPlan::delta()
+        .with_controls(1)
+        .with_entries(1)
+        .with_endpoints(0, 1)
+        .with_control_links();
+    let fleet = Fleet::start(plan).await.unwrap();
+    let key = fleet.add_key("bucket-traders").await.unwrap();
+    fleet.wait_for_key(0, &key.key).await.unwrap();
+    fleet.control_links[0].set_state(LinkState::Silent);
+    let cut = Instant::now();
+    fleet.operate(&["keys", "withdraw", &key.id]).await.unwrap();
+    let caller = fleet.caller(0);
+    Fleet::wait_for("keyed requests refused", || async {
+        let answer = caller
+            .clone()
+            .with_key(&key.key)
+            .get("/services/stock-check/1")
+            .await
+            .unwrap();
+        let is_refused = answer.error_kind().as_deref() == Some("configuration_stale");
+        assert!(!is_refused || answer.is_not_run() && answer.retry_after_s.is_some());
+        is_refused
+    })
+    .await
+    .unwrap();
+    assert!(cut.elapsed() < IN_FORCE_BOUND);
+    let open = caller.get("/services/opening-hours/1").await.unwrap();
+    assert_eq!(open.status, StatusCode::OK, "{:?}", open.body);
+    fleet.control_links[0].set_state(LinkState::OldSilent);
+    Fleet::wait_for("the withdrawal in force over new connections", || async {
+        let answer = caller
+            .clone()
+            .with_key(&key.key)
+            .get("/services/stock-check/1")
+            .await
+            .unwrap();
+        assert_ne!(answer.status, StatusCode::OK);
+        answer.error_kind().as_deref() == Some("invalid_key")
+    })
+    .await
+    .unwrap();
+}
+
+/// Guards against a leader that goes on answering reads and changes while nothing reaches it, and
+/// against one that disturbs the others when it returns.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_cut_off_leader_answers_nothing_old_and_returns_quietly() {
+    let plan = FleetPlan::delta()
+        .with_endpoints(0, 1)
+        .with_entries(1)
+        .with_control_links();
+    let fleet = Fleet::start(plan).await.unwrap();
+    let old = fleet.leader().await.unwrap();
+    let old_address = fleet.control_address(old).to_string();
+    let old_member = fleet.operator(&old_address);
+    fleet.control_links[old].set_state(LinkState::Silent);
+    Fleet::wait_for("another leader", || async {
+        fleet.leader().await.is_ok_and(|leader| leader != old)
+    })
+    .await
+    .unwrap();
+    let key = fleet.add_key("bucket-traders").await.unwrap();
+    let listed = old_member.get("/v1/keys").await.unwrap();
+    assert_ne!(listed.status, StatusCode::OK, "{:?}", listed.body);
+    fleet.wait_for_key(0, &key.key).await.unwrap();
+    let before = fleet.operate(&["status"]).await.unwrap();
+    fleet.control_links[old].set_state(LinkState::OldSilent);
+    Fleet::wait_for("the old leader follows", || async {
+        let local = old_member.get("/v1/status/local").await.unwrap().json();
+        local["role"] == "follower"
+            && local["applied_index"] == local["commit_index"]
+            && local["keys"] == 1
+    })
+    .await
+    .unwrap();
+    let after = fleet.operate(&["status"]).await.unwrap();
+    assert_eq!(after["leader"], before["leader"]);
+    assert_eq!(after["term"], before["term"]);
+}
+
 /// Guards against a graceful shutdown that cuts a stream or refuses what still arrives.
 #[tokio::test(flavor = "multi_thread")]
 async fn termination_cuts_no_request() {
