--- /dev/null
+++ b/crates/wasabipoint_consensus/tests/steps.rs
@@ -0,0 +1,194 @@
+//! Single steps of the step function whose order decides safety.
+
+use wasabipoint_consensus::{
+    Body, Configuration, Core, CoreConfig, DiskId, Entry, HardState, Message, Payload, Recovered,
+    SharedBytes,
+};
+use wasabipoint_kernel::MemberId;
+
+fn configuration() -> Configuration {
+    let voters = (1..=3).map(|id| (MemberId(id), DiskId(id)));
+    Configuration {
+        voters: voters.collect(),
+        ..Configuration::default()
+    }
+}
+
+fn entry(index: u64, term: u64) -> Entry {
+    Entry {
+        index,
+        term,
+        payload: Payload::Command(SharedBytes::new(vec![1])),
+    }
+}
+
+/// Creates member 1 of three with some entries, in the term of the last one.
+fn member(entries: Vec<Entry>) -> Core {
+    let config = CoreConfig {
+        member: MemberId(1),
+        disk: DiskId(1),
+        initial_members: (1..=3).map(MemberId).collect(),
+        is_joining: false,
+        trailing_entries: 0,
+        seed: 1,
+    };
+    let hard = HardState {
+        term: entries.last().map_or(0, |e| e.term),
+        bootstrap: Some(configuration()),
+        ..HardState::default()
+    };
+    let recovered = Recovered {
+        hard,
+        entries,
+        ..Recovered::default()
+    };
+    Core::new(config, recovered)
+}
+
+fn receive(core: &mut Core, from: u64, term: u64, body: Body) {
+    core.receive(Message {
+        from: MemberId(from),
+        disk: DiskId(from),
+        to: MemberId(1),
+        term,
+        body,
+    });
+    core.flush();
+}
+
+fn complete_writes(core: &mut Core) {
+    while let Some((batch, _)) = core.take_writes() {
+        core.complete_writes(batch);
+    }
+    core.flush();
+}
+
+/// Makes the member leader of the next term with the votes of all.
+fn elect(core: &mut Core) {
+    while !core.is_leader() {
+        core.tick();
+        let term = core.term();
+        for from in [2, 3] {
+            let is_granted = true;
+            receive(core, from, term + 1, Body::PreVoteReply { is_granted });
+            complete_writes(core);
+            let term = core.term();
+            receive(core, from, term, Body::VoteReply { is_granted });
+        }
+    }
+    complete_writes(core);
+    core.take_messages();
+}
+
+fn append(prev_index: u64, entries: Vec<Entry>, round: u64) -> Body {
+    Body::Append {
+        prev_index,
+        prev_term: u64::from(prev_index > 0),
+        entries,
+        commit: 0,
+        round,
+    }
+}
+
+fn rounds_sent(core: &mut Core) -> Vec<u64> {
+    let messages = core.take_messages().into_iter();
+    let rounds = messages.filter_map(|message| match message.body {
+        Body::Append { round, .. } if message.to == MemberId(2) => Some(round),
+        _ => None,
+    });
+    rounds.collect()
+}
+
+/// Guards against a member that votes twice in a term because it restarts before its vote is
+/// durable.
+#[test]
+fn a_vote_is_answered_once_it_is_durable() {
+    let mut core = member(Vec::new());
+    let (last_index, last_term) = (0, 0);
+    let body = Body::Vote {
+        last_index,
+        last_term,
+    };
+    receive(&mut core, 2, 1, body);
+    assert_eq!(core.take_messages(), []);
+    complete_writes(&mut core);
+    let answers = core.take_messages();
+    assert!(matches!(
+        answers[..],
+        [Message {
+            body: Body::VoteReply { is_granted: true },
+            ..
+        }]
+    ));
+}
+
+/// Guards against an acknowledgement of an entry that a crash can lose, and against a heartbeat
+/// that waits for a busy disk.
+#[test]
+fn an_append_is_confirmed_once_it_is_durable() {
+    let mut core = member(vec![entry(1, 1)]);
+    receive(&mut core, 2, 1, append(1, vec![entry(2, 1)], 1));
+    assert_eq!(core.take_messages(), []);
+    receive(&mut core, 2, 1, append(2, Vec::new(), 2));
+    let confirmed = |core: &mut Core| {
+        let messages = core.take_messages().into_iter();
+        let bodies = messages.map(|message| match message.body {
+            Body::Appended { match_index, round } => (match_index, round),
+            body => panic!("{body:?}"),
+        });
+        bodies.collect::<Vec<_>>()
+    };
+    assert_eq!(confirmed(&mut core), [(1, 2)]);
+    complete_writes(&mut core);
+    assert_eq!(confirmed(&mut core), [(2, 1)]);
+}
+
+/// Guards against a leader that commits an entry of an earlier term because a quorum holds it;
+/// another leader could still overwrite it.
+#[test]
+fn an_entry_of_an_earlier_term_commits_only_with_one_of_the_own_term() {
+    let mut core = member(vec![entry(1, 1), entry(2, 1)]);
+    elect(&mut core);
+    let term = core.term();
+    let appended = |match_index| Body::Appended {
+        match_index,
+        round: 0,
+    };
+    receive(&mut core, 2, term, appended(2));
+    assert_eq!(core.commit_index(), 0);
+    assert!(
+        core.change_membership(wasabipoint_consensus::MembershipChange::Remove(MemberId(3)))
+            .is_err()
+    );
+    receive(&mut core, 2, term, appended(3));
+    assert_eq!(core.commit_index(), 3);
+}
+
+/// Guards against reads that each cost a round of messages, and against a read that is answered
+/// by a round from before its call.
+#[test]
+fn concurrent_reads_share_a_round_that_starts_after_them() {
+    let mut core = member(Vec::new());
+    elect(&mut core);
+    let term = core.term();
+    let appended = |round| Body::Appended {
+        match_index: 1,
+        round,
+    };
+    receive(&mut core, 2, term, appended(0));
+    rounds_sent(&mut core);
+    for request in 1..=100 {
+        core.request_read(request).expect("it leads");
+    }
+    core.flush();
+    assert_eq!(rounds_sent(&mut core), [1]);
+    core.request_read(101).expect("it leads");
+    core.flush();
+    assert_eq!(core.take_reads(), []);
+    receive(&mut core, 2, term, appended(1));
+    assert_eq!(core.take_reads().len(), 100);
+    receive(&mut core, 3, term, appended(1));
+    assert_eq!(core.take_reads(), []);
+    receive(&mut core, 2, term, appended(2));
+    assert_eq!(core.take_reads(), [(101, Ok(1))]);
+}
