--- a/crates/wasabipoint_consensus/tests/steps.rs
+++ b/crates/wasabipoint_consensus/tests/steps.rs
@@ -1,8 +1,8 @@
 //! Single steps of the step function whose order decides safety.
 
 use wasabipoint_consensus::{
-    Body, Configuration, Core, CoreConfig, DiskId, Entry, HardState, Message, Payload, Recovered,
-    SharedBytes,
+    Body, ChangeRefusal, Configuration, Core, CoreConfig, DiskId, Entry, HardState,
+    MembershipChange, Message, Payload, ProposeError, Recovered, SharedBytes,
 };
 use wasabipoint_kernel::MemberId;
 
@@ -156,14 +156,34 @@
     };
     receive(&mut core, 2, term, appended(2));
     assert_eq!(core.commit_index(), 0);
-    assert!(
-        core.change_membership(wasabipoint_consensus::MembershipChange::Remove(MemberId(3)))
-            .is_err()
-    );
+    let not_ready = Err(ProposeError::ChangeRefused(ChangeRefusal::LeaderNotReady));
+    let change = MembershipChange::Remove(MemberId(3));
+    assert_eq!(core.change_membership(change), not_ready);
     receive(&mut core, 2, term, appended(3));
     assert_eq!(core.commit_index(), 3);
 }
 
+/// Guards against two changes in progress, whose quorums need not intersect.
+#[test]
+fn a_second_membership_change_waits_for_the_first() {
+    let mut core = member(Vec::new());
+    elect(&mut core);
+    let change =
+        |core: &mut Core, id| core.change_membership(MembershipChange::AddLearner(MemberId(id)));
+    let in_progress = Err(ProposeError::ChangeRefused(ChangeRefusal::ChangeInProgress));
+    let appended = |match_index| Body::Appended {
+        match_index,
+        round: 0,
+    };
+    let term = core.term();
+    receive(&mut core, 2, term, appended(1));
+    assert_eq!(change(&mut core, 4), Ok(2));
+    assert_eq!(change(&mut core, 5), in_progress);
+    complete_writes(&mut core);
+    receive(&mut core, 2, term, appended(2));
+    assert_eq!(change(&mut core, 5), Ok(3));
+}
+
 /// Guards against reads that each cost a round of messages, and against a read that is answered
 /// by a round from before its call.
 #[test]
