--- a/crates/wasabipoint_consensus/src/api.rs
+++ b/crates/wasabipoint_consensus/src/api.rs
@@ -125,6 +125,9 @@
         pub remaining_redundancy: usize,
         /// Whether the replica has stopped, by request or after a fault.
         pub is_stopped: bool,
+        /// Why the replica stopped by itself: a failed disk, a refusal by the other members or a
+        /// snapshot that cannot be restored.
+        pub fault: Option<String>,
     }
 }
 
--- a/crates/wasabipoint_consensus/src/core.rs
+++ b/crates/wasabipoint_consensus/src/core.rs
@@ -381,6 +381,7 @@
             members,
             remaining_redundancy: self.remaining_redundancy(),
             is_stopped: false,
+            fault: None,
         }
     }
 
--- a/crates/wasabipoint_consensus/src/core/follower.rs
+++ b/crates/wasabipoint_consensus/src/core/follower.rs
@@ -35,6 +35,10 @@
         else {
             return;
         };
+        let mut expected = prev_index + 1..;
+        if !entries.iter().all(|e| Some(e.index) == expected.next()) {
+            return;
+        }
         self.follow_leader(from);
         let base = self.log.base().0;
         if prev_index >= base && self.log.term_at(prev_index) != Some(prev_term) {
--- a/crates/wasabipoint_consensus/src/lib.rs
+++ b/crates/wasabipoint_consensus/src/lib.rs
@@ -1,4 +1,13 @@
 //! Replicated log: a pure step function, synced storage and an async driver.
+//!
+//! A new cluster starts once all its first members have been up at the same time: each records
+//! the disks of the others, and from then on a member with an empty disk is refused under an old
+//! id. Such a VM joins as a learner under a new id, is promoted once it holds every committed entry
+//! durably, and the old id is removed.
+//!
+//! [`Core`] decides; it has no clock and no I/O. [`Storage`] makes its writes durable. The driver
+//! behind [`ReplicaHandle`] connects both with the transport and the state machine. While a write
+//! is in progress, further proposals are collected and share the next one.
 
 mod api;
 mod core;
--- a/crates/wasabipoint_consensus/src/replica/driver.rs
+++ b/crates/wasabipoint_consensus/src/replica/driver.rs
@@ -68,6 +68,8 @@
     reads: HashMap<u64, oneshot::Sender<Result<u64, ProposeError>>>,
     next_read: u64,
     is_stopping: bool,
+    /// Why the replica stops by itself.
+    fault: Option<String>,
 }
 
 /// Locks the state machine. A panic while it was locked is not ours to hide or to repeat.
@@ -99,6 +101,7 @@
             reads: HashMap::new(),
             next_read: 0,
             is_stopping: false,
+            fault: None,
         }
     }
 
@@ -189,8 +192,7 @@
             Err(error) => {
                 // Not repeated: after a failed sync the system may have dropped the data and
                 // report success.
-                crit!(self.logger, "consensus: stopping, the disk failed"; "error" => %error);
-                self.is_stopping = true;
+                self.stop_after(format!("the disk failed: {error}"));
             }
         }
     }
@@ -209,12 +211,16 @@
         }
         self.publish_status();
         if let Some(reason) = self.core.refusal() {
-            crit!(self.logger, "consensus: stopping, the other members refuse this one";
-                "reason" => %reason);
-            self.is_stopping = true;
+            self.stop_after(format!("the other members refuse this one: {reason}"));
         }
     }
 
+    fn stop_after(&mut self, fault: String) {
+        crit!(self.logger, "consensus: stopping after a fault"; "fault" => &fault);
+        self.is_stopping = true;
+        self.fault = Some(fault);
+    }
+
     fn apply_effects(&mut self) {
         let effects = self.core.take_effects();
         if effects.is_empty() {
@@ -228,8 +234,7 @@
                 Effect::Restore(snapshot) => {
                     info!(self.logger, "consensus: installed a snapshot"; "index" => snapshot.index);
                     if let Err(error) = machine.restore(&snapshot.data) {
-                        crit!(self.logger, "consensus: stopping"; "error" => %error);
-                        self.is_stopping = true;
+                        self.stop_after(error.to_string());
                         return;
                     }
                     continue;
@@ -340,6 +345,7 @@
         // Also after a panic in the state machine, the status must not look alive.
         self.status.send_modify(|status| {
             status.is_stopped = true;
+            status.fault = self.fault.take();
             status.leader = None;
             status.remaining_redundancy = 0;
         });
--- a/crates/wasabipoint_consensus/tests/driver.rs
+++ b/crates/wasabipoint_consensus/tests/driver.rs
@@ -90,7 +90,8 @@
     cluster.restart(lost).await.unwrap();
     let mut status = cluster.handle(lost).watch_status();
     let refused = timeout(PATIENCE, status.wait_for(|s| s.is_stopped)).await;
-    refused.unwrap().unwrap();
+    let fault = refused.unwrap().unwrap().fault.clone();
+    assert!(fault.unwrap().contains("another disk"));
     cluster.wait_redundancy(leader, 0).await;
 
     cluster.join(4).await;
@@ -165,7 +166,8 @@
                 }
             }
         }
-        status.wait_for(|s| s.is_stopped).await.unwrap();
+        let stopped = status.wait_for(|s| s.is_stopped).await.unwrap().clone();
+        assert!(stopped.fault.unwrap().contains("disk failed"));
         cluster.stop(1).await;
         cluster.repair_disk(1);
         cluster.restart(1).await.unwrap();
