--- a/crates/wasabipoint_control/tests/state_machine/fleet.rs
+++ b/crates/wasabipoint_control/tests/state_machine/fleet.rs
@@ -30,7 +30,10 @@
     RestartEngine(usize),
     Terminate(usize),
     ListTerminated(usize),
-    Grant(usize, usize, Option<u64>),
+    /// An agent reads its engine, works on all models and exchanges reports without loss.
+    Progress(usize),
+    /// Model, endpoint, which grant of the model is replaced, whether the run is an older one.
+    Grant(usize, usize, Option<usize>, bool),
     Revoke(u64),
 }
 
@@ -50,9 +53,15 @@
         1 => endpoint.clone().prop_map(Step::RestartEngine),
         1 => endpoint.clone().prop_map(Step::Terminate),
         1 => endpoint.clone().prop_map(Step::ListTerminated),
-        8 => (model, endpoint, prop::option::weighted(0.2, 1_u64..40))
-            .prop_map(|(m, e, replaces)| Step::Grant(m, e, replaces)),
-        6 => (0_u64..6).prop_map(Step::Revoke),
+        6 => endpoint.clone().prop_map(Step::Progress),
+        8 => (
+            model,
+            endpoint,
+            prop::option::weighted(0.3, 0_usize..3),
+            prop::bool::weighted(0.1),
+        )
+            .prop_map(|(m, e, replaces, is_stale)| Step::Grant(m, e, replaces, is_stale)),
+        3 => (0_u64..6).prop_map(Step::Revoke),
     ]
 }
 
@@ -97,7 +106,10 @@
             Step::RestartEngine(e) => self.agents[e].restart_engine(),
             Step::Terminate(e) => self.agents[e].terminate(),
             Step::ListTerminated(e) => self.list_terminated(e),
-            Step::Grant(model, e, replaces) => return self.grant(model, e, replaces),
+            Step::Progress(e) => return self.progress(e),
+            Step::Grant(model, e, replaces, is_stale) => {
+                return self.grant(model, e, replaces, is_stale);
+            }
             Step::Revoke(nth) => {
                 let mut tokens = state.fleet.grants.keys().copied();
                 if let Some(token) = tokens.nth(nth as usize) {
@@ -145,27 +157,44 @@
         }
     }
 
+    fn progress(&mut self, e: usize) -> Result<(), TestCaseError> {
+        self.agents[e].read_engine();
+        for model in 0..MODELS {
+            self.agents[e].work(model, false);
+        }
+        self.exchange(e)
+    }
+
     /// A policy without any sense proposes a grant.
     fn grant(
         &mut self,
         model: usize,
         e: usize,
-        replaces: Option<u64>,
+        replaces: Option<usize>,
+        is_stale: bool,
     ) -> Result<(), TestCaseError> {
         let endpoint = endpoint_id(e);
-        let known = self.state.fleet.endpoints.get(&endpoint);
+        let run = self.incarnation(e).unwrap_or(Incarnation(1));
+        let mut grants = self.state.fleet.grants.iter();
+        let replaces = replaces.and_then(|nth| {
+            let of_model = grants
+                .by_ref()
+                .filter(|(_, grant)| grant.model == model_name(model));
+            of_model.map(|(token, _)| *token).nth(nth)
+        });
         let command = Command::Grant(GrantRequest {
             model: model_name(model),
             version: 1,
             endpoint: endpoint.clone(),
-            incarnation: known.map_or(Incarnation(1), |known| known.incarnation),
+            incarnation: Incarnation(run.0 - u64::from(is_stale)),
             memory_mib: MODEL_MIB[model],
-            replaces: replaces.map(FencingToken),
+            replaces,
         });
         let before = self.decided(model);
         if let Outcome::Granted(_) = apply(&mut self.state, 0, command) {
-            let reported = self.state.fleet.endpoints[&endpoint].memory_mib;
-            prop_assert!(self.state.fleet.counted_mib(&endpoint) <= reported);
+            let known = &self.state.fleet.endpoints[&endpoint];
+            prop_assert!(!is_stale && known.is_engine_known && !known.is_leaving);
+            prop_assert!(self.state.fleet.counted_mib(&endpoint) <= known.memory_mib);
             let raised = self.decided(model) - before;
             prop_assert!(raised <= u32::from(replaces.is_some()));
         }
@@ -228,11 +257,7 @@
         }
         for _ in 0..6 {
             for e in 0..ENDPOINTS {
-                for model in 0..MODELS {
-                    self.agents[e].work(model, false);
-                }
-                self.agents[e].read_engine();
-                self.exchange(e)?;
+                self.progress(e)?;
             }
         }
         Ok(())
--- a/crates/wasabipoint_control/tests/state_machine/quota.rs
+++ b/crates/wasabipoint_control/tests/state_machine/quota.rs
@@ -41,18 +41,23 @@
     ChangeLeader { pause_ms: u64 },
 }
 
+/// Often the whole, because the bounds are met by large requests.
+fn share(whole: u64) -> impl Strategy<Value = u64> {
+    prop_oneof![Just(whole), 1..=whole]
+}
+
 fn step() -> impl Strategy<Value = Step> {
     let entry = 0..ENTRIES;
     prop_oneof![
-        4 => (1_u64..900).prop_map(Step::Pass),
-        6 => (entry.clone(), 0..=BURST, 0_u64..=100, prop::bool::weighted(0.3)).prop_map(
+        4 => (1_u64..1_500).prop_map(Step::Pass),
+        6 => (entry.clone(), share(BURST), 0_u64..=100, prop::bool::weighted(0.3)).prop_map(
             |(entry, wanted, returned_percent, is_answer_lost)| Step::Exchange {
                 entry, wanted, returned_percent, is_answer_lost,
             }
         ),
         3 => entry.clone().prop_map(|entry| Step::Resend { entry }),
         1 => (entry.clone(), 0_usize..4).prop_map(|(entry, back)| Step::Late { entry, back }),
-        8 => (entry.clone(), 1..=BURST, 0_u64..=100).prop_map(
+        8 => (entry.clone(), share(BURST), share(100)).prop_map(
             |(entry, tokens, used_percent)| Step::Admit { entry, tokens, used_percent }
         ),
         1 => entry.prop_map(|entry| Step::Restart { entry }),
@@ -205,10 +210,10 @@
     fn admit(&mut self, entry: usize, tokens: u64, used_percent: u64) {
         let now_ms = self.real_ms;
         let mut slices = self.entries[entry].slices.values_mut();
-        let fitting = slices.find(|slice| slice.usable_until_ms > now_ms && slice.tokens >= tokens);
-        if let Some(slice) = fitting {
+        let usable = slices.find(|slice| slice.usable_until_ms > now_ms && slice.tokens > 0);
+        if let Some(slice) = usable {
             // The reservation is settled at once: the unused part stays in the slice.
-            let used = tokens * used_percent / 100;
+            let used = tokens.min(slice.tokens) * used_percent / 100;
             slice.tokens -= used;
             slice.spent += used;
             self.admitted.push((now_ms, used));
