--- a/crates/wasabipoint_control/tests/cluster/main.rs
+++ b/crates/wasabipoint_control/tests/cluster/main.rs
@@ -3,4 +3,6 @@
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 mod fixture;
+mod links;
 mod single_member;
+mod three_members;
