--- a/crates/wasabipoint_kernel/src/settings/control.rs
+++ b/crates/wasabipoint_kernel/src/settings/control.rs
@@ -88,6 +88,24 @@
         "Lifetime of a quota slice at an entry process in milliseconds.",
     )
     .with_default("5000"),
+    SettingSpec::new(
+        "agent_silence_ms",
+        SettingForm::Integer {
+            min: 100,
+            max: 600_000,
+        },
+        "Silence of an agent after which its grants are in doubt, in milliseconds.",
+    )
+    .with_default("5000"),
+    SettingSpec::new(
+        "replace_after_ms",
+        SettingForm::Integer {
+            min: 100,
+            max: 3_600_000,
+        },
+        "Time in doubt after which a replica may be replaced, in milliseconds.",
+    )
+    .with_default("10000"),
     SettingSpec::new(
         "log_format",
         SettingForm::Choice(&["text", "json"]),
