--- /dev/null
+++ b/crates/wasabipoint_agent/tests/agent/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the agent against the fakes over loopback.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod adapters;
+mod dispatch;
+mod drain;
+mod executions;
+mod history;
+mod support;
