Keep counting a live grant whose engine lost the replica

The agent may load it again under the last directive that it has taken in, so absence proves a release only for a revoked grant or in a new run.

--- a/crates/wasabipoint_control/src/state/fleet.rs
+++ b/crates/wasabipoint_control/src/state/fleet.rs
@@ -3,9 +3,9 @@
 //! A grant is counted from its commit until its release is certain. The evidence is an agent's
 //! report, so reports that arrive late must prove nothing: before an answer first tells an agent of
 //! a grant, the sequence number of the answered report is committed, and only reports with a larger
-//! one are evidence from then on. An agent has one report in flight, lists every grant that it has
-//! accepted until it has accepted its revocation and confirmed the unload, and never loads again
-//! under the fencing token of a failed load.
+//! one are evidence from then on. This relies on what agents promise (`wasabipoint_rpc::AgentReport`):
+//! one report is in flight, every grant that the last directive told as live is listed, and a failed
+//! load is not repeated under its fencing token.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -83,7 +83,7 @@
         pub memory_mib: u64,
         /// State of the grant.
         pub phase: GrantPhase,
-        /// Log time of its commit.
+        /// Log time of its commit, or since when a replica that served has to load again.
         pub granted_ms: u64,
         /// Whether it is in doubt and another replica was decided in its place.
         pub is_replaced: bool,
@@ -132,7 +132,7 @@
 enum Evidence {
     Nothing,
     Loaded,
-    /// The engine is loading the replica again.
+    /// The engine has lost the replica or loads it again.
     NotServing,
     /// A new run of the agent found the replica.
     Confirmed,
@@ -234,12 +234,12 @@
     }
     let is_new_run = grant.incarnation != report.incarnation;
     let Some(replica) = find_replica(report, grant) else {
-        // A live grant that was never loaded may not have reached the agent yet.
-        let is_untold = grant.phase == GrantPhase::Loading && !is_new_run;
-        return if is_untold {
-            Evidence::Nothing
-        } else {
-            Evidence::Released { is_failed: false }
+        return match grant.phase {
+            _ if is_new_run => Evidence::Released { is_failed: false },
+            GrantPhase::Revoked => Evidence::Released { is_failed: false },
+            // The agent may act on a directive that still tells the grant as live.
+            GrantPhase::Loaded => Evidence::NotServing,
+            GrantPhase::Loading => Evidence::Nothing,
         };
     };
     let is_same_token = replica.fencing_token == token;
@@ -309,6 +309,7 @@
                     Evidence::NotServing => {
                         grant.phase = GrantPhase::Loading;
                         grant.incarnation = report.incarnation;
+                        grant.granted_ms = now_ms;
                     }
                     Evidence::Confirmed => grant.incarnation = report.incarnation,
                     Evidence::Released { is_failed } => {
