--- a/crates/wasabipoint_rpc/src/agent.rs
+++ b/crates/wasabipoint_rpc/src/agent.rs
@@ -52,7 +52,8 @@
         Loaded,
         /// The replica finishes its requests and is then unloaded.
         Unloading,
-        /// The last load failed; nothing is held.
+        /// The last load failed; nothing is held. The agent does not try again under the same
+        /// fencing token, because control releases the grant and decides anew.
         Failed,
     }
 }
@@ -106,7 +107,9 @@
         pub is_draining: bool,
         /// Whether `replicas` was read from the engine in this run. Absence proves nothing before.
         pub is_engine_known: bool,
-        /// Replicas at the engine.
+        /// Replicas at the engine, and as `Loading` every grant that the last directive told as live
+        /// and that has no replica yet. Control takes absence as proof that the agent will not load
+        /// under a revoked grant.
         pub replicas: Vec<ReplicaReport>,
         /// Adapters at the engine.
         pub adapters: Vec<AdapterName>,
