Test silent connections with paused time

An endpoint in memory never answers loads and completions. The tests of lost load answers and of the wait for an earlier agent now fail when the mechanism is removed; before, both passed without it: the first missed that the state was read again at once, the second ended before the late load arrived.

--- a/crates/wasabipoint_agent/src/execution_ledger.rs
+++ b/crates/wasabipoint_agent/src/execution_ledger.rs
@@ -27,8 +27,7 @@
             responses: 4_096,
             response_bytes: 16 * 1_024 * 1_024,
             response_age_ms: 600_000,
-            // About 40 bytes each. The design size needs 12 requests/s per endpoint for the
-            // largest deadline of one hour, which is 43,200 ids.
+            // At the design size an endpoint gets 12 requests/s, which is 50,400 ids in this age.
             ids: 131_072,
             id_age_ms: 4_200_000,
         }
--- a/crates/wasabipoint_agent/tests/agent/history.rs
+++ b/crates/wasabipoint_agent/tests/agent/history.rs
@@ -49,6 +49,13 @@
     setup.control.wait_for_loaded("n").await;
     assert_eq!(count(&setup.engine, HistoryKind::LoadStarted), 2);
     assert_eq!(count(&setup.engine, HistoryKind::Loaded), 2);
+    let reports = setup.control.reports();
+    let states = reports.iter().map(|report| find_state(report, "n"));
+    let states: Vec<_> = states.skip_while(Option::is_none).collect();
+    let is_held = |state: &Option<ReplicaState>| {
+        matches!(state, Some(ReplicaState::Loading | ReplicaState::Loaded))
+    };
+    assert!(states.iter().all(is_held), "{states:?}");
 }
 
 /// Guards against an agent that stands still while the engine's state is not answered.
@@ -189,6 +196,10 @@
     control.change(|directive| directive.grants.clear());
     control.grant("n", 6, 700);
     let _second = start_waiting(&engine, &control, Incarnation(2), 500);
+    wait_until("the late load arrived", || {
+        engine.history().iter().any(|event| event.model == "m")
+    })
+    .await;
     wait_until("only the later model is held", || {
         held(&engine) == BTreeMap::from([("n".to_owned(), 6)])
     })
--- a/crates/wasabipoint_agent/tests/agent/main.rs
+++ b/crates/wasabipoint_agent/tests/agent/main.rs
@@ -7,4 +7,5 @@
 mod drain;
 mod executions;
 mod history;
+mod silence;
 mod support;
--- /dev/null
+++ b/crates/wasabipoint_agent/tests/agent/silence.rs
@@ -0,0 +1,206 @@
+//! Connections that go silent for good, with an endpoint in memory and paused time.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use serde_json::json;
+use tokio::time::Instant;
+use wasabipoint_agent::{
+    AdapterCommand, Agent, CacheEventPage, CommandError, Endpoint, EndpointError, EndpointRequest,
+    EndpointResponse, EngineModel, EngineSnapshot, ModelCommand, ResponsePieces,
+};
+use wasabipoint_kernel::{ErrorKind, RequestId, RunState};
+use wasabipoint_rpc::ReplicaState;
+
+use crate::support::{
+    INCARNATION, TestControl, call, completion, find_state, settings, start_agent,
+};
+
+/// An engine whose answers to loads and completions never arrive.
+#[derive(Default)]
+struct SilentEngine {
+    snapshot: Mutex<EngineSnapshot>,
+    // Loads that reach the engine; later ones are lost with their connection.
+    loads_obeyed: Mutex<usize>,
+    loads: Mutex<Vec<(Instant, ModelCommand)>>,
+    is_head_sent: bool,
+}
+
+struct SilentPieces;
+
+impl ResponsePieces for SilentPieces {
+    fn next_piece(&mut self) -> BoxFuture<'_, Result<Option<bytes::Bytes>, EndpointError>> {
+        Box::pin(std::future::pending())
+    }
+}
+
+impl Endpoint for SilentEngine {
+    fn send(&self, _: EndpointRequest) -> BoxFuture<'_, Result<EndpointResponse, EndpointError>> {
+        Box::pin(async {
+            if !self.is_head_sent {
+                std::future::pending::<()>().await;
+            }
+            Ok(EndpointResponse {
+                status: 200,
+                headers: vec![("content-type".to_owned(), "text/event-stream".to_owned())],
+                body: Box::new(SilentPieces),
+            })
+        })
+    }
+
+    fn cancel(&self, _: RequestId) -> BoxFuture<'_, ()> {
+        Box::pin(async {})
+    }
+
+    fn read_state(&self) -> BoxFuture<'_, Result<EngineSnapshot, EndpointError>> {
+        Box::pin(async { Ok(self.snapshot.lock().unwrap().clone()) })
+    }
+
+    fn read_cache_events(&self, _: u64) -> BoxFuture<'_, Result<CacheEventPage, EndpointError>> {
+        Box::pin(async { Ok(CacheEventPage::default()) })
+    }
+
+    fn load(&self, command: ModelCommand) -> BoxFuture<'_, Result<(), CommandError>> {
+        self.loads
+            .lock()
+            .unwrap()
+            .push((Instant::now(), command.clone()));
+        let mut obeyed = self.loads_obeyed.lock().unwrap();
+        if *obeyed > 0 {
+            *obeyed -= 1;
+            self.snapshot.lock().unwrap().models.push(EngineModel {
+                model: command.model,
+                version: command.version,
+                fencing_token: command.fencing_token,
+                memory_mib: Some(command.memory_mib),
+                state: ReplicaState::Loaded,
+            });
+        }
+        Box::pin(std::future::pending())
+    }
+
+    fn unload(&self, command: ModelCommand) -> BoxFuture<'_, Result<(), CommandError>> {
+        let mut snapshot = self.snapshot.lock().unwrap();
+        snapshot.models.retain(|held| held.model != command.model);
+        Box::pin(std::future::pending())
+    }
+
+    fn load_adapter(&self, _: AdapterCommand) -> BoxFuture<'_, Result<(), CommandError>> {
+        Box::pin(std::future::pending())
+    }
+
+    fn unload_adapter(&self, _: AdapterCommand) -> BoxFuture<'_, Result<(), CommandError>> {
+        Box::pin(std::future::pending())
+    }
+}
+
+fn start(engine: SilentEngine) -> (Arc<SilentEngine>, Arc<TestControl>, Arc<Agent>) {
+    "1".clone_into(&mut engine.snapshot.lock().unwrap().instance);
+    let engine = Arc::new(engine);
+    let control = TestControl::new();
+    control.grant("m", 1, 400);
+    let endpoint: Arc<dyn Endpoint> = Arc::<SilentEngine>::clone(&engine);
+    let agent = start_agent(
+        settings("engine", "127.0.0.1:1", ""),
+        INCARNATION,
+        endpoint,
+        &control,
+    );
+    (engine, control, agent)
+}
+
+/// Guards against a load whose answer never comes and that blocks all later commands.
+#[tokio::test(start_paused = true)]
+async fn a_load_without_an_answer_is_resolved_by_the_state() {
+    let (engine, control, _agent) = start(SilentEngine {
+        loads_obeyed: Mutex::new(1),
+        ..SilentEngine::default()
+    });
+    control.wait_for_loaded("m").await;
+    assert_eq!(engine.loads.lock().unwrap().len(), 1);
+    control.revoke("m");
+    control.wait_for_absent("m").await;
+}
+
+/// Guards against a lost command that is never repeated, or repeated while it may still arrive.
+#[tokio::test(start_paused = true)]
+async fn a_lost_load_is_reported_and_repeated() {
+    let (engine, control, _agent) = start(SilentEngine::default());
+    control
+        .wait_for("m failed", |report| {
+            find_state(report, "m") == Some(ReplicaState::Failed)
+        })
+        .await;
+    *engine.loads_obeyed.lock().unwrap() = 1;
+    control.wait_for_loaded("m").await;
+    let loads = engine.loads.lock().unwrap();
+    assert_eq!(loads.len(), 2);
+    let pause = loads[1].0 - loads[0].0;
+    assert!(pause >= Duration::from_secs(5), "{pause:?}");
+}
+
+/// Guards against requests, and drains, that wait for good on a silent engine.
+#[tokio::test(start_paused = true)]
+async fn a_silent_engine_fails_a_request_in_bounded_time() {
+    for (is_head_sent, bound_s) in [(false, 10 + 30), (true, 30)] {
+        let (_engine, control, agent) = start(SilentEngine {
+            loads_obeyed: Mutex::new(1),
+            is_head_sent,
+            ..SilentEngine::default()
+        });
+        control.wait_for_loaded("m").await;
+        let mut request = completion("silent", &json!({}));
+        request.remaining_ms = 10_000;
+        let started_at = Instant::now();
+        let received = call(&agent, request).await;
+        assert_eq!(
+            received.failed,
+            Some((ErrorKind::EndpointFailed, RunState::Unknown))
+        );
+        assert_eq!(started_at.elapsed().as_secs(), bound_s);
+        // One heartbeat per 400 ms of silence.
+        assert!(
+            received.heartbeats as u64 >= bound_s * 2,
+            "{}",
+            received.heartbeats
+        );
+        agent.drain().await;
+    }
+}
+
+/// Guards against a revoked replica that a stuck request holds for good.
+#[tokio::test(start_paused = true)]
+async fn the_drain_of_a_revoked_replica_is_bounded() {
+    let (_engine, control, agent) = start(SilentEngine {
+        loads_obeyed: Mutex::new(1),
+        ..SilentEngine::default()
+    });
+    control.wait_for_loaded("m").await;
+    let mut request = completion("stuck", &json!({}));
+    request.remaining_ms = 600_000;
+    let frames = agent.dispatch(request);
+    let drain_frames = tokio::spawn(async move {
+        let mut frames = frames;
+        while frames.recv().await.is_some() {}
+    });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let revoked_at = Instant::now();
+    control.revoke("m");
+    // Two waits, since one is bounded by the patience of the tests.
+    tokio::time::sleep(Duration::from_secs(40)).await;
+    assert_eq!(
+        control
+            .reports()
+            .last()
+            .and_then(|report| find_state(report, "m")),
+        Some(ReplicaState::Unloading)
+    );
+    control.wait_for_absent("m").await;
+    assert!(
+        revoked_at.elapsed() >= Duration::from_mins(1),
+        "{:?}",
+        revoked_at.elapsed()
+    );
+    drain_frames.abort();
+}
