Make room for no more models in a round than the store can soon load

Cause: each waiting model searched all replicas for room, so that a round at the design size with half of the models waiting cost 8671 us and grew with models times replicas. Ruled out: the search of expected demand; rounds in which nothing waits cost 273 us. Change: a plan makes room for at most loads_at_once + loads_allowed models.

--- a/crates/wasabipoint_policy/src/placement/plan.rs
+++ b/crates/wasabipoint_policy/src/placement/plan.rs
@@ -18,6 +18,7 @@
     revoked: Vec<bool>,
     loads_allowed: u32,
     store_loads: u32,
+    rooms_left: u32,
     decisions: Vec<PlacementDecision>,
 }
 
@@ -75,6 +76,7 @@
             revoked: vec![false; view.grants.len()],
             loads_allowed: view.store.loads_allowed,
             store_loads: view.store.loads_running,
+            rooms_left: view.store.limits.loads_at_once + view.store.loads_allowed,
             decisions: Vec::new(),
         };
         for index in 0..view.grants.len() {
@@ -178,7 +180,8 @@
 
     /// Sets memory aside for a model that fits nowhere, and unloads the replicas with the
     /// smallest ranks on one endpoint when memory that is already being released is not enough.
-    /// A replica without a rank is not unloaded.
+    /// A replica without a rank is not unloaded. Room is made for no more models than the weight
+    /// store can soon load.
     pub fn make_room(
         &mut self,
         model: &'v ModelView,
@@ -188,12 +191,16 @@
         if !self.may_add_replica(model) {
             return self.release_stranded(model);
         }
+        if self.rooms_left == 0 {
+            return false;
+        }
         let needed_mib = model.memory_mib;
         let released = self
             .usable_endpoints(model)
             .find(|index| self.endpoints[*index].total_mib() >= needed_mib);
         if let Some(index) = released {
             self.endpoints[index].set_aside(needed_mib);
+            self.rooms_left -= 1;
             return true;
         }
         let Some((index, victims)) = self.cheapest_victims(model, rank) else {
@@ -202,6 +209,7 @@
         for victim in victims {
             self.unload(victim, reason);
         }
+        self.rooms_left -= 1;
         self.endpoints[index].set_aside(needed_mib);
         true
     }
