Measure what control costs against the number of nodes, and list the proofs

Also tests a frozen VM that thaws after its replica was replaced. The replaced replica keeps counting; the decided number is raised openly to two and nothing exceeds it after the thaw.

--- a/crates/wasabipoint_testbed/src/fleet.rs
+++ b/crates/wasabipoint_testbed/src/fleet.rs
@@ -223,7 +223,7 @@
             "[control]\ncluster = testbed\nmember = {member}\nmembers = {}\nrpc_listen = {}\n\
              http_listen = {}\ndata_folder = {}\nfailure_domain = {}\nkey_secret = {KEY_SECRET}\n\
              operator_token = {OPERATOR_TOKEN}\nplatform_list = http://{}/vms\ntick_ms = 20\n\
-             snapshot_entries = 200\n",
+             snapshot_entries = 200\nagent_silence_ms = 1500\nreplace_after_ms = 1500\n",
             members.join(", "),
             self.control_rpc[index],
             self.control_http[index],
@@ -340,15 +340,8 @@
     async fn apply_example(&self) -> Result<(), FleetError> {
         let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
         let example = examples.join(&self.plan.example);
-        let inventory = example.join("inventory.ini");
-        let rules = match &self.plan.rules {
-            Some(text) => {
-                let path = self.folder.join("rules.ini");
-                std::fs::write(&path, text)?;
-                path
-            }
-            None => example.join("rules.ini"),
-        };
+        let inventory = self.file_or(self.plan.inventory.as_deref(), &example, "inventory.ini")?;
+        let rules = self.file_or(self.plan.rules.as_deref(), &example, "rules.ini")?;
         self.operate(&["inventory", "apply", &inventory.display().to_string()])
             .await?;
         self.operate(&["rules", "apply", &rules.display().to_string()])
@@ -356,6 +349,21 @@
         Ok(())
     }
 
+    /// Returns the example's file, or writes the text that replaces it.
+    fn file_or(
+        &self,
+        text: Option<&str>,
+        example: &Path,
+        name: &str,
+    ) -> Result<PathBuf, FleetError> {
+        let Some(text) = text else {
+            return Ok(example.join(name));
+        };
+        let path = self.folder.join(name);
+        std::fs::write(&path, text)?;
+        Ok(path)
+    }
+
     /// Runs the command line with JSON output.
     pub async fn operate(&self, arguments: &[&str]) -> Result<Value, FleetError> {
         let settings = self.folder.join("operator.ini");
@@ -389,6 +397,11 @@
         })
     }
 
+    /// Returns the rpc address of a control member, without its link.
+    pub fn control_rpc_address(&self, index: usize) -> SocketAddr {
+        self.control_rpc[index]
+    }
+
     /// Returns the address of a control member's operator API.
     pub fn control_address(&self, index: usize) -> SocketAddr {
         self.control_http[index]
--- a/crates/wasabipoint_testbed/src/lib.rs
+++ b/crates/wasabipoint_testbed/src/lib.rs
@@ -2,13 +2,17 @@
 //! kills, pauses and silent links.
 
 mod caller;
+mod capacity;
 mod demo;
 mod fleet;
 mod link;
 mod plan;
 mod process;
+mod swarm;
+mod usage;
 
 pub use caller::{Answer, Caller};
+pub use capacity::{CapacityOptions, capacity_options, run_capacity};
 pub use demo::{DemoError, run_demo};
 pub use fleet::{CallerKey, Fleet, FleetError};
 pub use link::{Link, LinkState};
--- a/crates/wasabipoint_testbed/src/link.rs
+++ b/crates/wasabipoint_testbed/src/link.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -28,6 +29,7 @@
 #[derive(Debug)]
 pub struct Link {
     address: SocketAddr,
+    forwarded_bytes: Arc<AtomicU64>,
     state: Arc<watch::Sender<LinkState>>,
     task: JoinHandle<()>,
 }
@@ -38,15 +40,18 @@
         let listener = TcpListener::bind((host, 0)).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(watch::Sender::new(LinkState::Open));
+        let forwarded_bytes = Arc::new(AtomicU64::new(0));
         let states = Arc::clone(&state);
+        let counter = Arc::clone(&forwarded_bytes);
         let task = tokio::spawn(async move {
             while let Ok((caller, _)) = listener.accept().await {
                 let states = Arc::clone(&states);
-                tokio::spawn(forward(caller, target, states));
+                tokio::spawn(forward(caller, target, states, Arc::clone(&counter)));
             }
         });
         Ok(Self {
             address,
+            forwarded_bytes,
             state,
             task,
         })
@@ -57,6 +62,11 @@
         self.address
     }
 
+    /// Returns the bytes that passed in both directions.
+    pub fn forwarded_bytes(&self) -> u64 {
+        self.forwarded_bytes.load(Ordering::Relaxed)
+    }
+
     /// Changes what happens to bytes from now on.
     pub fn set_state(&self, state: LinkState) {
         self.state.send_replace(state);
@@ -69,7 +79,12 @@
     }
 }
 
-async fn forward(caller: TcpStream, target: SocketAddr, states: Arc<watch::Sender<LinkState>>) {
+async fn forward(
+    caller: TcpStream,
+    target: SocketAddr,
+    states: Arc<watch::Sender<LinkState>>,
+    forwarded_bytes: Arc<AtomicU64>,
+) {
     // A connection made while old ones are silent is not one of them.
     let is_exempt = *states.borrow() == LinkState::OldSilent;
     let Ok(server) = TcpStream::connect(target).await else {
@@ -77,8 +92,20 @@
     };
     let (caller_read, caller_write) = caller.into_split();
     let (server_read, server_write) = server.into_split();
-    let upward = copy(caller_read, server_write, states.subscribe(), is_exempt);
-    let downward = copy(server_read, caller_write, states.subscribe(), is_exempt);
+    let upward = copy(
+        caller_read,
+        server_write,
+        states.subscribe(),
+        is_exempt,
+        &forwarded_bytes,
+    );
+    let downward = copy(
+        server_read,
+        caller_write,
+        states.subscribe(),
+        is_exempt,
+        &forwarded_bytes,
+    );
     tokio::join!(upward, downward);
 }
 
@@ -87,6 +114,7 @@
     mut to: OwnedWriteHalf,
     mut states: watch::Receiver<LinkState>,
     is_exempt: bool,
+    forwarded_bytes: &AtomicU64,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
@@ -104,5 +132,6 @@
         if to.write_all(&buffer[..count]).await.is_err() {
             return;
         }
+        forwarded_bytes.fetch_add(count as u64, Ordering::Relaxed);
     }
 }
--- a/crates/wasabipoint_testbed/src/plan.rs
+++ b/crates/wasabipoint_testbed/src/plan.rs
@@ -13,6 +13,7 @@
 #[derive(Debug, Clone)]
 pub struct FleetPlan {
     pub(crate) example: String,
+    pub(crate) inventory: Option<String>,
     pub(crate) rules: Option<String>,
     pub(crate) failure_domains: Vec<String>,
     pub(crate) controls: u64,
@@ -34,6 +35,7 @@
     pub fn delta() -> Self {
         Self {
             example: "delta".to_owned(),
+            inventory: None,
             rules: None,
             failure_domains: ["Tanta", "Mansoura", "Zagazig", "Banha"]
                 .map(str::to_owned)
@@ -74,6 +76,13 @@
         self
     }
 
+    /// Replaces the inventory of the example.
+    #[must_use]
+    pub fn with_inventory(mut self, inventory: &str) -> Self {
+        self.inventory = Some(inventory.to_owned());
+        self
+    }
+
     /// Replaces the rules of the example.
     #[must_use]
     pub fn with_rules(mut self, rules: &str) -> Self {
--- a/crates/wasabipoint_testbed/src/process.rs
+++ b/crates/wasabipoint_testbed/src/process.rs
@@ -95,6 +95,11 @@
         &self.name
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> i32 {
+        self.pid.as_raw_nonzero().get()
+    }
+
     /// Returns the address that the program printed, with `http=` or bare.
     pub fn http_address(&self) -> &str {
         self.listening
--- a/crates/wasabipoint_testbed/tests/replicas.rs
+++ b/crates/wasabipoint_testbed/tests/replicas.rs
@@ -95,3 +95,53 @@
 async fn no_extra_replica_with_fencing_ignored() {
     loads_survive_failures(EngineFencing::Ignored).await;
 }
+
+/// Guards against a frozen VM whose replica stops counting, so that it thaws as one replica more
+/// than decided, and against a model that nobody serves while its VM is frozen.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_vm_is_replaced_openly_and_thaws_within_the_decided_number() {
+    let plan = FleetPlan::delta()
+        .with_endpoints(2, 0)
+        .with_engine_pace(2, 100);
+    let fleet = Fleet::start(plan).await.unwrap();
+    let key = fleet.add_key("bucket-traders").await.unwrap();
+    fleet.wait_for_key(0, &key.key).await.unwrap();
+    let caller = fleet.caller(0).with_key(&key.key);
+    let model = "hotels-small";
+    let first = caller.chat(model, "first", 4, false).await.unwrap();
+    assert_eq!(first.status, StatusCode::OK, "{:?}", first.body);
+    let holder = usize::from(
+        engine_state(&fleet, 0).await["models"]
+            .as_array()
+            .unwrap()
+            .is_empty(),
+    );
+    fleet.agents[holder].pause().unwrap();
+    fleet.endpoints[holder].pause().unwrap();
+    // Requests go on until the replacement serves; each is answered, none waits for the thaw.
+    Fleet::wait_for("service by the replacement", || async {
+        let answer = caller.chat(model, "while frozen", 4, false).await.unwrap();
+        answer.status == StatusCode::OK
+    })
+    .await
+    .unwrap();
+    let explained = fleet.operate(&["explain", "model", model]).await.unwrap();
+    assert_eq!(
+        explained["grants"].as_array().unwrap().len(),
+        2,
+        "{explained}"
+    );
+    fleet.endpoints[holder].resume().unwrap();
+    fleet.agents[holder].resume().unwrap();
+    assert!(count_replicas(&fleet, 2, model).await <= 2);
+    Fleet::wait_for("reports after the thaw", || async {
+        let explained = fleet.operate(&["explain", "model", model]).await.unwrap();
+        let grants = explained["grants"].as_array().unwrap();
+        let held = count_replicas(&fleet, 2, model).await;
+        assert!(held <= 2);
+        let is_certain = grants.iter().all(|grant| grant["is_in_doubt"] == false);
+        is_certain && held == grants.len()
+    })
+    .await
+    .unwrap();
+}
