--- a/crates/wasabipoint_consensus/src/storage/frame.rs
+++ b/crates/wasabipoint_consensus/src/storage/frame.rs
@@ -3,7 +3,8 @@
 //! The file starts with a magic number and a random salt. Each synced group of records is one
 //! frame with a header (magic, sequence, length, payload checksum, header checksum). A frame is
 //! written only after the one before it is synced, so a frame that is followed by a valid one
-//! cannot be the remains of a crash: it is corrupt.
+//! cannot be the remains of a crash: it is corrupt. Damage to the last frame cannot be told from a
+//! torn write; that frame is cut.
 
 const FILE_MAGIC: [u8; 8] = *b"WPLOG\0\0\x01";
 const FRAME_MAGIC: [u8; 4] = *b"WPfr";
