--- a/crates/wasabipoint_consensus/src/core/leader.rs
+++ b/crates/wasabipoint_consensus/src/core/leader.rs
@@ -18,6 +18,8 @@
 const BATCH_BYTES: usize = 256 * 1_024;
 /// Entries sent to one member before its confirmation.
 const WINDOW_ENTRIES: u64 = 4_096;
+/// Bytes of entries sent to one member before its confirmation; bounds the transport's memory.
+const WINDOW_BYTES: usize = 1_024 * 1_024;
 
 /// State of a leader in its term.
 #[derive(Debug, Default)]
@@ -44,6 +46,7 @@
 pub(super) struct Progress {
     pub(super) match_index: u64,
     next_index: u64,
+    in_flight_bytes: usize,
     flow: Flow,
     round: u64,
     last_heard: u64,
@@ -113,6 +116,7 @@
             leadership.progress.entry(member).or_insert(Progress {
                 match_index: 0,
                 next_index,
+                in_flight_bytes: 0,
                 flow: Flow::Probe { is_sent: false },
                 round: 0,
                 last_heard: now,
@@ -297,7 +301,10 @@
             Flow::Probe { is_sent } | Flow::Snapshot { is_sent, .. } => {
                 !std::mem::replace(is_sent, true) || (is_due && is_responding)
             }
-            Flow::Stream => prev_index.saturating_sub(progress.match_index) < WINDOW_ENTRIES,
+            Flow::Stream => {
+                prev_index.saturating_sub(progress.match_index) < WINDOW_ENTRIES
+                    && progress.in_flight_bytes < WINDOW_BYTES
+            }
         };
         if let Flow::Snapshot {
             snapshot, offset, ..
@@ -322,6 +329,7 @@
         }
         if is_streaming {
             progress.next_index += entries.len() as u64;
+            progress.in_flight_bytes += entries.iter().map(Entry::size).sum::<usize>();
         }
         let has_more = is_streaming && !entries.is_empty();
         let body = Body::Append {
@@ -359,12 +367,18 @@
         if !self.note_answer(from, disk, round) {
             return;
         }
-        let progress = self
-            .leadership_mut()
-            .and_then(|l| l.progress.get_mut(&from));
-        if let Some(progress) = progress {
+        let State::Leader(leadership) = &mut self.state else {
+            return;
+        };
+        if let Some(progress) = leadership.progress.get_mut(&from) {
+            let newly_matched = progress.match_index + 1..=index;
+            let sizes = newly_matched.filter_map(|i| self.log.get(i).map(Entry::size));
+            progress.in_flight_bytes = progress.in_flight_bytes.saturating_sub(sizes.sum());
             progress.match_index = progress.match_index.max(index);
             progress.next_index = progress.next_index.max(progress.match_index + 1);
+            if progress.next_index == progress.match_index + 1 {
+                progress.in_flight_bytes = 0;
+            }
             let needs_more = matches!(&progress.flow,
                 Flow::Snapshot { snapshot, .. } if snapshot.index > progress.match_index);
             if !needs_more {
@@ -397,6 +411,7 @@
         }
         let next_index = prev_index.min(hint_index + 1);
         progress.next_index = next_index.max(progress.match_index + 1);
+        progress.in_flight_bytes = 0;
         progress.flow = Flow::Probe { is_sent: false };
     }
 
