--- a/crates/wasabipoint_control/src/control.rs
+++ b/crates/wasabipoint_control/src/control.rs
@@ -10,7 +10,7 @@
 
 use crate::member::Member;
 use crate::metrics::ControlMetrics;
-use crate::office::Office;
+use crate::office::{Office, SilenceBounds};
 use crate::state::Command;
 
 /// Shared parts of the services of one member.
@@ -21,6 +21,7 @@
     /// Wakes placement when requests wait for a model without a replica.
     pub(crate) wake_placement: Notify,
     pub(crate) slice_lifetime_ms: u64,
+    pub(crate) silence_bounds: SilenceBounds,
     pub(crate) key_digester: KeyDigester,
     pub(crate) key_secret: String,
     pub(crate) operator_token: String,
@@ -37,7 +38,7 @@
         if office.as_ref().is_none_or(|known| known.term < term) {
             *office = None;
         }
-        work(office.get_or_insert_with(|| Office::new(term)))
+        work(office.get_or_insert_with(|| Office::new(term, self.silence_bounds)))
     }
 
     /// Records this member's addresses, so that other members can name them as the leader's.
--- a/crates/wasabipoint_control/src/office.rs
+++ b/crates/wasabipoint_control/src/office.rs
@@ -12,18 +12,21 @@
 /// Age after which the report of a silent entry no longer counts as demand.
 const ENTRY_SILENCE: Duration = Duration::from_secs(5);
 
-/// Silence of an agent after which its grants are in doubt and its endpoint gets no new replicas.
-const AGENT_SILENCE: Duration = Duration::from_secs(5);
-
-/// Time in doubt after which another replica may be decided in place of a grant.
-const REPLACE_AFTER: Duration = Duration::from_secs(10);
-
 /// Time for which a failed load of a model keeps it from the same endpoint.
 const FAILED_LOAD_PAUSE: Duration = Duration::from_secs(5);
 
 /// Decisions kept per model for `explain model`.
 const KEPT_DECISIONS: usize = 20;
 
+/// When a silent agent's grants are in doubt and when they may be replaced.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SilenceBounds {
+    /// Silence after which grants are in doubt and the endpoint gets no new replicas.
+    pub(crate) in_doubt: Duration,
+    /// Time in doubt after which another replica may be decided.
+    pub(crate) replace_after: Duration,
+}
+
 /// The last report of an entry process.
 pub(crate) struct EntryMemory {
     pub(crate) report: EntryReport,
@@ -56,13 +59,16 @@
     pub(crate) tiers: BTreeMap<FencingToken, CheckpointTier>,
     pub(crate) load_times: LoadTimes,
     pub(crate) pacer: StorePacer,
+    bounds: SilenceBounds,
+    /// Checkpoints that are nearer than the weight store.
+    near: BTreeMap<ModelName, BTreeMap<EndpointId, CheckpointTier>>,
     failed: BTreeMap<(ModelName, EndpointId), Instant>,
     idle_counted: Instant,
     decisions: BTreeMap<ModelName, VecDeque<DecisionRecord>>,
 }
 
 impl Office {
-    pub(crate) fn new(term: u64) -> Self {
+    pub(crate) fn new(term: u64, bounds: SilenceBounds) -> Self {
         let now = Instant::now();
         Self {
             term,
@@ -74,6 +80,8 @@
             tiers: BTreeMap::new(),
             load_times: LoadTimes::default(),
             pacer: StorePacer::new(now),
+            bounds,
+            near: BTreeMap::new(),
             failed: BTreeMap::new(),
             idle_counted: now,
             decisions: BTreeMap::new(),
@@ -115,13 +123,31 @@
             let known = (known.report.incarnation, known.report.sequence);
             known > (report.incarnation, report.sequence)
         });
-        if !is_old {
-            let memory = AgentMemory {
-                report: report.clone(),
-                received: Instant::now(),
-            };
-            self.agents.insert(report.endpoint.clone(), memory);
+        if is_old {
+            return;
+        }
+        let known = self.agents.get(&report.endpoint);
+        let is_same = known.is_some_and(|known| known.report.checkpoints == report.checkpoints);
+        if !is_same {
+            self.set_checkpoints(report);
+        }
+        let memory = AgentMemory {
+            report: report.clone(),
+            received: Instant::now(),
+        };
+        self.agents.insert(report.endpoint.clone(), memory);
+    }
+
+    fn set_checkpoints(&mut self, report: &AgentReport) {
+        for holders in self.near.values_mut() {
+            holders.remove(&report.endpoint);
         }
+        for (model, tier) in &report.checkpoints {
+            let holders = self.near.entry(model.clone()).or_default();
+            let known = holders.entry(report.endpoint.clone()).or_insert(*tier);
+            *known = (*known).min(*tier);
+        }
+        self.near.retain(|_, holders| !holders.is_empty());
     }
 
     /// Sums the demand of all entries that report.
@@ -163,11 +189,11 @@
     }
 
     pub(crate) fn is_in_doubt(&self, endpoint: &EndpointId, incarnation: Incarnation) -> bool {
-        self.silence(endpoint, incarnation) > AGENT_SILENCE
+        self.silence(endpoint, incarnation) > self.bounds.in_doubt
     }
 
     pub(crate) fn is_replaceable(&self, endpoint: &EndpointId, incarnation: Incarnation) -> bool {
-        self.silence(endpoint, incarnation) > AGENT_SILENCE + REPLACE_AFTER
+        self.silence(endpoint, incarnation) > self.bounds.in_doubt + self.bounds.replace_after
     }
 
     /// Returns the fresh report of the registered run of an agent.
@@ -179,22 +205,26 @@
         self.agents
             .get(endpoint)
             .filter(|agent| agent.report.incarnation == incarnation)
-            .filter(|agent| agent.received.elapsed() <= AGENT_SILENCE)
+            .filter(|agent| agent.received.elapsed() <= self.bounds.in_doubt)
             .map(|agent| &agent.report)
     }
 
+    /// Lists the endpoints whose VM holds a checkpoint.
+    pub(crate) fn near(
+        &self,
+        model: &ModelName,
+    ) -> impl Iterator<Item = (&EndpointId, CheckpointTier)> {
+        let holders = self.near.get(model).into_iter().flatten();
+        holders
+            .map(|(endpoint, tier)| (endpoint, *tier))
+            .filter(|(_, tier)| *tier != CheckpointTier::Remote)
+    }
+
     /// Returns where a checkpoint is, seen from an endpoint.
     pub(crate) fn tier(&self, endpoint: &EndpointId, model: &ModelName) -> CheckpointTier {
-        self.agents
-            .get(endpoint)
-            .and_then(|agent| {
-                let checkpoints = agent.report.checkpoints.iter();
-                checkpoints
-                    .filter(|(held, _)| held == model)
-                    .map(|(_, tier)| *tier)
-                    .min()
-            })
-            .unwrap_or(CheckpointTier::Remote)
+        let holders = self.near.get(model);
+        let tier = holders.and_then(|holders| holders.get(endpoint));
+        tier.copied().unwrap_or(CheckpointTier::Remote)
     }
 
     pub(crate) fn note_failed_load(&mut self, model: &ModelName, endpoint: &EndpointId) {
--- a/crates/wasabipoint_control/src/placement/driver.rs
+++ b/crates/wasabipoint_control/src/placement/driver.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use slog::{info, warn};
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::time::Instant;
 use wasabipoint_consensus::ProposeError;
 use wasabipoint_kernel::{EndpointId, FencingToken, ModelName};
 use wasabipoint_policy::{
@@ -21,8 +21,12 @@
 /// Time between regular decisions.
 const DECISION_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between decisions while requests wait for a model without a replica, for example because
+/// the weight store is busy.
+const WAITING_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Shortest time between decisions, so that a burst of reports is decided on together.
-const MIN_DECISION_GAP: Duration = Duration::from_millis(20);
+const MIN_DECISION_GAP: Duration = Duration::from_millis(50);
 
 /// Time between saves of what the policy learnt.
 const SAVE_INTERVAL: Duration = Duration::from_mins(1);
@@ -46,38 +50,43 @@
 
 /// Runs placement while this member leads, until the control is stopped.
 pub(crate) async fn run_placement(control: Arc<Control>) {
-    let mut interval = tokio::time::interval(DECISION_INTERVAL);
-    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut current: Option<TermPlacement> = None;
+    let mut pause = DECISION_INTERVAL;
     loop {
         tokio::select! {
-            _ = interval.tick() => {}
+            () = tokio::time::sleep(pause) => {}
             () = control.wake_placement.notified() => {}
         }
         control.publish_gauges();
+        pause = DECISION_INTERVAL;
         let Some(term) = control.member.leading_term() else {
             current = None;
             continue;
         };
-        if let Err(error) = decide_once(&control, &mut current, term).await {
-            warn!(control.logger, "placement: decisions were not committed"; "error" => %error);
+        match decide_once(&control, &mut current, term).await {
+            Ok(true) => pause = WAITING_INTERVAL,
+            Ok(false) => {}
+            Err(error) => {
+                warn!(control.logger, "placement: decisions were not committed"; "error" => %error);
+            }
         }
         tokio::time::sleep(MIN_DECISION_GAP).await;
     }
 }
 
+/// Decides once. Returns whether requests still wait for a model without a replica.
 async fn decide_once(
     control: &Control,
     current: &mut Option<TermPlacement>,
     term: u64,
-) -> Result<(), ProposeError> {
+) -> Result<bool, ProposeError> {
     let now_ms = control.member.log_time_ms().await?;
     if current.as_ref().is_none_or(|known| known.term != term) {
         control.announce().await?;
         *current = Some(start_term(control, term));
     }
     let Some(running) = current.as_mut() else {
-        return Ok(());
+        return Ok(false);
     };
     follow_rules(control, running);
     observe(control, running, now_ms);
@@ -90,20 +99,33 @@
         })
     });
     for decision in running.policy.decide(&view) {
-        match decision {
+        match &decision {
             PlacementDecision::Load {
                 model,
                 endpoint,
                 reason,
-            } => load(control, term, &view, &model, &endpoint, &reason).await?,
+            } => {
+                let decision = Decision::new("load", model, endpoint, reason);
+                load(control, term, &view, decision).await?;
+            }
             PlacementDecision::Unload {
                 model,
                 endpoint,
                 reason,
-            } => unload(control, term, &view, &model, &endpoint, &reason).await?,
+            } => {
+                let decision = Decision::new("unload", model, endpoint, reason);
+                unload(control, term, &view, decision).await?;
+            }
         }
     }
-    save_profile(control, running).await
+    save_profile(control, running).await?;
+    Ok(control.member.read(|state| {
+        let waiting = view.models.iter().filter(|model| model.queued > 0);
+        waiting.into_iter().any(|model| {
+            let mut grants = state.fleet.grants.values();
+            grants.all(|grant| grant.model != model.name || grant.phase == GrantPhase::Revoked)
+        })
+    }))
 }
 
 fn start_term(control: &Control, term: u64) -> TermPlacement {
@@ -195,9 +217,10 @@
             .read(|state| invalid_grants(state, office, now_ms))
     });
     for (token, model, endpoint, reason) in invalid {
-        info!(control.logger, "placement: revoke"; "model" => %model, "endpoint" => %endpoint,
-            "fencing_token" => token.0, "reason" => reason);
         control.member.propose(Command::Revoke(token)).await?;
+        let decision = Decision::new("revoke", &model, &endpoint, reason);
+        let outcome = format!("revoked, fencing token {token}");
+        record(control, term, None, &decision, &outcome);
     }
     Ok(())
 }
@@ -243,10 +266,11 @@
     control: &Control,
     term: u64,
     view: &PlacementView,
-    model: &ModelName,
-    endpoint: &EndpointId,
-    reason: &str,
+    mut decision: Decision<'_>,
 ) -> Result<(), ProposeError> {
+    let Decision {
+        model, endpoint, ..
+    } = decision;
     let prepared = control.with_office(term, |office| {
         if office.is_pausing(model, endpoint) {
             return None;
@@ -258,16 +282,14 @@
         request.map(|request| (request, tier))
     });
     let Some((request, tier)) = prepared else {
-        let outcome = "skipped: the endpoint is gone or a load just failed there";
-        record(
-            control, term, view, "skip", model, endpoint, reason, outcome,
-        );
+        decision.action = "skip";
+        let outcome = "the endpoint is gone or a load just failed there";
+        record(control, term, Some(view), &decision, outcome);
         return Ok(());
     };
-    let action = match request.replaces {
-        Some(_) => "replace",
-        None => "load",
-    };
+    if request.replaces.is_some() {
+        decision.action = "replace";
+    }
     let replaces = request.replaces;
     let outcome = control.member.propose(Command::Grant(request)).await?;
     let text = match outcome {
@@ -280,7 +302,7 @@
             });
             if let Some(replaced) = replaces {
                 warn!(control.logger,
-                    "placement: a replica in doubt is replaced, the decided number is raised";
+                    "placement: a replica in doubt or on a leaving endpoint is replaced, the decided number is raised";
                     "model" => %model, "replaced_token" => replaced.0, "fencing_token" => token.0);
             }
             format!("granted, fencing token {token}, checkpoint {tier:?}")
@@ -288,7 +310,7 @@
         Outcome::Refused { kind, detail } => format!("refused: {kind}: {detail}"),
         other => format!("unexpected outcome {other:?}"),
     };
-    record(control, term, view, action, model, endpoint, reason, &text);
+    record(control, term, Some(view), &decision, &text);
     Ok(())
 }
 
@@ -330,10 +352,11 @@
     control: &Control,
     term: u64,
     view: &PlacementView,
-    model: &ModelName,
-    endpoint: &EndpointId,
-    reason: &str,
+    decision: Decision<'_>,
 ) -> Result<(), ProposeError> {
+    let Decision {
+        model, endpoint, ..
+    } = decision;
     let token = control.member.read(|state| {
         let mut grants = state.fleet.grants_of(endpoint);
         grants
@@ -345,47 +368,70 @@
     };
     control.member.propose(Command::Revoke(token)).await?;
     let outcome = format!("revoked, fencing token {token}");
-    record(
-        control, term, view, "unload", model, endpoint, reason, &outcome,
-    );
+    record(control, term, Some(view), &decision, &outcome);
     Ok(())
 }
 
-#[expect(
-    clippy::too_many_arguments,
-    reason = "a decision is recorded with all of its inputs"
-)]
+/// A decision as it is logged and explained.
+#[derive(Clone, Copy)]
+struct Decision<'a> {
+    action: &'static str,
+    model: &'a ModelName,
+    endpoint: &'a EndpointId,
+    reason: &'a str,
+}
+
+impl<'a> Decision<'a> {
+    fn new(
+        action: &'static str,
+        model: &'a ModelName,
+        endpoint: &'a EndpointId,
+        reason: &'a str,
+    ) -> Self {
+        Self {
+            action,
+            model,
+            endpoint,
+            reason,
+        }
+    }
+}
+
+/// Logs a decision with its inputs and keeps it for `explain model`.
 fn record(
     control: &Control,
     term: u64,
-    view: &PlacementView,
-    action: &'static str,
-    model: &ModelName,
-    endpoint: &EndpointId,
-    reason: &str,
+    view: Option<&PlacementView>,
+    decision: &Decision<'_>,
     outcome: &str,
 ) {
-    let demand = view.models.iter().find(|known| known.name == *model);
-    let capacity = view
-        .endpoints
-        .iter()
-        .find(|known| known.endpoint == *endpoint);
+    let demand = view.and_then(|view| {
+        let mut models = view.models.iter();
+        models.find(|known| known.name == *decision.model)
+    });
+    let capacity = view.and_then(|view| {
+        let mut endpoints = view.endpoints.iter();
+        endpoints.find(|known| known.endpoint == *decision.endpoint)
+    });
     let record = DecisionRecord {
         log_time_ms: control.member.read(|state| state.time_ms),
-        action,
-        endpoint: endpoint.to_string(),
-        reason: reason.to_owned(),
+        action: decision.action,
+        endpoint: decision.endpoint.to_string(),
+        reason: decision.reason.to_owned(),
         outcome: outcome.to_owned(),
         queued: demand.map_or(0, |known| known.queued),
         in_flight: demand.map_or(0, |known| known.in_flight),
         free_mib: capacity.map_or(0, |known| known.free_mib),
-        loads_running: view.store.loads_running,
+        loads_running: view.map_or(0, |view| view.store.loads_running),
     };
-    info!(control.logger, "placement: {}", action; "model" => %model, "endpoint" => %endpoint,
-        "reason" => reason, "outcome" => outcome, "queued" => record.queued,
-        "in_flight" => record.in_flight, "free_mib" => record.free_mib,
-        "loads_running" => record.loads_running, "loads_allowed" => view.store.loads_allowed);
-    control.with_office(term, |office| office.record_decision(model, record));
+    info!(control.logger, "placement: {}", decision.action; "model" => %decision.model,
+        "endpoint" => %decision.endpoint, "reason" => decision.reason, "outcome" => outcome,
+        "queued" => record.queued, "in_flight" => record.in_flight,
+        "free_mib" => record.free_mib, "loads_running" => record.loads_running,
+        "loads_allowed" => view.map_or(0, |view| view.store.loads_allowed));
+    control.with_office(term, |office| {
+        office.record_decision(decision.model, record);
+    });
 }
 
 /// Counts the accelerator time of loaded replicas that nobody uses since the last decision.
--- a/crates/wasabipoint_control/src/placement/view.rs
+++ b/crates/wasabipoint_control/src/placement/view.rs
@@ -18,7 +18,8 @@
     Some((model.version, model.memory_mib))
 }
 
-/// Lists the grants that are in doubt for so long that the policy decides without them.
+/// Lists the grants that the policy decides without, so that another replica may take their place:
+/// those in doubt for long, and those on endpoints that leave and only finish their requests.
 pub(crate) fn hidden_grants(state: &ControlState, office: &Office) -> BTreeSet<FencingToken> {
     let grants = state.fleet.grants.iter();
     grants
@@ -28,11 +29,10 @@
 }
 
 fn is_hidden(state: &ControlState, office: &Office, grant: &GrantRecord) -> bool {
-    state
-        .fleet
-        .endpoints
-        .get(&grant.endpoint)
-        .is_none_or(|known| office.is_replaceable(&grant.endpoint, known.incarnation))
+    let known = state.fleet.endpoints.get(&grant.endpoint);
+    known.is_none_or(|known| {
+        known.is_leaving || office.is_replaceable(&grant.endpoint, known.incarnation)
+    })
 }
 
 /// Builds the view of one decision.
@@ -115,14 +115,11 @@
     model: &ModelName,
     memory_mib: u64,
 ) -> Vec<(EndpointId, u64)> {
-    let endpoints = state.fleet.endpoints.keys();
-    endpoints
-        .filter_map(|endpoint| {
-            let tier = office.tier(endpoint, model);
-            (tier != CheckpointTier::Remote).then(|| {
-                let load_ms = office.load_times.estimate_ms(tier, memory_mib);
-                (endpoint.clone(), load_ms)
-            })
+    let near = office.near(model);
+    near.filter(|(endpoint, _)| state.fleet.endpoints.contains_key(*endpoint))
+        .map(|(endpoint, tier)| {
+            let load_ms = office.load_times.estimate_ms(tier, memory_mib);
+            (endpoint.clone(), load_ms)
         })
         .collect()
 }
--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use slog::{Logger, info};
 use tokio::net::TcpListener;
@@ -19,6 +20,7 @@
 use crate::machine::ControlMachine;
 use crate::member::Member;
 use crate::metrics::ControlMetrics;
+use crate::office::SilenceBounds;
 use crate::peer::PeerTransport;
 use crate::placement::run_placement;
 use crate::platform::poll_platform;
@@ -55,6 +57,10 @@
     pub snapshot_entries: u64,
     /// Lifetime of a quota slice at an entry.
     pub slice_lifetime_ms: u64,
+    /// Silence of an agent after which its grants are in doubt.
+    pub agent_silence: Duration,
+    /// Time in doubt after which a replica may be replaced.
+    pub replace_after: Duration,
 }
 
 impl ControlConfig {
@@ -79,6 +85,8 @@
             tick_ms: settings.integer("tick_ms"),
             snapshot_entries: settings.integer("snapshot_entries"),
             slice_lifetime_ms: settings.integer("slice_lifetime_ms"),
+            agent_silence: settings.duration_ms("agent_silence_ms"),
+            replace_after: settings.duration_ms("replace_after_ms"),
         }
     }
 }
@@ -185,6 +193,10 @@
             logger,
             wake_placement: tokio::sync::Notify::new(),
             slice_lifetime_ms: config.slice_lifetime_ms,
+            silence_bounds: SilenceBounds {
+                in_doubt: config.agent_silence,
+                replace_after: config.replace_after,
+            },
             key_digester: KeyDigester::new(&config.key_secret),
             key_secret: config.key_secret,
             operator_token: config.operator_token,
@@ -269,6 +281,6 @@
             return;
         }
         // Addresses change rarely; once per second is often enough while entries are applied.
-        tokio::time::sleep(std::time::Duration::from_millis(200)).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
     }
 }
--- a/crates/wasabipoint_control/tests/cluster/fixture.rs
+++ b/crates/wasabipoint_control/tests/cluster/fixture.rs
@@ -18,7 +18,7 @@
 };
 use wasabipoint_rpc::{
     AgentDirective, AgentReport, ControlClient, EndpointKind, EntryReport, FencingMode,
-    ModelDemand, ReplicaReport, ReplicaState, WatchReply, WatchRequest,
+    FleetUpdate, FleetView, ModelDemand, ReplicaReport, ReplicaState, WatchReply, WatchRequest,
 };
 
 pub(crate) const TOKEN: &str = "operator";
@@ -62,17 +62,36 @@
         tick_ms: 20,
         snapshot_entries: 100,
         slice_lifetime_ms: 1_000,
+        agent_silence: Duration::from_secs(5),
+        replace_after: Duration::from_secs(10),
     }
 }
 
 pub(crate) async fn start_single() -> ControlServer {
+    start_single_with(|_| {}).await
+}
+
+/// Starts one member with changed settings.
+pub(crate) async fn start_single_with(change: impl FnOnce(&mut ControlConfig)) -> ControlServer {
     let listener = bind().await;
     let members = BTreeMap::from([(MemberId(1), listener.local_addr().unwrap())]);
-    ControlServer::start_on(config(1, &members), listener, logger())
+    let mut config = config(1, &members);
+    change(&mut config);
+    ControlServer::start_on(config, listener, logger())
         .await
         .unwrap()
 }
 
+/// Applies inventory and rules of the test data.
+pub(crate) async fn configure(server: &ControlServer) -> ControlClient {
+    let addresses = [server.http_address()];
+    let applied = apply(&addresses, "/v1/inventory", 0, "change-1", INVENTORY).await;
+    assert_eq!(json(&applied)["version"], 1);
+    let applied = apply(&addresses, "/v1/rules", 1, "change-2", RULES).await;
+    assert_eq!(json(&applied)["version"], 2);
+    ControlClient::new(&[server.rpc_address()])
+}
+
 /// An operator's call; headers are name and value.
 pub(crate) async fn call(
     address: SocketAddr,
@@ -138,7 +157,7 @@
     call_leader(addresses, Method::PUT, path, &headers, text).await
 }
 
-pub(crate) fn engine_report(sequence: u64, replicas: Vec<ReplicaReport>) -> AgentReport {
+fn engine_report(sequence: u64, replicas: Vec<ReplicaReport>) -> AgentReport {
     AgentReport {
         endpoint: EndpointId::new("summary-1"),
         vm: VmId::new("vm-1"),
@@ -209,15 +228,44 @@
     call.await.unwrap()
 }
 
+/// Waits until the fleet view meets a condition.
+pub(crate) async fn watch_until(
+    client: &ControlClient,
+    is_met: impl Fn(&FleetView) -> bool,
+) -> FleetView {
+    let follow = async {
+        let mut view = FleetView::new();
+        loop {
+            let reply = watch(client, view.revision).await;
+            match reply.update {
+                FleetUpdate::Delta(changes) => {
+                    for change in &changes {
+                        view.apply(change);
+                    }
+                    view.revision = reply.revision;
+                }
+                FleetUpdate::Snapshot(whole) => view = *whole,
+            }
+            if is_met(&view) {
+                return view;
+            }
+        }
+    };
+    tokio::time::timeout(STEP, follow).await.unwrap()
+}
+
 /// An agent whose engine does what it is told at once.
 pub(crate) struct TestAgent {
-    pub(crate) sequence: u64,
-    pub(crate) replicas: Vec<ReplicaReport>,
+    number: u32,
+    sequence: u64,
+    replicas: Vec<ReplicaReport>,
 }
 
 impl TestAgent {
-    pub(crate) fn new() -> Self {
+    /// Creates the agent of the endpoint `summary-NUMBER` on `vm-NUMBER`.
+    pub(crate) fn new(number: u32) -> Self {
         Self {
+            number,
             sequence: 0,
             replicas: Vec::new(),
         }
@@ -226,7 +274,9 @@
     /// Reports and follows the directive.
     pub(crate) async fn step(&mut self, client: &ControlClient) -> AgentDirective {
         self.sequence += 1;
-        let report = engine_report(self.sequence, self.replicas.clone());
+        let mut report = engine_report(self.sequence, self.replicas.clone());
+        report.endpoint = EndpointId::new(format!("summary-{}", self.number));
+        report.vm = VmId::new(format!("vm-{}", self.number));
         let directive = report_agent(client, report).await;
         let live = directive.grants.iter().filter(|grant| !grant.is_revoked);
         self.replicas = live
--- a/crates/wasabipoint_control/tests/cluster/main.rs
+++ b/crates/wasabipoint_control/tests/cluster/main.rs
@@ -2,7 +2,10 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+mod faults;
 mod fixture;
 mod links;
+mod operators;
+mod program;
 mod single_member;
 mod three_members;
--- a/crates/wasabipoint_control/tests/cluster/single_member.rs
+++ b/crates/wasabipoint_control/tests/cluster/single_member.rs
@@ -10,18 +10,12 @@
 };
 
 use crate::fixture::{
-    INVENTORY, RULES, STEP, TestAgent, apply, call, json, report_entry, start_single,
-    waiting_report, watch,
+    STEP, TestAgent, call, configure, json, report_entry, start_single, waiting_report, watch,
 };
 
 async fn start_configured() -> (ControlServer, ControlClient) {
     let server = start_single().await;
-    let addresses = [server.http_address()];
-    let applied = apply(&addresses, "/v1/inventory", 0, "change-1", INVENTORY).await;
-    assert_eq!(json(&applied)["version"], 1);
-    let applied = apply(&addresses, "/v1/rules", 1, "change-2", RULES).await;
-    assert_eq!(json(&applied)["version"], 2);
-    let client = ControlClient::new(&[server.rpc_address()]);
+    let client = configure(&server).await;
     (server, client)
 }
 
@@ -78,7 +72,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn waiting_request_leads_to_a_grant_and_idleness_to_its_end() {
     let (server, client) = start_configured().await;
-    let mut agent = TestAgent::new();
+    let mut agent = TestAgent::new(1);
     agent.step(&client).await;
     report_entry(&client, waiting_report(1, "summary-small", 3)).await;
     let granted = agent
--- a/crates/wasabipoint_control/tests/cluster/three_members.rs
+++ b/crates/wasabipoint_control/tests/cluster/three_members.rs
@@ -134,7 +134,7 @@
     let body = r#"{"customer":"harbour"}"#;
     let added = call_leader(&cluster.http(), Method::POST, "/v1/keys", &key, body).await;
     let client = cluster.client();
-    let mut agent = TestAgent::new();
+    let mut agent = TestAgent::new(1);
     agent.step(&client).await;
     report_entry(&client, waiting_report(1, "summary-large", 1)).await;
     let granted = agent
