--- a/crates/wasabipoint_entry/tests/entry/runs.rs
+++ b/crates/wasabipoint_entry/tests/entry/runs.rs
@@ -175,6 +175,34 @@
     assert_eq!(known.unwrap().1.known_cache_sequence, 5);
 }
 
+/// Guards against taking the load of an earlier run of an agent for that of its present run.
+#[tokio::test(start_paused = true)]
+async fn load_of_an_earlier_run_is_ignored() {
+    let harness = Harness::start_with(|view| {
+        view.endpoints.remove("engine-2");
+    })
+    .await;
+    let busy = LoadReport {
+        queued: 50,
+        ..LoadReport::default()
+    };
+    harness.agents.report_load(11, busy);
+    harness
+        .agents
+        .plan(&[Plan::Slow(std::time::Duration::from_secs(1))]);
+    let restart = async {
+        tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+        harness.control.change(|view| {
+            view.endpoints.get_mut("engine-1").unwrap().incarnation = Incarnation(2);
+        });
+    };
+    let (first, ()) = tokio::join!(harness.complete("hello", false), restart);
+    assert_eq!(first.status, 200);
+    let began = tokio::time::Instant::now();
+    assert_eq!(harness.complete("hello", false).await.status, 200);
+    assert!(began.elapsed().as_millis() < 200, "{:?}", began.elapsed());
+}
+
 /// Guards against retries that multiply the load of a failing fleet.
 #[tokio::test(start_paused = true)]
 async fn retries_stay_within_the_budget() {
--- a/crates/wasabipoint_entry/tests/sockets.rs
+++ b/crates/wasabipoint_entry/tests/sockets.rs
@@ -14,6 +14,7 @@
 use http::{Request, Response, StatusCode};
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use wasabipoint_entry::{Entry, EntryConfig, EntryHandler, HttpAgentLink, RpcControlLink};
 use wasabipoint_http::{
     HttpClient, HttpHandler, HttpRequest, HttpResponse, HttpServer, OutgoingBody,
@@ -299,6 +300,23 @@
         .unwrap();
 }
 
+/// Guards against callers without a key that make the process wait for their bodies.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn head_without_a_key_is_refused_before_its_body() {
+    let setup = start().await;
+    let address = setup.base.strip_prefix("http://").unwrap();
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let head = "POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 4000000\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut start = [0; 12];
+    let reading = stream.read_exact(&mut start);
+    tokio::time::timeout(Duration::from_secs(20), reading)
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!(&start, b"HTTP/1.1 401");
+}
+
 /// Guards against a program that accepts faulty settings, or refuses good ones.
 #[test]
 fn program_checks_its_settings() {
