--- a/crates/wasabipoint_agent/src/dispatch.rs
+++ b/crates/wasabipoint_agent/src/dispatch.rs
@@ -24,8 +24,10 @@
 /// Frames that may wait for the entry's connection.
 const WAITING_FRAMES: usize = 16;
 
-/// Headers that end at this process or must not reach an endpoint.
+/// Headers that end at this process or must not reach an endpoint. A compressed response could not
+/// be checked.
 const DROPPED_HEADERS: &[&str] = &[
+    "accept-encoding",
     "authorization",
     "connection",
     "content-length",
--- a/crates/wasabipoint_agent/tests/agent/dispatch.rs
+++ b/crates/wasabipoint_agent/tests/agent/dispatch.rs
@@ -215,6 +215,34 @@
     assert_eq!(next.text(), answer_text("next", 8));
 }
 
+/// Guards against control that takes the replicas of an unreachable engine for released, and
+/// against requests that are counted as run there.
+#[tokio::test]
+async fn an_unreachable_engine_is_reported_as_unknown() {
+    let EngineSetup {
+        engine,
+        control,
+        agent,
+    } = start().await;
+    drop(engine);
+    let received = call(&agent, completion("unreachable", &json!({}))).await;
+    assert_eq!(
+        received.failed,
+        Some((ErrorKind::NoEndpoint, RunState::NotRun))
+    );
+    control
+        .wait_for("an unknown engine", |report| !report.is_engine_known)
+        .await;
+    let reports = control.reports();
+    let mut after_loaded = reports
+        .iter()
+        .skip_while(|report| find_state(report, "m") != Some(ReplicaState::Loaded));
+    assert!(
+        after_loaded.all(|report| !report.is_engine_known
+            || find_state(report, "m") == Some(ReplicaState::Loaded))
+    );
+}
+
 /// Guards against cache hints that never reach the entry, or hide that some are missing.
 #[tokio::test]
 async fn cache_events_come_with_the_end_of_a_response() {
