--- a/crates/wasabipoint_fakes/src/engine.rs
+++ b/crates/wasabipoint_fakes/src/engine.rs
@@ -317,8 +317,15 @@
             transit.0 += 1;
             transit.1 = transit.1.max(transit.0);
         }
+        let is_fetched = match self.options.store {
+            Some(store) => fetch_checkpoint(store, &command.adapter, command.memory_mib).await,
+            None => true,
+        };
         tokio::time::sleep(Duration::from_millis(self.options.adapter_load_ms)).await;
         lock(&self.adapters_in_transit).0 -= 1;
+        if !is_fetched {
+            return (500, json!({"error": "load_failed"}));
+        }
         lock(&self.memory).load_adapter(command)
     }
 
--- a/crates/wasabipoint_fakes/tests/fakes.rs
+++ b/crates/wasabipoint_fakes/tests/fakes.rs
@@ -120,6 +120,46 @@
     );
 }
 
+/// Guards against an engine that loads without its store, or forgets what it keeps on disk.
+#[tokio::test]
+async fn the_engine_fetches_from_the_store() {
+    let store = FakeStore::start(StoreOptions {
+        listen: LOOPBACK,
+        loads_per_s: 1_000,
+        loads_at_once: 4,
+        adapters_in_transit: 30,
+        mib_per_s: 100_000,
+        adapter_mib: 10,
+    })
+    .await
+    .unwrap();
+    let engine = FakeEngine::start(EngineOptions {
+        store: Some(store.address()),
+        disk_checkpoints: 1,
+        ..EngineOptions::for_tests()
+    })
+    .await
+    .unwrap();
+    let load = json!({"model": "m", "version": 1, "memory_mib": 500, "fencing_token": 1});
+    let adapter = json!({"adapter": "a", "model": "m", "version": 1, "memory_mib": 5});
+    for fetched in [2, 3] {
+        assert_eq!(post(engine.address(), "/admin/load", &load).await.0, 200);
+        let answer = post(engine.address(), "/admin/load_adapter", &adapter).await;
+        assert_eq!(answer.0, 200);
+        assert_eq!(
+            get(store.address(), "/admin/state").await["fetched"],
+            fetched
+        );
+        let state = get(engine.address(), "/admin/state").await;
+        let disk = json!([{"model": "m", "tier": "disk"}]);
+        assert_eq!(
+            (&state["adapters"], &state["checkpoints"]),
+            (&json!(["a"]), &disk)
+        );
+        post(engine.address(), "/admin/unload", &load).await;
+    }
+}
+
 /// Guards against a VM list without its lag.
 #[tokio::test]
 async fn the_platform_list_lags() {
