Add the experiment http and drop forgotten models from the demand profile

The experiment sends completions at a rate per customer to loopback addresses only, bounded in time, count and requests in flight, and compares entry processes with an engine. It was run against a stand-in within the tests, not against real processes.

--- a/crates/wasabipoint_load/src/lib.rs
+++ b/crates/wasabipoint_load/src/lib.rs
@@ -6,6 +6,7 @@
 mod arguments;
 mod cost;
 mod error;
+mod http;
 mod measures;
 mod placement;
 mod report;
@@ -15,6 +16,7 @@
 
 pub use arguments::{Command, Experiment};
 pub use error::LoadError;
+pub use http::{CustomerLoad, CustomerOutcome, HttpPlan, read_customers, run_http};
 pub use placement::{
     Deployment, PlacementOutcome, PlacementScenario, compare_placement, run_placement,
 };
--- /dev/null
+++ b/crates/wasabipoint_load/tests/http.rs
@@ -0,0 +1,80 @@
+//! Completions against a stand-in of an entry process.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Response, StatusCode, header};
+use wasabipoint_http::{
+    HttpHandler, HttpRequest, HttpResponse, HttpServer, OutgoingBody, text_response,
+};
+use wasabipoint_load::{CustomerLoad, CustomerOutcome, HttpPlan, LoadError, run_http};
+
+/// Serves key `good`, cuts the stream of key `cut` and refuses others.
+struct StandIn;
+
+impl HttpHandler for StandIn {
+    fn handle(
+        &self,
+        request: HttpRequest,
+    ) -> Pin<Box<dyn Future<Output = HttpResponse> + Send + '_>> {
+        Box::pin(async move {
+            let key = request.headers()[header::AUTHORIZATION].clone();
+            let pieces = match key.to_str().unwrap() {
+                "Bearer good" => vec!["data: {}\n", "\ndata: {", "}\n\ndata: [DONE]\n\n"],
+                "Bearer cut" => vec!["data: {}\n\n"],
+                _ => return text_response(StatusCode::TOO_MANY_REQUESTS, ""),
+            };
+            let (sender, body) = OutgoingBody::stream(1);
+            tokio::spawn(async move {
+                for piece in pieces {
+                    let _ = sender.send(Some(Bytes::from(piece))).await;
+                }
+                let _ = sender.send(None).await;
+            });
+            Response::new(body)
+        })
+    }
+}
+
+fn plan(address: SocketAddr) -> HttpPlan {
+    let customers = ["good", "cut", "refused"].map(|key| CustomerLoad {
+        name: key.to_owned(),
+        key: key.to_owned(),
+        requests_per_s: 400.0,
+    });
+    HttpPlan {
+        entries: vec![address],
+        direct: None,
+        customers: customers.to_vec(),
+        model: "assistant".to_owned(),
+        max_tokens: 2,
+        seconds: 60,
+        requests: 60,
+        seed: 7,
+    }
+}
+
+// Guards against a cut stream or a refusal that is counted as served.
+#[tokio::test]
+async fn ends_are_told_apart() {
+    let server = HttpServer::new(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = server.local_address().unwrap();
+    let handle = server.serve(Arc::new(StandIn)).unwrap();
+    let outcomes = run_http(&plan(address), &[address]).await.unwrap();
+    let counts: Vec<_> = outcomes.iter().map(CustomerOutcome::counts).collect();
+    assert_eq!(counts, [(20, 0, 0), (0, 0, 20), (0, 20, 0)]);
+    handle.stop().await;
+}
+
+// Guards against traffic that leaves the machine.
+#[tokio::test]
+async fn other_than_loopback_addresses_are_refused() {
+    let address = SocketAddr::from(([192, 0, 2, 1], 80));
+    let result = run_http(&plan(address), &[address]).await;
+    assert!(matches!(result, Err(LoadError::NotLoopback { .. })));
+}
--- a/crates/wasabipoint_policy/src/placement/demand_profile/profile.rs
+++ b/crates/wasabipoint_policy/src/placement/demand_profile/profile.rs
@@ -29,6 +29,9 @@
 /// Unpredicted starts, after decay, below which demand counts as predicted again.
 const MIN_UNPREDICTED: f32 = 0.1;
 
+/// Likelihood below which a model is dropped, so that removed models do not add up.
+const FORGOTTEN: f32 = 0.01;
+
 /// First bytes of saved profiles. The last byte is the version of the format.
 const FORMAT: &[u8] = b"demand_profile\x02";
 
@@ -187,6 +190,7 @@
         for profile in self.models.values_mut() {
             profile.unpredicted *= UNPREDICTED_DECAY;
         }
+        self.models.retain(|_, profile| !profile.is_forgotten());
     }
 }
 
@@ -199,6 +203,10 @@
         }
     }
 
+    fn is_forgotten(&self) -> bool {
+        self.unpredicted < FORGOTTEN && self.likelihood.iter().all(|l| *l < FORGOTTEN)
+    }
+
     fn predicts(&self, slot: usize) -> bool {
         [SLOTS - 1, 0, 1]
             .into_iter()
--- a/crates/wasabipoint_policy/tests/placement.rs
+++ b/crates/wasabipoint_policy/tests/placement.rs
@@ -83,6 +83,30 @@
     }
 }
 
+// Guards against accelerators that idle without bound for models with unpredicted demand.
+#[test]
+fn demand_profile_bounds_the_reserve() {
+    let mut view = fixtures::idle_fleet(&[(80, 0), (80, 1), (80, 2), (80, 3)]);
+    view.models = (0..8)
+        .map(|index| fixtures::quiet_model(&format!("rare-{index}"), 40))
+        .collect();
+    let mut policy = build_placement_policy("demand_profile").unwrap();
+    policy.decide(&view);
+    for _ in 0..4 {
+        observe(policy.as_mut(), 0, &[]);
+        observe(policy.as_mut(), 43_200_000, &[]);
+    }
+    for _ in 0..1_000 {
+        let decisions = policy.decide(&view);
+        fixtures::advance(&mut view, &decisions, 2_000);
+    }
+    assert_eq!(
+        view.grants.len(),
+        2,
+        "a quarter of 320 MiB holds two models"
+    );
+}
+
 // Guards against two replicas of a model that are lost together.
 #[test]
 fn demand_profile_spreads_replicas_over_failure_domains() {
