--- a/crates/wasabipoint_consensus/tests/driver.rs
+++ b/crates/wasabipoint_consensus/tests/driver.rs
@@ -94,7 +94,7 @@
     assert!(fault.unwrap().contains("another disk"));
     cluster.wait_redundancy(leader, 0).await;
 
-    cluster.join(4).await;
+    cluster.restart(4).await.unwrap();
     let change = cluster.handle(leader);
     change
         .change_membership(MembershipChange::AddLearner(MemberId(4)))
--- a/crates/wasabipoint_consensus/tests/driver/cluster.rs
+++ b/crates/wasabipoint_consensus/tests/driver/cluster.rs
@@ -105,10 +105,6 @@
         Ok(())
     }
 
-    pub(crate) async fn join(&mut self, id: u64) {
-        self.restart(id).await.unwrap();
-    }
-
     pub(crate) async fn try_start(&mut self, id: u64) -> Result<ReplicaHandle, StartError> {
         let config = ReplicaConfig {
             cluster: "test".to_owned(),
--- a/crates/wasabipoint_consensus/tests/schedules/simulation.rs
+++ b/crates/wasabipoint_consensus/tests/schedules/simulation.rs
@@ -58,7 +58,7 @@
 
 #[derive(Default)]
 struct Node {
-    disk_id: DiskIdBits,
+    disk_id: u64,
     disk: Disk,
     /// Steps of the batch in progress; none are durable before the completion or a crash.
     batch: Option<(u64, Vec<Step>)>,
@@ -73,8 +73,6 @@
     is_refused: bool,
 }
 
-type DiskIdBits = u64;
-
 struct Client {
     process: usize,
     /// The member that the call went to.
