--- a/crates/wasabipoint_control/tests/cluster/faults.rs
+++ b/crates/wasabipoint_control/tests/cluster/faults.rs
@@ -85,6 +85,8 @@
         })
         .await;
     assert!(back.grants.len() <= 1);
+    let actions = actions(&server, "summary-small").await;
+    assert_eq!(actions, ["load", "replace", "revoke"]);
     server.stop().await;
 }
 
