--- a/crates/wasabipoint_agent/tests/agent/dispatch.rs
+++ b/crates/wasabipoint_agent/tests/agent/dispatch.rs
@@ -271,4 +271,13 @@
     let mut ahead = completion("short", &json!({}));
     ahead.known_cache_sequence = known + 10;
     assert!(call(&setup.agent, ahead).await.end.unwrap().has_cache_gap);
+    setup.engine.exit();
+    wait_until("the model was loaded again", || {
+        setup.engine.state()["models"][0]["state"] == "loaded"
+    })
+    .await;
+    setup.control.wait_for_loaded("m").await;
+    let mut behind = completion("short", &json!({}));
+    behind.known_cache_sequence = known;
+    assert!(call(&setup.agent, behind).await.end.unwrap().has_cache_gap);
 }
--- a/crates/wasabipoint_agent/tests/agent/silence.rs
+++ b/crates/wasabipoint_agent/tests/agent/silence.rs
@@ -10,11 +10,11 @@
     AdapterCommand, Agent, CacheEventPage, CommandError, Endpoint, EndpointError, EndpointRequest,
     EndpointResponse, EngineModel, EngineSnapshot, ModelCommand, ResponsePieces,
 };
-use wasabipoint_kernel::{ErrorKind, RequestId, RunState};
+use wasabipoint_kernel::{AdapterName, ErrorKind, ModelName, RequestId, RunState};
 use wasabipoint_rpc::ReplicaState;
 
 use crate::support::{
-    INCARNATION, TestControl, call, completion, find_state, settings, start_agent,
+    INCARNATION, TestControl, call, completion, find_state, settings, start_agent, with_adapter,
 };
 
 /// An engine whose answers to loads and completions never arrive.
@@ -25,6 +25,8 @@
     loads_obeyed: Mutex<usize>,
     loads: Mutex<Vec<(Instant, ModelCommand)>>,
     is_head_sent: bool,
+    // Time between the moment that a state shows and its arrival.
+    state_age: Duration,
 }
 
 struct SilentPieces;
@@ -54,7 +56,11 @@
     }
 
     fn read_state(&self) -> BoxFuture<'_, Result<EngineSnapshot, EndpointError>> {
-        Box::pin(async { Ok(self.snapshot.lock().unwrap().clone()) })
+        Box::pin(async {
+            let snapshot = self.snapshot.lock().unwrap().clone();
+            tokio::time::sleep(self.state_age).await;
+            Ok(snapshot)
+        })
     }
 
     fn read_cache_events(&self, _: u64) -> BoxFuture<'_, Result<CacheEventPage, EndpointError>> {
@@ -86,8 +92,9 @@
         Box::pin(std::future::pending())
     }
 
-    fn load_adapter(&self, _: AdapterCommand) -> BoxFuture<'_, Result<(), CommandError>> {
-        Box::pin(std::future::pending())
+    fn load_adapter(&self, command: AdapterCommand) -> BoxFuture<'_, Result<(), CommandError>> {
+        self.snapshot.lock().unwrap().adapters.push(command.adapter);
+        Box::pin(async { Ok(()) })
     }
 
     fn unload_adapter(&self, _: AdapterCommand) -> BoxFuture<'_, Result<(), CommandError>> {
@@ -204,3 +211,33 @@
     );
     drain_frames.abort();
 }
+
+/// Guards against a state from before a load that hides the loaded adapter and frees its memory.
+#[tokio::test(start_paused = true)]
+async fn an_old_state_does_not_undo_an_adapter_load() {
+    let (_engine, control, agent) = start(SilentEngine {
+        loads_obeyed: Mutex::new(1),
+        state_age: Duration::from_millis(300),
+        ..SilentEngine::default()
+    });
+    control.wait_for_loaded("m").await;
+    let names: Vec<_> = (0..10).map(|index| format!("a{index}")).collect();
+    control.change(|directive| {
+        let adapter = |name: &String| (AdapterName::new(name), ModelName::new("m"), 10);
+        directive.adapters = names.iter().map(adapter).collect();
+    });
+    control.wait_for("any state", |_| true).await;
+    control.wait_for("any state", |_| true).await;
+    let mut held = Vec::new();
+    for (count, name) in names.iter().enumerate() {
+        let request = with_adapter(completion("held", &json!({})), name);
+        held.push(agent.dispatch(request));
+        // Loads fall into different phases of a read.
+        tokio::time::sleep(Duration::from_millis(130)).await;
+        let report = control.reports().pop().unwrap();
+        assert_eq!(report.adapters.len(), count + 1, "{:?}", report.adapters);
+        assert_eq!(report.memory_used_mib, 400 + 10 * (count as u64 + 1));
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(control.reports().pop().unwrap().adapters.len(), names.len());
+}
