--- a/crates/wasabipoint_policy/src/routing/prefix_affinity.rs
+++ b/crates/wasabipoint_policy/src/routing/prefix_affinity.rs
@@ -9,7 +9,7 @@
 };
 
 /// Load above the fleet's mean that an endpoint may carry for the sake of its cache, in percent.
-const LOAD_BOUND_PERCENT: u64 = 125;
+const LOAD_BOUND_PERCENT: u64 = 150;
 
 /// Blocks of prompt that take about as long as waiting behind a whole batch of requests.
 const BLOCKS_PER_FULL_LOAD: u64 = 64;
