Report waiting grants as loading and never repeat a failed load under its token

Cause: control releases a revoked grant that a report does not list, and a grant whose load failed. The agent left queued grants out of its reports and repeated failed loads, so that it could load under a grant that control no longer counted. Ruled out: counting failed grants until revoked, which keeps memory decided for nothing. The control fixture of the agent's tests now decides anew for failed loads, as control does.

--- a/crates/wasabipoint_agent/src/plan.rs
+++ b/crates/wasabipoint_agent/src/plan.rs
@@ -29,12 +29,10 @@
 pub struct LoadFailure {
     /// Fencing token of the grant.
     pub fencing_token: FencingToken,
-    /// When the command may be repeated.
+    /// When an unload may be repeated; a load is not.
     pub retry_at_ms: u64,
     /// Failures in a row.
     pub attempts: u32,
-    /// Whether the replica did not fit; it is then tried again as soon as it fits.
-    pub is_memory_short: bool,
 }
 
 /// What the decision is based on.
@@ -95,6 +93,14 @@
         .is_none_or(|failure| failure.fencing_token != token || failure.retry_at_ms <= input.now_ms)
 }
 
+/// Tells whether the load of a grant failed. It is not tried again under the same token: control
+/// takes the reported failure as proof that the grant is released, and decides anew.
+pub(crate) fn has_failed(failures: &BTreeMap<ModelName, LoadFailure>, grant: &Grant) -> bool {
+    failures
+        .get(&grant.model)
+        .is_some_and(|failure| failure.fencing_token == grant.fencing_token)
+}
+
 fn plan_unload(input: &PlanInput<'_>) -> Option<Step> {
     input.replicas.iter().find_map(|(model, replica)| {
         let since_ms = replica.invalid_since_ms?;
@@ -135,20 +141,14 @@
         .grants
         .iter()
         .filter(|grant| !grant.is_revoked && !input.replicas.contains_key(&grant.model))
+        .filter(|grant| !has_failed(input.failures, grant))
         .collect();
     wanted.sort_by_key(|grant| grant.fencing_token);
-    let fits = |grant: &&Grant| grant.memory_mib <= input.memory.free_mib();
-    let is_due = |grant: &&Grant| may_try(input, &grant.model, grant.fencing_token);
-    let was_short = |grant: &&Grant| {
-        let failure = input.failures.get(&grant.model);
-        failure.is_some_and(|failure| failure.is_memory_short)
-    };
-    let mut loadable = wanted.iter().copied().filter(fits);
-    if let Some(grant) = loadable.find(|grant| is_due(grant) || was_short(grant)) {
-        return Some(Step::Load(grant.clone()));
+    let fits = |grant: &&&Grant| grant.memory_mib <= input.memory.free_mib();
+    if let Some(grant) = wanted.iter().find(fits) {
+        return Some(Step::Load((*grant).clone()));
     }
-    let mut too_large = wanted.iter().copied().filter(|grant| !fits(grant));
-    let grant = too_large.find(is_due)?;
+    let grant = wanted.first()?;
     let is_unload_expected = input
         .replicas
         .values()
@@ -158,6 +158,6 @@
     }
     Some(match input.idle_adapters.first() {
         Some(adapter) => Step::EvictAdapter(adapter.clone()),
-        None => Step::RefuseLoad(grant.clone()),
+        None => Step::RefuseLoad((*grant).clone()),
     })
 }
--- a/crates/wasabipoint_agent/src/reconcile.rs
+++ b/crates/wasabipoint_agent/src/reconcile.rs
@@ -132,15 +132,15 @@
                 warn!(self.core.logger, "agent: a granted model does not fit into the memory";
                     "model" => %grant.model, "needed_mib" => grant.memory_mib,
                     "free_mib" => self.core.state().memory.free_mib());
-                self.note_failure(&grant.model, grant.fencing_token, true);
+                self.note_failure(&grant.model, grant.fencing_token);
             }
         }
     }
 
-    fn note_failure(&self, model: &ModelName, fencing_token: FencingToken, is_memory_short: bool) {
+    fn note_failure(&self, model: &ModelName, fencing_token: FencingToken) {
         let now_ms = self.core.clock.now_ms();
         let mut state = self.core.state();
-        state.note_failure(model, fencing_token, is_memory_short, now_ms);
+        state.note_failure(model, fencing_token, now_ms);
         drop(state);
         self.core.report_wake.notify_one();
     }
@@ -205,7 +205,7 @@
             });
         } else {
             self.update(|state| state.remove_replica(&grant.model));
-            self.note_failure(&grant.model, grant.fencing_token, false);
+            self.note_failure(&grant.model, grant.fencing_token);
         }
         self.refresh().await;
     }
@@ -309,7 +309,7 @@
                     replica.state = ReplicaState::Loaded;
                 }
             });
-            self.note_failure(model, fencing_token, false);
+            self.note_failure(model, fencing_token);
         } else {
             self.update(|state| {
                 state.remove_replica(model);
--- a/crates/wasabipoint_agent/src/state.rs
+++ b/crates/wasabipoint_agent/src/state.rs
@@ -13,7 +13,7 @@
 use crate::endpoint::EngineSnapshot;
 use crate::execution_ledger::{ExecutionBounds, ExecutionLedger};
 use crate::memory_ledger::{Holding, HoldingState, MemoryLedger};
-use crate::plan::{LoadFailure, PlanInput, Replica, Step, find_grant, plan_step};
+use crate::plan::{LoadFailure, PlanInput, Replica, Step, find_grant, has_failed, plan_step};
 
 /// First pause before a failed command is repeated.
 const RETRY_MS: u64 = 1_000;
@@ -156,7 +156,6 @@
         &mut self,
         model: &ModelName,
         fencing_token: FencingToken,
-        is_memory_short: bool,
         now_ms: u64,
     ) {
         let attempts = self
@@ -171,7 +170,6 @@
                 fencing_token,
                 retry_at_ms: now_ms + pause_ms,
                 attempts,
-                is_memory_short,
             },
         );
     }
@@ -311,22 +309,24 @@
                 },
             })
             .collect();
-        let failed: Vec<_> = self
+        // A live grant that waits for its load counts as loading: control takes absence as proof
+        // that the agent does not load under the grant.
+        let waiting: Vec<_> = self
             .grants()
             .iter()
-            .filter(|grant| !self.replicas.contains_key(&grant.model))
-            .filter(|grant| {
-                let failure = self.failures.get(&grant.model);
-                failure.is_some_and(|failure| failure.fencing_token == grant.fencing_token)
-            })
+            .filter(|grant| !grant.is_revoked && !self.replicas.contains_key(&grant.model))
             .map(|grant| ReplicaReport {
                 model: grant.model.clone(),
                 version: grant.version,
                 fencing_token: grant.fencing_token,
-                state: ReplicaState::Failed,
+                state: if has_failed(&self.failures, grant) {
+                    ReplicaState::Failed
+                } else {
+                    ReplicaState::Loading
+                },
             })
             .collect();
-        report.replicas.extend(failed);
+        report.replicas.extend(waiting);
         report.adapters = self.loaded_adapters();
         report.checkpoints.clone_from(&self.snapshot.checkpoints);
     }
--- a/crates/wasabipoint_agent/tests/agent/support.rs
+++ b/crates/wasabipoint_agent/tests/agent/support.rs
@@ -1,5 +1,6 @@
 //! A control link in memory, and helpers to dispatch requests and read their frames.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -26,6 +27,7 @@
 #[derive(Debug)]
 pub(crate) struct TestControl {
     directive: Mutex<AgentDirective>,
+    issued: Mutex<BTreeSet<(String, u64)>>,
     reports: Mutex<Vec<AgentReport>>,
     // Incarnations with a report in flight.
     in_flight: Mutex<Vec<Incarnation>>,
@@ -41,6 +43,7 @@
                 adapters: Vec::new(),
                 next_report_ms: 20,
             }),
+            issued: Mutex::default(),
             reports: Mutex::default(),
             in_flight: Mutex::default(),
             reported: Notify::new(),
@@ -51,8 +54,39 @@
         change(&mut self.directive.lock().unwrap());
     }
 
+    /// Returns the models and tokens of all grants.
+    pub(crate) fn issued(&self) -> BTreeSet<(String, u64)> {
+        self.issued.lock().unwrap().clone()
+    }
+
+    /// Returns a token above all issued ones.
+    pub(crate) fn next_token(&self) -> u64 {
+        let issued = self.issued.lock().unwrap();
+        issued.iter().map(|(_, token)| token + 1).max().unwrap_or(1)
+    }
+
+    /// Decides anew for grants whose load failed, as control does, which never sees the agent try
+    /// again under a failed token.
+    fn renew_failed(&self, report: &AgentReport) {
+        let mut directive = self.directive.lock().unwrap();
+        for grant in &mut directive.grants {
+            let has_failed = report.replicas.iter().any(|replica| {
+                replica.state == ReplicaState::Failed
+                    && replica.fencing_token == grant.fencing_token
+            });
+            if has_failed && !grant.is_revoked {
+                let token = self.next_token();
+                grant.fencing_token = FencingToken(token);
+                let model = grant.model.to_string();
+                self.issued.lock().unwrap().insert((model, token));
+            }
+        }
+    }
+
     /// Adds a grant in place of earlier ones for the model.
     pub(crate) fn grant(&self, model: &str, fencing_token: u64, memory_mib: u64) {
+        let issued = (model.to_owned(), fencing_token);
+        self.issued.lock().unwrap().insert(issued);
         self.change(|directive| {
             directive
                 .grants
@@ -154,6 +188,7 @@
     fn report(&self, report: AgentReport) -> BoxFuture<'_, Result<AgentDirective, ControlError>> {
         Box::pin(async move {
             let _in_flight = InFlight::new(self, report.incarnation);
+            self.renew_failed(&report);
             self.reports.lock().unwrap().push(report);
             tokio::task::yield_now().await;
             self.reported.notify_waiters();
