Give control members of the test bed a loopback address of their own

Cause: a control member did not start in one of about forty fleets; its reserved port may have been given to another process before it started. The log was lost, since the folder of a fleet that failed to start was removed; it stays now. Ruled out: meeting ports of parallel runs, which use other addresses.

--- a/crates/wasabipoint_testbed/src/fleet.rs
+++ b/crates/wasabipoint_testbed/src/fleet.rs
@@ -71,7 +71,8 @@
     pub key: String,
 }
 
-/// All processes of a fleet. Dropping it kills them; its folder stays when a test fails.
+/// All processes of a fleet. Dropping it kills them; its folder stays when the start or a test
+/// fails.
 #[derive(Debug)]
 pub struct Fleet {
     folder: PathBuf,
@@ -91,6 +92,7 @@
     pub agents: Vec<Process>,
     /// Entry processes.
     pub entries: Vec<Process>,
+    is_started: bool,
     /// Links in front of the control members, when the plan has them. Every process, also the
     /// other members, reaches a member through its link.
     pub control_links: Vec<Link>,
@@ -103,16 +105,15 @@
         let pid = std::process::id();
         let folder = std::env::temp_dir().join(format!("wasabipoint-{pid}-{number}"));
         std::fs::create_dir_all(&folder)?;
-        // Each fleet has a loopback address of its own, so that ports of parallel runs never meet.
-        let host = format!(
-            "127.{}.{}.{}",
-            64 + pid / 250 % 128,
-            pid % 250,
-            1 + number % 250
-        );
+        // Each fleet has loopback addresses of its own, so that ports of parallel runs never meet.
+        // Control members have one for themselves: their ports are chosen before they start, and
+        // no other process may be given one of them in between.
+        let network = format!("127.{}.{}", 64 + pid / 250 % 128, pid % 250);
+        let host = format!("{network}.{}", 1 + number % 125);
+        let control_host = format!("{network}.{}", 126 + number % 125);
         let count = plan.controls as usize;
-        let control_rpc = reserve_ports(&host, count)?;
-        let control_http = reserve_ports(&host, count)?;
+        let mut control_rpc = reserve_ports(&control_host, 2 * count)?;
+        let control_http = control_rpc.split_off(count);
 
         let mut store_arguments = options(&host, &[("loads-per-s", 20), ("mib-per-s", 200_000)]);
         store_arguments.extend(option("adapter-mib", 1_000));
@@ -141,6 +142,7 @@
             controls: Vec::new(),
             agents: Vec::new(),
             entries: Vec::new(),
+            is_started: false,
             control_links: Vec::new(),
         };
         if fleet.plan.has_control_links {
@@ -167,6 +169,7 @@
             fleet.entries.push(entry);
         }
         fleet.wait_until_entries_are_healthy().await?;
+        fleet.is_started = true;
         Ok(fleet)
     }
 
@@ -471,7 +474,7 @@
 
 impl Drop for Fleet {
     fn drop(&mut self) {
-        if !std::thread::panicking() {
+        if self.is_started && !std::thread::panicking() {
             // A leftover folder is no fault of the run.
             let _ = std::fs::remove_dir_all(&self.folder);
         }
