--- a/crates/wasabipoint_testbed/src/fleet.rs
+++ b/crates/wasabipoint_testbed/src/fleet.rs
@@ -77,6 +77,7 @@
 pub struct Fleet {
     folder: PathBuf,
     host: String,
+    control_host: String,
     plan: FleetPlan,
     control_rpc: Vec<SocketAddr>,
     control_http: Vec<SocketAddr>,
@@ -133,6 +134,7 @@
         let mut fleet = Self {
             folder,
             host,
+            control_host,
             plan,
             control_rpc,
             control_http,
@@ -215,19 +217,41 @@
 
     /// Starts or restarts a control member on its data folder.
     pub async fn start_control(&mut self, index: usize) -> Result<(), FleetError> {
+        let process = self.run_control(index, false).await?;
+        self.controls[index] = Some(process);
+        Ok(())
+    }
+
+    /// Starts one more control member on an empty data folder, under a new member id, and returns
+    /// the id. It takes part once it was added to the cluster.
+    pub async fn start_joining_control(&mut self) -> Result<u64, FleetError> {
+        let index = self.controls.len();
+        let mut addresses = reserve_ports(&self.control_host, 2)?;
+        self.control_http.extend(addresses.pop());
+        self.control_rpc.extend(addresses.pop());
+        let process = self.run_control(index, true).await?;
+        self.controls.push(Some(process));
+        Ok(index as u64 + 1)
+    }
+
+    async fn run_control(&self, index: usize, is_joining: bool) -> Result<Process, FleetError> {
         let member = index + 1;
+        let first_members = self.plan.controls as usize;
         let members: Vec<String> = self
             .control_addresses()
             .iter()
+            .take(first_members)
             .enumerate()
             .map(|(index, address)| format!("{}={address}", index + 1))
             .collect();
         let settings = format!(
-            "[control]\ncluster = testbed\nmember = {member}\nmembers = {}\nrpc_listen = {}\n\
-             http_listen = {}\ndata_folder = {}\nfailure_domain = {}\nkey_secret = {KEY_SECRET}\n\
-             operator_token = {OPERATOR_TOKEN}\nplatform_list = http://{}/vms\ntick_ms = 20\n\
-             snapshot_entries = 200\nagent_silence_ms = 1500\nreplace_after_ms = 1500\n",
+            "[control]\ncluster = testbed\nmember = {member}\nmembers = {}\njoin = {}\n\
+             rpc_listen = {}\nhttp_listen = {}\ndata_folder = {}\nfailure_domain = {}\n\
+             key_secret = {KEY_SECRET}\noperator_token = {OPERATOR_TOKEN}\n\
+             platform_list = http://{}/vms\ntick_ms = 20\nsnapshot_entries = 200\n\
+             agent_silence_ms = 1500\nreplace_after_ms = 1500\n",
             members.join(", "),
+            if is_joining { "yes" } else { "no" },
             self.control_rpc[index],
             self.control_http[index],
             self.folder.join(format!("control-{member}")).display(),
@@ -235,11 +259,8 @@
             self.platform.http_address(),
         );
         let name = format!("control-{member}");
-        let process = self
-            .start_daemon(&name, "wasabipoint-control", &settings)
-            .await?;
-        self.controls[index] = Some(process);
-        Ok(())
+        self.start_daemon(&name, "wasabipoint-control", &settings)
+            .await
     }
 
     /// Starts the endpoint of an index: engines first, then services.
--- a/crates/wasabipoint_testbed/tests/path.rs
+++ b/crates/wasabipoint_testbed/tests/path.rs
@@ -128,6 +128,26 @@
             .unwrap();
         assert_eq!(booking.status, StatusCode::OK, "{:?}", booking.body);
     }
+    let asked = fleet.caller(1).with_key(&key.key);
+    let answer = asked
+        .chat("stems-small", "explain this", 2, false)
+        .await
+        .unwrap();
+    let request = answer.request_id.unwrap();
+    let explained = fleet
+        .operate(&["explain", "request", &request])
+        .await
+        .unwrap();
+    assert!(explained.to_string().contains("endpoint-"), "{explained}");
+    // An idle connection would delay the end of the entry process below.
+    drop(asked);
+    let unknown = "0123456789abcdef0123456789abcdef";
+    assert!(
+        fleet
+            .operate(&["explain", "request", unknown])
+            .await
+            .is_err()
+    );
     let explained = fleet
         .operate(&["explain", "model", "stems-small"])
         .await
@@ -146,3 +166,49 @@
         }
     }
 }
+
+/// Guards against a repair of control that operators cannot carry out with the command line, and
+/// against redundancy that is reported before the new member holds everything.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_control_vm_with_a_lost_disk_is_replaced() {
+    let plan = FleetPlan::delta().with_entries(1).with_endpoints(0, 1);
+    let mut fleet = Fleet::start(plan).await.unwrap();
+    let key = fleet.add_key("bucket-traders").await.unwrap();
+    let leader = fleet.leader().await.unwrap();
+    let lost = (leader + 1) % 3;
+    fleet.controls[lost].take().unwrap().kill().await.unwrap();
+    let lost_member = (lost + 1).to_string();
+    fleet
+        .operate(&["members", "remove", &lost_member])
+        .await
+        .unwrap();
+    let status = fleet.operate(&["status"]).await.unwrap();
+    assert_eq!(status["remaining_redundancy"], 0, "{status}");
+    let member = fleet.start_joining_control().await.unwrap().to_string();
+    let address = fleet.control_rpc_address(3).to_string();
+    fleet
+        .operate(&["members", "add-learner", &member, &address])
+        .await
+        .unwrap();
+    let status = fleet.operate(&["status"]).await.unwrap();
+    assert_eq!(status["remaining_redundancy"], 0, "{status}");
+    Fleet::wait_for("the promotion", || async {
+        fleet
+            .operate(&["members", "promote", &member])
+            .await
+            .is_ok()
+    })
+    .await
+    .unwrap();
+    Fleet::wait_for("the redundancy", || async {
+        let status = fleet.operate(&["status"]).await.unwrap();
+        status["remaining_redundancy"] == 1
+    })
+    .await
+    .unwrap();
+    // A second loss right after the repair: the new member and one old one go on.
+    fleet.controls[leader].take().unwrap().kill().await.unwrap();
+    let names = fleet.operate(&["keys", "list"]).await.unwrap().to_string();
+    assert!(names.contains(&key.id), "{names}");
+    fleet.operate(&["keys", "withdraw", &key.id]).await.unwrap();
+}
