--- a/crates/wasabipoint_agent/tests/agent/dispatch.rs
+++ b/crates/wasabipoint_agent/tests/agent/dispatch.rs
@@ -263,7 +263,7 @@
             events.extend(load.cache_events);
         }
     };
-    tokio::time::timeout(crate::support::PATIENCE, collect)
+    tokio::time::timeout(crate::support::WAIT_TIMEOUT, collect)
         .await
         .unwrap();
     let stored = blocks.into_iter().map(wasabipoint_rpc::CacheEvent::Stored);
--- a/crates/wasabipoint_agent/tests/agent/drain.rs
+++ b/crates/wasabipoint_agent/tests/agent/drain.rs
@@ -15,7 +15,7 @@
 };
 
 use crate::support::{
-    EngineSetup, INCARNATION, PATIENCE, call, completion, receive, start_engine, wait_until,
+    EngineSetup, INCARNATION, WAIT_TIMEOUT, call, completion, receive, start_engine, wait_until,
 };
 
 const MAX_BYTES: usize = 1 << 20;
@@ -41,9 +41,10 @@
         setup.control.wait_for("the drain flag", is_reported).await;
         call(&setup.agent, completion("late", &json!({}))).await
     };
-    let (completed, refused) = tokio::time::timeout(PATIENCE, futures::future::join(drain, late))
-        .await
-        .unwrap();
+    let (completed, refused) =
+        tokio::time::timeout(WAIT_TIMEOUT, futures::future::join(drain, late))
+            .await
+            .unwrap();
     assert_eq!(completed, 6, "the drain ends after the last request");
     assert_eq!(
         refused.failed,
@@ -82,7 +83,7 @@
             .unwrap();
         let response = self
             .client
-            .fetch(request, MAX_BYTES, PATIENCE)
+            .fetch(request, MAX_BYTES, WAIT_TIMEOUT)
             .await
             .unwrap();
         let text = String::from_utf8(response.body().to_vec()).unwrap();
@@ -106,7 +107,7 @@
     );
     let response = served
         .client
-        .fetch(request, MAX_BYTES, PATIENCE)
+        .fetch(request, MAX_BYTES, WAIT_TIMEOUT)
         .await
         .unwrap();
     let mut decoder = FrameDecoder::new();
@@ -123,7 +124,7 @@
     let request = served.post("/v1/outcome", encode_message(&question));
     let response = served
         .client
-        .fetch(request, MAX_BYTES, PATIENCE)
+        .fetch(request, MAX_BYTES, WAIT_TIMEOUT)
         .await
         .unwrap();
     let outcome: Outcome = decode_message(response.body()).unwrap();
@@ -131,7 +132,7 @@
     let request = served.post("/v1/dispatch", vec![1, 2]);
     let response = served
         .client
-        .fetch(request, MAX_BYTES, PATIENCE)
+        .fetch(request, MAX_BYTES, WAIT_TIMEOUT)
         .await
         .unwrap();
     assert_eq!(response.status(), 400);
--- a/crates/wasabipoint_agent/tests/agent/history.rs
+++ b/crates/wasabipoint_agent/tests/agent/history.rs
@@ -159,8 +159,8 @@
     let _agent = start_waiting(&engine, &control, Incarnation(1), 0);
     control.wait_for_loaded("second").await;
     let reports = control.reports();
-    let told = |report: &&AgentReport| find_state(report, "first").is_some();
-    for report in reports.iter().filter(told) {
+    let is_first_listed = |report: &&AgentReport| find_state(report, "first").is_some();
+    for report in reports.iter().filter(is_first_listed) {
         assert!(find_state(report, "second").is_some(), "{report:?}");
     }
     let is_waiting = |report: &AgentReport| {
--- a/crates/wasabipoint_agent/tests/agent/silence.rs
+++ b/crates/wasabipoint_agent/tests/agent/silence.rs
@@ -198,7 +198,7 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     let revoked_at = Instant::now();
     control.revoke("m");
-    // Two waits, since one is bounded by the patience of the tests.
+    // Two waits, since one is bounded by the wait_timeout of the tests.
     tokio::time::sleep(Duration::from_secs(40)).await;
     assert_eq!(
         control
--- a/crates/wasabipoint_agent/tests/agent/support.rs
+++ b/crates/wasabipoint_agent/tests/agent/support.rs
@@ -20,7 +20,7 @@
 };
 
 /// Time after which a test that waits for an event fails; not a bound on the machine's speed.
-pub(crate) const PATIENCE: Duration = Duration::from_secs(50);
+pub(crate) const WAIT_TIMEOUT: Duration = Duration::from_secs(50);
 
 pub(crate) const INCARNATION: Incarnation = Incarnation(7);
 
@@ -130,7 +130,7 @@
                 reported.await;
             }
         };
-        let result = tokio::time::timeout(PATIENCE, wait).await;
+        let result = tokio::time::timeout(WAIT_TIMEOUT, wait).await;
         let last = self.reports().pop();
         assert!(result.is_ok(), "no report with {what}; last {last:?}");
     }
@@ -351,7 +351,7 @@
             }
         }
     };
-    tokio::time::timeout(PATIENCE, read)
+    tokio::time::timeout(WAIT_TIMEOUT, read)
         .await
         .expect("the response ends");
     received
@@ -369,7 +369,7 @@
             tokio::time::sleep(Duration::from_millis(2)).await;
         }
     };
-    let result = tokio::time::timeout(PATIENCE, wait).await;
+    let result = tokio::time::timeout(WAIT_TIMEOUT, wait).await;
     assert!(result.is_ok(), "waited in vain until {what}");
 }
 
--- a/crates/wasabipoint_agent/tests/process.rs
+++ b/crates/wasabipoint_agent/tests/process.rs
@@ -24,7 +24,7 @@
     encode_message, listen_rpc,
 };
 
-const PATIENCE: Duration = Duration::from_secs(50);
+const WAIT_TIMEOUT: Duration = Duration::from_secs(50);
 
 #[derive(Clone, Default)]
 struct TestControl {
@@ -111,7 +111,7 @@
                 tokio::time::sleep(Duration::from_millis(2)).await;
             }
         };
-        tokio::time::timeout(PATIENCE, wait).await.unwrap()
+        tokio::time::timeout(WAIT_TIMEOUT, wait).await.unwrap()
     }
 }
 
@@ -224,13 +224,13 @@
     let control = TestControl::default();
     let mut agent = AgentProcess::start("drain", engine.address(), control.listen().await);
     let incarnation = control.wait_for(is_loaded).await.incarnation;
-    let client = HttpClient::new(PATIENCE);
+    let client = HttpClient::new(WAIT_TIMEOUT);
     let calls: Vec<_> = (0..8)
         .map(|_| {
             let client = client.clone();
             // At 2 ms a token, the responses outlast what the server's stop waits by itself.
             let request = dispatch(agent.address, incarnation, 1_500);
-            tokio::spawn(async move { client.fetch(request, 1 << 24, PATIENCE).await })
+            tokio::spawn(async move { client.fetch(request, 1 << 24, WAIT_TIMEOUT).await })
         })
         .collect();
     while engine.state()["running"] != 8 {
@@ -243,7 +243,7 @@
         assert!(matches!(last_frame(response.body()), Frame::End { .. }));
     }
     let status = tokio::task::spawn_blocking(move || agent.child.wait().unwrap());
-    let status = tokio::time::timeout(PATIENCE, status)
+    let status = tokio::time::timeout(WAIT_TIMEOUT, status)
         .await
         .unwrap()
         .unwrap();
@@ -265,10 +265,10 @@
         .wait_for(|report| report.incarnation > incarnation && is_loaded(report))
         .await
         .incarnation;
-    let client = HttpClient::new(PATIENCE);
+    let client = HttpClient::new(WAIT_TIMEOUT);
     for (bound_to, is_served) in [(incarnation, false), (next, true)] {
         let request = dispatch(second.address, bound_to, 4);
-        let response = client.fetch(request, 1 << 20, PATIENCE).await.unwrap();
+        let response = client.fetch(request, 1 << 20, WAIT_TIMEOUT).await.unwrap();
         let is_end = matches!(last_frame(response.body()), Frame::End { .. });
         assert_eq!(is_end, is_served);
     }
--- a/crates/wasabipoint_consensus/tests/driver.rs
+++ b/crates/wasabipoint_consensus/tests/driver.rs
@@ -12,7 +12,7 @@
 use wasabipoint_consensus::{MembershipChange, ProposeError, StartError};
 use wasabipoint_kernel::MemberId;
 
-const PATIENCE: Duration = Duration::from_mins(1);
+const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Guards against a cluster that commits nothing, or different things on its members.
 #[tokio::test(start_paused = true)]
@@ -57,7 +57,7 @@
     let cut = cluster.leader().await;
     cluster.append(cut, 1).await.unwrap();
     cluster.cut(cut, true);
-    let read = timeout(PATIENCE, cluster.handle(cut).confirm_read()).await;
+    let read = timeout(WAIT_TIMEOUT, cluster.handle(cut).confirm_read()).await;
     assert!(
         matches!(read, Ok(Err(ProposeError::NotLeader { .. }))),
         "{read:?}"
@@ -89,7 +89,7 @@
     cluster.erase(lost);
     cluster.restart(lost).await.unwrap();
     let mut status = cluster.handle(lost).watch_status();
-    let refused = timeout(PATIENCE, status.wait_for(|s| s.is_stopped)).await;
+    let refused = timeout(WAIT_TIMEOUT, status.wait_for(|s| s.is_stopped)).await;
     let fault = refused.unwrap().unwrap().fault.clone();
     assert!(fault.unwrap().contains("another disk"));
     cluster.wait_redundancy(leader, 0).await;
--- a/crates/wasabipoint_consensus/tests/driver/cluster.rs
+++ b/crates/wasabipoint_consensus/tests/driver/cluster.rs
@@ -15,7 +15,7 @@
 };
 use wasabipoint_kernel::MemberId;
 
-const PATIENCE: Duration = Duration::from_mins(1);
+const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// The list of all values applied so far.
 #[derive(Default)]
@@ -162,13 +162,15 @@
     pub(crate) async fn append(&self, id: u64, value: u64) -> Result<Vec<u8>, ProposeError> {
         let handle = self.handle(id);
         let call = handle.propose(value.to_le_bytes().to_vec());
-        timeout(PATIENCE, call).await.expect("the call is answered")
+        timeout(WAIT_TIMEOUT, call)
+            .await
+            .expect("the call is answered")
     }
 
     pub(crate) async fn stop(&self, id: u64) {
         let handle = self.network.lock().unwrap().handles.remove(&id);
         if let Some(handle) = handle {
-            timeout(PATIENCE, handle.stop())
+            timeout(WAIT_TIMEOUT, handle.stop())
                 .await
                 .expect("the replica stops");
         }
@@ -259,7 +261,7 @@
                 sleep(Duration::from_millis(10)).await;
             }
         };
-        timeout(PATIENCE, poll)
+        timeout(WAIT_TIMEOUT, poll)
             .await
             .expect("the condition is met in time")
     }
--- a/crates/wasabipoint_control/src/api/report.rs
+++ b/crates/wasabipoint_control/src/api/report.rs
@@ -6,7 +6,7 @@
 use wasabipoint_rpc::EndpointKind;
 
 use crate::control::Control;
-use crate::office::Office;
+use crate::leader_state::LeaderState;
 use crate::state::{ControlState, GrantPhase, GrantRecord};
 
 fn role_name(role: Role) -> &'static str {
@@ -45,8 +45,10 @@
         "remaining_redundancy": replica.remaining_redundancy,
         "members": members,
     });
-    let fleet = with_office(control, |office| {
-        control.member.read(|state| describe_fleet(state, office))
+    let fleet = with_leader_state(control, |leader_state| {
+        control
+            .member
+            .read(|state| describe_fleet(state, leader_state))
     });
     if let (Some(value), Value::Object(fleet)) = (value.as_object_mut(), fleet) {
         value.extend(fleet);
@@ -55,9 +57,9 @@
 }
 
 /// Runs `work` with the memory of the term when this member leads.
-fn with_office<T>(control: &Control, work: impl FnOnce(Option<&Office>) -> T) -> T {
+fn with_leader_state<T>(control: &Control, work: impl FnOnce(Option<&LeaderState>) -> T) -> T {
     match control.member.leading_term() {
-        Some(term) => control.with_office(term, |office| work(Some(office))),
+        Some(term) => control.with_leader_state(term, |leader_state| work(Some(leader_state))),
         None => work(None),
     }
 }
@@ -84,7 +86,7 @@
     })
 }
 
-fn describe_fleet(state: &ControlState, office: Option<&Office>) -> Value {
+fn describe_fleet(state: &ControlState, leader_state: Option<&LeaderState>) -> Value {
     let inventory = &state.view.inventory;
     let endpoints: Vec<Value> = state
         .fleet
@@ -94,7 +96,7 @@
             let grants: Vec<Value> = state
                 .fleet
                 .grants_of(endpoint)
-                .map(|(token, grant)| describe_grant(token.0, grant, office))
+                .map(|(token, grant)| describe_grant(token.0, grant, leader_state))
                 .collect();
             json!({
                 "endpoint": endpoint.as_str(),
@@ -110,14 +112,14 @@
                 "memory_mib": known.memory_mib,
                 "granted_mib": state.fleet.counted_mib(endpoint),
                 "is_leaving": known.is_leaving,
-                "is_silent": office.map(|office| office.is_in_doubt(endpoint, known.incarnation)),
+                "is_silent": leader_state.map(|leader_state| leader_state.is_in_doubt(endpoint, known.incarnation)),
                 "grants": grants,
             })
         })
         .collect();
-    let entries: Vec<Value> = office
+    let entries: Vec<Value> = leader_state
         .into_iter()
-        .flat_map(|office| office.entries.values())
+        .flat_map(|leader_state| leader_state.entries.values())
         .map(|entry| {
             json!({
                 "entry": entry.report.entry.as_str(),
@@ -139,8 +141,9 @@
     })
 }
 
-fn describe_grant(token: u64, grant: &GrantRecord, office: Option<&Office>) -> Value {
-    let is_in_doubt = office.map(|office| office.is_in_doubt(&grant.endpoint, grant.incarnation));
+fn describe_grant(token: u64, grant: &GrantRecord, leader_state: Option<&LeaderState>) -> Value {
+    let is_in_doubt = leader_state
+        .map(|leader_state| leader_state.is_in_doubt(&grant.endpoint, grant.incarnation));
     json!({
         "model": grant.model.as_str(),
         "endpoint": grant.endpoint.as_str(),
@@ -156,11 +159,12 @@
 
 /// Describes a model with its demand, grants and last decisions; `None` when it is unknown.
 pub(super) fn explain_model(control: &Control, model: &ModelName) -> Option<Value> {
-    with_office(control, |office| {
-        let demand = office.and_then(|office| office.demand().get(model).copied());
+    with_leader_state(control, |leader_state| {
+        let demand =
+            leader_state.and_then(|leader_state| leader_state.demand().get(model).copied());
         let demand = demand.unwrap_or_default();
-        let decisions = office.map(|office| office.decisions(model));
-        let idle = office.and_then(|office| office.last_used.get(model));
+        let decisions = leader_state.map(|leader_state| leader_state.decisions(model));
+        let idle = leader_state.and_then(|leader_state| leader_state.last_used.get(model));
         control.member.read(|state| {
             let listed = state.view.inventory.models.get(model)?;
             let grants: Vec<Value> = state
@@ -168,7 +172,7 @@
                 .grants
                 .iter()
                 .filter(|(_, grant)| grant.model == *model)
-                .map(|(token, grant)| describe_grant(token.0, grant, office))
+                .map(|(token, grant)| describe_grant(token.0, grant, leader_state))
                 .collect();
             Some(json!({
                 "model": model.as_str(),
--- a/crates/wasabipoint_control/src/control.rs
+++ b/crates/wasabipoint_control/src/control.rs
@@ -8,9 +8,9 @@
 use wasabipoint_consensus::ProposeError;
 use wasabipoint_kernel::KeyDigester;
 
+use crate::leader_state::{LeaderState, SilenceBounds};
 use crate::member::Member;
 use crate::metrics::ControlMetrics;
-use crate::office::{Office, SilenceBounds};
 use crate::state::Command;
 
 /// Shared parts of the services of one member.
@@ -28,17 +28,24 @@
     pub(crate) rpc_address: SocketAddr,
     pub(crate) http_address: SocketAddr,
     pub(crate) failure_domain: String,
-    pub(crate) office: Mutex<Option<Office>>,
+    pub(crate) leader_state: Mutex<Option<LeaderState>>,
 }
 
 impl Control {
     /// Runs `work` on the memory of the term, which starts empty when the term is new.
-    pub(crate) fn with_office<T>(&self, term: u64, work: impl FnOnce(&mut Office) -> T) -> T {
-        let mut office = self.office.lock().unwrap_or_else(PoisonError::into_inner);
-        if office.as_ref().is_none_or(|known| known.term < term) {
-            *office = None;
+    pub(crate) fn with_leader_state<T>(
+        &self,
+        term: u64,
+        work: impl FnOnce(&mut LeaderState) -> T,
+    ) -> T {
+        let mut leader_state = self
+            .leader_state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if leader_state.as_ref().is_none_or(|known| known.term < term) {
+            *leader_state = None;
         }
-        work(office.get_or_insert_with(|| Office::new(term, self.silence_bounds)))
+        work(leader_state.get_or_insert_with(|| LeaderState::new(term, self.silence_bounds)))
     }
 
     /// Records this member's addresses, so that other members can name them as the leader's.
--- a/crates/wasabipoint_control/src/office.rs
+++ b/crates/wasabipoint_control/src/leader_state.rs
@@ -1,4 +1,4 @@
-//! What a leader keeps in memory for its term of office: reports of entries and agents.
+//! What a leader keeps in memory for its term: reports of entries and agents.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -48,8 +48,8 @@
     pub(crate) earliest_deadline_ms: Option<u64>,
 }
 
-/// Memory of one term of office.
-pub(crate) struct Office {
+/// Memory of one term.
+pub(crate) struct LeaderState {
     pub(crate) term: u64,
     pub(crate) since: Instant,
     pub(crate) entries: BTreeMap<EntryId, EntryMemory>,
@@ -67,7 +67,7 @@
     decisions: BTreeMap<ModelName, VecDeque<DecisionRecord>>,
 }
 
-impl Office {
+impl LeaderState {
     pub(crate) fn new(term: u64, bounds: SilenceBounds) -> Self {
         let now = Instant::now();
         Self {
--- a/crates/wasabipoint_control/src/lib.rs
+++ b/crates/wasabipoint_control/src/lib.rs
@@ -2,10 +2,10 @@
 
 mod api;
 mod control;
+mod leader_state;
 mod machine;
 mod member;
 mod metrics;
-mod office;
 mod peer;
 mod placement;
 mod platform;
--- a/crates/wasabipoint_control/src/member.rs
+++ b/crates/wasabipoint_control/src/member.rs
@@ -13,7 +13,7 @@
 use crate::machine::{ControlMachine, encode};
 use crate::state::{Command, ControlState, Outcome, StampedCommand};
 
-/// Log time of one term of office.
+/// Log time of one term.
 #[derive(Debug, Clone, Copy)]
 struct LogClock {
     term: u64,
@@ -31,7 +31,7 @@
     leading_term: watch::Receiver<Option<u64>>,
 }
 
-/// Publishes the term of office only when it begins or ends. The status changes several times per
+/// Publishes the term only when it begins or ends. The status changes several times per
 /// applied entry, which would wake every long poll each time.
 fn follow_leadership(replica: &ReplicaHandle) -> watch::Receiver<Option<u64>> {
     let mut status = replica.watch_status();
@@ -158,7 +158,7 @@
         self.read(|state| state.members.get(&member).and_then(|known| known.http))
     }
 
-    /// Returns what a caller of the rpc service is told about an error.
+    /// Returns the refusal that a caller of the rpc service gets for an error.
     pub(crate) fn refusal(&self, error: ProposeError) -> ControlRefusal {
         match error {
             ProposeError::NotLeader { leader } => ControlRefusal::NotLeader {
--- a/crates/wasabipoint_control/src/placement/driver.rs
+++ b/crates/wasabipoint_control/src/placement/driver.rs
@@ -15,7 +15,7 @@
 
 use super::{DecisionRecord, build_view, hidden_grants, live_version};
 use crate::control::Control;
-use crate::office::Office;
+use crate::leader_state::LeaderState;
 use crate::state::{Command, ControlState, GrantPhase, GrantRequest, Outcome};
 
 /// Time between regular decisions.
@@ -38,7 +38,7 @@
 /// agent refuses it for lack of memory.
 const UNLISTED_GRANT_MS: u64 = 60_000;
 
-/// Policy and sampling state of one term of office.
+/// Policy and sampling state of one term.
 struct TermPlacement {
     term: u64,
     policy_name: String,
@@ -91,11 +91,11 @@
     follow_rules(control, running);
     observe(control, running, now_ms);
     revoke_invalid(control, now_ms).await?;
-    let view = control.with_office(term, |office| {
+    let view = control.with_leader_state(term, |leader_state| {
         control.member.read(|state| {
-            office.retain_models(|model| state.view.inventory.models.contains_key(model));
-            count_idle(control, state, office);
-            build_view(state, office, now_ms)
+            leader_state.retain_models(|model| state.view.inventory.models.contains_key(model));
+            count_idle(control, state, leader_state);
+            build_view(state, leader_state, now_ms)
         })
     });
     for decision in running.policy.decide(&view) {
@@ -171,7 +171,9 @@
         return;
     }
     running.sampled = Instant::now();
-    let arrived = control.with_office(running.term, |office| std::mem::take(&mut office.arrived));
+    let arrived = control.with_leader_state(running.term, |leader_state| {
+        std::mem::take(&mut leader_state.arrived)
+    });
     let interval_ms = interval.as_millis() as u64;
     let day_ms = control
         .member
@@ -211,10 +213,10 @@
     let Some(term) = control.member.leading_term() else {
         return Ok(());
     };
-    let invalid = control.with_office(term, |office| {
+    let invalid = control.with_leader_state(term, |leader_state| {
         control
             .member
-            .read(|state| invalid_grants(state, office, now_ms))
+            .read(|state| invalid_grants(state, leader_state, now_ms))
     });
     for (token, model, endpoint, reason) in invalid {
         control.member.propose(Command::Revoke(token)).await?;
@@ -227,7 +229,7 @@
 
 fn invalid_grants(
     state: &ControlState,
-    office: &Office,
+    leader_state: &LeaderState,
     now_ms: u64,
 ) -> Vec<(FencingToken, ModelName, EndpointId, &'static str)> {
     let live = state
@@ -237,7 +239,7 @@
         .filter(|(_, grant)| grant.phase != GrantPhase::Revoked);
     live.filter_map(|(token, grant)| {
         let known = state.fleet.endpoints.get(&grant.endpoint)?;
-        let report = office.fresh_report(&grant.endpoint, known.incarnation);
+        let report = leader_state.fresh_report(&grant.endpoint, known.incarnation);
         let is_listed = report.is_some_and(|report| {
             let mut replicas = report.replicas.iter();
             replicas.any(|replica| replica.model == grant.model)
@@ -271,14 +273,14 @@
     let Decision {
         model, endpoint, ..
     } = decision;
-    let prepared = control.with_office(term, |office| {
-        if office.is_pausing(model, endpoint) {
+    let prepared = control.with_leader_state(term, |leader_state| {
+        if leader_state.is_pausing(model, endpoint) {
             return None;
         }
-        let tier = office.tier(endpoint, model);
+        let tier = leader_state.tier(endpoint, model);
         let request = control
             .member
-            .read(|state| prepare_grant(state, office, model, endpoint));
+            .read(|state| prepare_grant(state, leader_state, model, endpoint));
         request.map(|request| (request, tier))
     });
     let Some((request, tier)) = prepared else {
@@ -294,10 +296,10 @@
     let outcome = control.member.propose(Command::Grant(request)).await?;
     let text = match outcome {
         Outcome::Granted(token) => {
-            control.with_office(term, |office| {
-                office.tiers.insert(token, tier);
+            control.with_leader_state(term, |leader_state| {
+                leader_state.tiers.insert(token, tier);
                 if tier == CheckpointTier::Remote {
-                    office.pacer.take();
+                    leader_state.pacer.take();
                 }
             });
             if let Some(replaced) = replaces {
@@ -316,7 +318,7 @@
 
 fn prepare_grant(
     state: &ControlState,
-    office: &Office,
+    leader_state: &LeaderState,
     model: &ModelName,
     endpoint: &EndpointId,
 ) -> Option<GrantRequest> {
@@ -328,7 +330,7 @@
         .values()
         .filter(|grant| grant.model == *model && !grant.is_replaced)
         .count();
-    let hidden = hidden_grants(state, office);
+    let hidden = hidden_grants(state, leader_state);
     let replaces = (counted >= listed.max_replicas as usize)
         .then(|| {
             let mut candidates = state.fleet.grants.iter();
@@ -429,15 +431,15 @@
         "queued" => record.queued, "in_flight" => record.in_flight,
         "free_mib" => record.free_mib, "loads_running" => record.loads_running,
         "loads_allowed" => view.map_or(0, |view| view.store.loads_allowed));
-    control.with_office(term, |office| {
-        office.record_decision(decision.model, record);
+    control.with_leader_state(term, |leader_state| {
+        leader_state.record_decision(decision.model, record);
     });
 }
 
 /// Counts the accelerator time of loaded replicas that nobody uses since the last decision.
-fn count_idle(control: &Control, state: &ControlState, office: &mut Office) {
-    let elapsed_s = office.take_idle_interval().as_secs_f64();
-    let demand = office.demand();
+fn count_idle(control: &Control, state: &ControlState, leader_state: &mut LeaderState) {
+    let elapsed_s = leader_state.take_idle_interval().as_secs_f64();
+    let demand = leader_state.demand();
     let mut memory_share: BTreeMap<&EndpointId, f64> = BTreeMap::new();
     for grant in state.fleet.grants.values() {
         let is_used = demand
--- a/crates/wasabipoint_control/src/placement/view.rs
+++ b/crates/wasabipoint_control/src/placement/view.rs
@@ -9,7 +9,7 @@
 };
 use wasabipoint_rpc::{AgentReport, CheckpointTier, EndpointKind};
 
-use crate::office::Office;
+use crate::leader_state::LeaderState;
 use crate::state::{ControlState, GrantPhase, GrantRecord, Registration};
 
 /// Returns the version and memory under which a model is granted now.
@@ -20,31 +20,38 @@
 
 /// Lists the grants that the policy decides without, so that another replica may take their place:
 /// those in doubt for long, and those on endpoints that leave and only finish their requests.
-pub(crate) fn hidden_grants(state: &ControlState, office: &Office) -> BTreeSet<FencingToken> {
+pub(crate) fn hidden_grants(
+    state: &ControlState,
+    leader_state: &LeaderState,
+) -> BTreeSet<FencingToken> {
     let grants = state.fleet.grants.iter();
     grants
-        .filter(|(_, grant)| is_hidden(state, office, grant))
+        .filter(|(_, grant)| is_hidden(state, leader_state, grant))
         .map(|(token, _)| *token)
         .collect()
 }
 
-fn is_hidden(state: &ControlState, office: &Office, grant: &GrantRecord) -> bool {
+fn is_hidden(state: &ControlState, leader_state: &LeaderState, grant: &GrantRecord) -> bool {
     let known = state.fleet.endpoints.get(&grant.endpoint);
     known.is_none_or(|known| {
-        known.is_leaving || office.is_replaceable(&grant.endpoint, known.incarnation)
+        known.is_leaving || leader_state.is_replaceable(&grant.endpoint, known.incarnation)
     })
 }
 
 /// Builds the view of one decision.
-pub(crate) fn build_view(state: &ControlState, office: &mut Office, now_ms: u64) -> PlacementView {
+pub(crate) fn build_view(
+    state: &ControlState,
+    leader_state: &mut LeaderState,
+    now_ms: u64,
+) -> PlacementView {
     let rules = &state.view.rules;
-    let hidden = hidden_grants(state, office);
-    let loads_running = count_store_loads(state, office);
-    let loads_allowed = office.pacer.allowed(&rules.store, loads_running);
-    let demand = office.demand();
+    let hidden = hidden_grants(state, leader_state);
+    let loads_running = count_store_loads(state, leader_state);
+    let loads_allowed = leader_state.pacer.allowed(&rules.store, loads_running);
+    let demand = leader_state.demand();
     let models = state.view.inventory.models.values().map(|model| {
         let sum = demand.get(&model.name).copied().unwrap_or_default();
-        let idle_ms = office
+        let idle_ms = leader_state
             .last_used
             .get(&model.name)
             .map(|used| elapsed_ms(*used));
@@ -57,8 +64,13 @@
             oldest_wait_ms: sum.oldest_wait_ms,
             earliest_deadline_ms: sum.earliest_deadline_ms,
             idle_ms,
-            load_ms_by_endpoint: near_load_times(state, office, &model.name, model.memory_mib),
-            remote_load_ms: office
+            load_ms_by_endpoint: near_load_times(
+                state,
+                leader_state,
+                &model.name,
+                model.memory_mib,
+            ),
+            remote_load_ms: leader_state
                 .load_times
                 .estimate_ms(CheckpointTier::Remote, model.memory_mib),
         }
@@ -69,14 +81,14 @@
         .endpoints
         .iter()
         .filter(|(_, known)| known.kind == EndpointKind::Engine)
-        .map(|(endpoint, known)| capacity(state, office, endpoint, known))
+        .map(|(endpoint, known)| capacity(state, leader_state, endpoint, known))
         .collect();
     let grants = state
         .fleet
         .grants
         .iter()
         .filter(|(token, _)| !hidden.contains(token))
-        .map(|(token, grant)| grant_view(state, office, now_ms, *token, grant))
+        .map(|(token, grant)| grant_view(state, leader_state, now_ms, *token, grant))
         .collect();
     PlacementView {
         cycle_ms: now_ms % rules.placement.day_ms.max(1),
@@ -98,27 +110,27 @@
 
 /// Counts loads that use the weight store; the tier of loads granted by an earlier leader is not
 /// known and counts as remote.
-fn count_store_loads(state: &ControlState, office: &Office) -> u32 {
+fn count_store_loads(state: &ControlState, leader_state: &LeaderState) -> u32 {
     let loading = state.fleet.grants.iter().filter(|(token, grant)| {
-        let tier = office.tiers.get(token).copied();
+        let tier = leader_state.tiers.get(token).copied();
         let is_remote = tier.is_none_or(|tier| tier == CheckpointTier::Remote);
         grant.phase == GrantPhase::Loading
             && is_remote
-            && !office.is_in_doubt(&grant.endpoint, grant.incarnation)
+            && !leader_state.is_in_doubt(&grant.endpoint, grant.incarnation)
     });
     loading.count() as u32
 }
 
 fn near_load_times(
     state: &ControlState,
-    office: &Office,
+    leader_state: &LeaderState,
     model: &ModelName,
     memory_mib: u64,
 ) -> Vec<(EndpointId, u64)> {
-    let near = office.near(model);
+    let near = leader_state.near(model);
     near.filter(|(endpoint, _)| state.fleet.endpoints.contains_key(*endpoint))
         .map(|(endpoint, tier)| {
-            let load_ms = office.load_times.estimate_ms(tier, memory_mib);
+            let load_ms = leader_state.load_times.estimate_ms(tier, memory_mib);
             (endpoint.clone(), load_ms)
         })
         .collect()
@@ -126,11 +138,11 @@
 
 fn capacity(
     state: &ControlState,
-    office: &Office,
+    leader_state: &LeaderState,
     endpoint: &EndpointId,
     known: &Registration,
 ) -> EndpointCapacity {
-    let report = office.fresh_report(endpoint, known.incarnation);
+    let report = leader_state.fresh_report(endpoint, known.incarnation);
     let is_placeable = report.is_some() && !known.is_leaving && known.is_engine_known;
     EndpointCapacity {
         endpoint: endpoint.clone(),
@@ -168,14 +180,14 @@
 
 fn grant_view(
     state: &ControlState,
-    office: &Office,
+    leader_state: &LeaderState,
     now_ms: u64,
     token: FencingToken,
     grant: &GrantRecord,
 ) -> GrantView {
     let known = state.fleet.endpoints.get(&grant.endpoint);
     let is_in_doubt =
-        known.is_none_or(|known| office.is_in_doubt(&grant.endpoint, known.incarnation));
+        known.is_none_or(|known| leader_state.is_in_doubt(&grant.endpoint, known.incarnation));
     let grant_state = match grant.phase {
         _ if is_in_doubt => GrantState::InDoubt,
         GrantPhase::Loading => GrantState::Loading,
@@ -194,7 +206,7 @@
 /// Estimates when a model serves that has no loaded replica; `None` when it has one.
 pub(crate) fn cold_estimate_ms(
     state: &ControlState,
-    office: &Office,
+    leader_state: &LeaderState,
     model: &ModelName,
     now_ms: u64,
 ) -> Option<u64> {
@@ -204,14 +216,14 @@
         if grant.model != *model || grant.phase == GrantPhase::Revoked {
             continue;
         }
-        if office.is_in_doubt(&grant.endpoint, grant.incarnation) {
+        if leader_state.is_in_doubt(&grant.endpoint, grant.incarnation) {
             continue;
         }
         if grant.phase == GrantPhase::Loaded {
             return None;
         }
-        let tier = office.tiers.get(token).copied();
-        let load_ms = office
+        let tier = leader_state.tiers.get(token).copied();
+        let load_ms = leader_state
             .load_times
             .estimate_ms(tier.unwrap_or(CheckpointTier::Remote), memory_mib);
         let age_ms = now_ms.saturating_sub(grant.granted_ms);
@@ -219,12 +231,13 @@
         soonest = Some(soonest.map_or(left_ms, |known: u64| known.min(left_ms)));
     }
     soonest.or_else(|| {
-        let near = near_load_times(state, office, model, memory_mib);
+        let near = near_load_times(state, leader_state, model, memory_mib);
         let nearest = near.into_iter().map(|(_, load_ms)| load_ms).min();
-        let remote_ms = office
+        let remote_ms = leader_state
             .load_times
             .estimate_ms(CheckpointTier::Remote, memory_mib);
-        let waves = count_store_loads(state, office) / state.view.rules.store.loads_at_once.max(1);
+        let waves =
+            count_store_loads(state, leader_state) / state.view.rules.store.loads_at_once.max(1);
         Some(nearest.unwrap_or(remote_ms * (1 + u64::from(waves))))
     })
 }
--- a/crates/wasabipoint_control/src/platform.rs
+++ b/crates/wasabipoint_control/src/platform.rs
@@ -12,7 +12,7 @@
 use wasabipoint_kernel::VmId;
 
 use crate::control::Control;
-use crate::office::Office;
+use crate::leader_state::LeaderState;
 use crate::state::{Command, ControlState, VmState};
 
 /// Time between polls.
@@ -91,11 +91,11 @@
     let Some(term) = control.member.leading_term() else {
         return;
     };
-    let changed: Vec<_> = control.with_office(term, |office| {
+    let changed: Vec<_> = control.with_leader_state(term, |leader_state| {
         control.member.read(|state| {
             let vms = vms.into_iter();
             vms.filter(|(vm, listed)| match listed {
-                VmState::Terminated => is_terminated(state, office, vm),
+                VmState::Terminated => is_terminated(state, leader_state, vm),
                 listed => state.fleet.vms.get(vm) != Some(listed),
             })
             .collect()
@@ -113,12 +113,12 @@
 
 /// Tells whether the termination of a VM is to be acted on. While one of its agents reports, the
 /// entry of the lagging list is about a predecessor of the same name, and its grants still count.
-fn is_terminated(state: &ControlState, office: &Office, vm: &VmId) -> bool {
+fn is_terminated(state: &ControlState, leader_state: &LeaderState, vm: &VmId) -> bool {
     let endpoints = state.fleet.endpoints.iter();
     let mut on_vm = endpoints.filter(|(_, known)| known.vm == *vm);
     let is_silent = on_vm
         .clone()
-        .all(|(endpoint, known)| office.is_in_doubt(endpoint, known.incarnation));
+        .all(|(endpoint, known)| leader_state.is_in_doubt(endpoint, known.incarnation));
     let is_new = state.fleet.vms.get(vm) != Some(&VmState::Terminated);
     let is_idle = on_vm.any(|(endpoint, _)| state.fleet.grants_of(endpoint).next().is_none());
     is_silent && (is_new || is_idle)
--- a/crates/wasabipoint_control/src/rpc.rs
+++ b/crates/wasabipoint_control/src/rpc.rs
@@ -178,23 +178,25 @@
             return Ok(());
         };
         let control = &self.control;
-        control.with_office(term, |office| {
+        control.with_leader_state(term, |leader_state| {
             for (token, model, elapsed_ms) in loaded {
                 info!(control.logger, "placement: loaded"; "model" => %model,
                     "endpoint" => %report.endpoint, "elapsed_ms" => elapsed_ms);
                 control.metrics.record_load(elapsed_ms);
                 let memory_mib = memory_of(control, &model);
-                if let Some(tier) = office.tiers.remove(&token) {
-                    office.load_times.observe(tier, memory_mib, elapsed_ms);
+                if let Some(tier) = leader_state.tiers.remove(&token) {
+                    leader_state
+                        .load_times
+                        .observe(tier, memory_mib, elapsed_ms);
                 }
             }
             for (token, model, is_failed) in released {
                 info!(control.logger, "placement: released"; "model" => %model,
                     "endpoint" => %report.endpoint, "has_failed" => is_failed);
-                office.tiers.remove(&token);
+                leader_state.tiers.remove(&token);
                 if is_failed {
                     control.metrics.count_failed_load();
-                    office.note_failed_load(&model, &report.endpoint);
+                    leader_state.note_failed_load(&model, &report.endpoint);
                 }
             }
         });
@@ -315,13 +317,13 @@
         let now_ms = log_time.map_err(|error| control.member.refusal(error))?;
         let draining = report.draining_endpoints.clone();
         let reported: Vec<_> = report.demand.iter().map(|one| one.model.clone()).collect();
-        let (cold_estimates, is_urgent) = control.with_office(term, |office| {
-            let waiting = office.take_entry_report(report);
+        let (cold_estimates, is_urgent) = control.with_leader_state(term, |leader_state| {
+            let waiting = leader_state.take_entry_report(report);
             control.member.read(|state| {
                 let estimates: Vec<_> = reported
                     .iter()
                     .filter_map(|model| {
-                        let ready_in_ms = cold_estimate_ms(state, office, model, now_ms)?;
+                        let ready_in_ms = cold_estimate_ms(state, leader_state, model, now_ms)?;
                         let model = model.clone();
                         Some(ColdEstimate { model, ready_in_ms })
                     })
@@ -411,7 +413,9 @@
                 Some(Ok(build_directive(state, &report)))
             });
             if is_first_look && !matches!(answer, Some(Err(_))) {
-                control.with_office(term, |office| office.take_agent_report(&report));
+                control.with_leader_state(term, |leader_state| {
+                    leader_state.take_agent_report(&report);
+                });
                 is_first_look = false;
             }
             match answer {
--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -17,10 +17,10 @@
 
 use crate::api::OperatorApi;
 use crate::control::Control;
+use crate::leader_state::SilenceBounds;
 use crate::machine::ControlMachine;
 use crate::member::Member;
 use crate::metrics::ControlMetrics;
-use crate::office::SilenceBounds;
 use crate::peer::PeerTransport;
 use crate::placement::run_placement;
 use crate::platform::poll_platform;
@@ -203,7 +203,7 @@
             rpc_address,
             http_address,
             failure_domain: config.failure_domain,
-            office: Mutex::new(None),
+            leader_state: Mutex::new(None),
         });
         let mut tasks = JoinSet::new();
         let cluster = Arc::from(config.cluster.as_str());
@@ -229,7 +229,7 @@
         })
     }
 
-    /// Returns the rpc address that other processes are told.
+    /// Returns the rpc address that is advertised to other processes.
     pub fn rpc_address(&self) -> SocketAddr {
         self.control.rpc_address
     }
--- a/crates/wasabipoint_control/src/state/fleet.rs
+++ b/crates/wasabipoint_control/src/state/fleet.rs
@@ -4,7 +4,7 @@
 //! report, so reports that arrive late must prove nothing: before an answer first tells an agent of
 //! a grant, the sequence number of the answered report is committed, and only reports with a larger
 //! one are evidence from then on. This relies on what agents promise (`wasabipoint_rpc::AgentReport`):
-//! one report is in flight, every grant that the last directive told as live is listed, and a failed
+//! one report is in flight, every grant that the last directive listed as live is listed, and a failed
 //! load is not repeated under its fencing token.
 
 use std::collections::BTreeMap;
@@ -153,7 +153,7 @@
             .map(|(token, grant)| (*token, grant))
     }
 
-    /// Lists what an agent is told to hold.
+    /// Lists the grants that an agent's directive holds.
     pub fn directive_grants(&self, endpoint: &EndpointId) -> Vec<Grant> {
         self.grants_of(endpoint)
             .map(|(token, grant)| Grant {
@@ -201,9 +201,9 @@
         next.sequence = known.sequence;
         next != *known
             || self.grants_of(&report.endpoint).any(|(token, grant)| {
-                let is_untold =
+                let is_unlisted =
                     grant.phase != GrantPhase::Revoked && !is_listed(report, token, grant);
-                is_untold || judge(token, grant, report) != Evidence::Nothing
+                is_unlisted || judge(token, grant, report) != Evidence::Nothing
             })
     }
 
--- a/crates/wasabipoint_control/tests/cluster/fixture.rs
+++ b/crates/wasabipoint_control/tests/cluster/fixture.rs
@@ -254,7 +254,7 @@
     tokio::time::timeout(STEP, follow).await.unwrap()
 }
 
-/// An agent whose engine does what it is told at once.
+/// An agent whose engine obeys each directive at once.
 pub(crate) struct TestAgent {
     number: u32,
     sequence: u64,
--- a/crates/wasabipoint_control/tests/state_machine/engines.rs
+++ b/crates/wasabipoint_control/tests/state_machine/engines.rs
@@ -31,7 +31,7 @@
     in_flight: Option<AgentReport>,
     in_transit: Option<Vec<Grant>>,
     /// The last directive.
-    told: Vec<Grant>,
+    delivered: Vec<Grant>,
     sent: Vec<AgentReport>,
 }
 
@@ -90,7 +90,7 @@
     /// The agent takes in the answer to its report.
     pub(crate) fn take(&mut self) {
         if let Some(grants) = self.in_transit.take() {
-            self.told = grants;
+            self.delivered = grants;
             self.follow();
         }
     }
@@ -99,9 +99,9 @@
         if !self.is_alive || !self.is_engine_known {
             return;
         }
-        let told = std::mem::take(&mut self.told);
+        let delivered = std::mem::take(&mut self.delivered);
         let live = |model: usize| {
-            let mut grants = told.iter();
+            let mut grants = delivered.iter();
             grants.find(|grant| grant.model == model_name(model) && !grant.is_revoked)
         };
         self.accepted.retain(|model, held| {
@@ -119,7 +119,7 @@
                 });
             }
         }
-        self.told = told;
+        self.delivered = delivered;
     }
 
     /// The agent or engine makes one step on a model.
@@ -179,7 +179,7 @@
         self.accepted.clear();
         self.in_flight = None;
         self.in_transit = None;
-        self.told.clear();
+        self.delivered.clear();
     }
 
     /// A new run reads the engine once the commands of its predecessor have ended.
@@ -195,7 +195,7 @@
         }
     }
 
-    /// The engine restarts empty; its agent loads again what the last directive told.
+    /// The engine restarts empty; its agent loads again what the last directive listed.
     pub(crate) fn restart_engine(&mut self) {
         self.engine.clear();
         self.accepted
--- a/crates/wasabipoint_entry/tests/entry/runs.rs
+++ b/crates/wasabipoint_entry/tests/entry/runs.rs
@@ -52,9 +52,12 @@
             let harness = Harness::start().await;
             harness.agents.plan(&[first, second]);
             let answer = harness.complete("hello", false).await;
-            let is_told_not_run = answer.run() == "not run";
+            let is_reported_not_run = answer.run() == "not run";
             let executions = harness.agents.executions();
-            assert!(!is_told_not_run || executions == 0, "{first:?}, {second:?}");
+            assert!(
+                !is_reported_not_run || executions == 0,
+                "{first:?}, {second:?}"
+            );
         }
     }
 }
@@ -244,8 +247,8 @@
     }
     assert!(count(draining) > 1);
     let reports = harness.control.reports();
-    let told = reports
+    let is_reported = reports
         .iter()
         .any(|(_, report)| !report.draining_endpoints.is_empty());
-    assert!(told, "control was not told");
+    assert!(is_reported, "control got no report");
 }
--- a/crates/wasabipoint_policy/src/placement.rs
+++ b/crates/wasabipoint_policy/src/placement.rs
@@ -63,7 +63,7 @@
         pub oldest_wait_ms: u64,
         /// Time left until the earliest deadline of a waiting request.
         pub earliest_deadline_ms: Option<u64>,
-        /// Time since the last request; `None` when there was none since the leader took office.
+        /// Time since the last request; `None` when there was none since the leader became leader.
         pub idle_ms: Option<u64>,
         /// Endpoints whose VM holds the checkpoint, with the expected load time in milliseconds.
         pub load_ms_by_endpoint: Vec<(EndpointId, u64)>,
--- a/crates/wasabipoint_rpc/src/agent.rs
+++ b/crates/wasabipoint_rpc/src/agent.rs
@@ -107,7 +107,7 @@
         pub is_draining: bool,
         /// Whether `replicas` was read from the engine in this run. Absence proves nothing before.
         pub is_engine_known: bool,
-        /// Replicas at the engine, and as `Loading` every grant that the last directive told as live
+        /// Replicas at the engine, and as `Loading` every grant that the last directive listed as live
         /// and that has no replica yet. Control takes absence as proof that the agent will not load
         /// under a revoked grant.
         pub replicas: Vec<ReplicaReport>,
