End a replica cleanly after a disk fault

Cause: after a failed write the driver kept the finished task and awaited it again while shutting down, which panics. Ruled out: loss of acknowledged entries.

--- a/crates/wasabipoint_consensus/src/replica/driver.rs
+++ b/crates/wasabipoint_consensus/src/replica/driver.rs
@@ -191,7 +191,8 @@
             }
             Err(error) => {
                 // Not repeated: after a failed sync the system may have dropped the data and
-                // report success.
+                // report success. The finished write must not be awaited again either.
+                self.disk = Disk::Failed;
                 self.stop_after(format!("the disk failed: {error}"));
             }
         }
--- /dev/null
+++ b/crates/wasabipoint_consensus/tests/disk_fault.rs
@@ -0,0 +1,90 @@
+//! The end of a replica whose disk fails, in a process of its own because it counts panics.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::io;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use slog::{Discard, Logger, o};
+use wasabipoint_consensus::{
+    ProposeError, Replica, ReplicaConfig, RestoreError, StateMachine, Transport,
+};
+use wasabipoint_kernel::MemberId;
+
+/// Disk operations before the disk is full; enough for an election and some entries.
+const ALLOWED_OPERATIONS: usize = 40;
+
+static PANICS: AtomicUsize = AtomicUsize::new(0);
+
+struct Counter;
+
+impl StateMachine for Counter {
+    fn apply(&mut self, index: u64, _: &[u8]) -> Vec<u8> {
+        index.to_le_bytes().to_vec()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn restore(&mut self, _: &[u8]) -> Result<(), RestoreError> {
+        Ok(())
+    }
+}
+
+struct NoPeers;
+
+impl Transport for NoPeers {
+    fn send(&self, _: MemberId, _: Vec<u8>) {}
+}
+
+/// Guards against a driver that panics after a disk fault, in place of closing its files and
+/// answering its callers: it awaited the finished write a second time.
+#[tokio::test(start_paused = true)]
+async fn a_disk_fault_ends_the_driver_without_a_panic() {
+    let name = format!("wasabipoint-disk-fault-{}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    let config = ReplicaConfig {
+        cluster: "test".to_owned(),
+        member: MemberId(1),
+        members: vec![MemberId(1)],
+        is_joining: false,
+        data_folder: folder.clone(),
+        tick_ms: 50,
+        snapshot_entries: 1_000,
+    };
+    let mut operations = 0;
+    let hook = Box::new(move |_: &std::path::Path| {
+        operations += 1;
+        if operations > ALLOWED_OPERATIONS {
+            return Err(io::Error::from(io::ErrorKind::StorageFull));
+        }
+        Ok(())
+    });
+    std::panic::set_hook(Box::new(|_| {
+        PANICS.fetch_add(1, Ordering::Relaxed);
+    }));
+    let logger = Logger::root(Discard, o!());
+    let machine = Arc::new(Mutex::new(Counter));
+    let started =
+        Replica::start_with_disk_hook(config, machine, Arc::new(NoPeers), logger, Some(hook));
+    let handle = started.await.unwrap();
+    let fault = loop {
+        match handle.propose(vec![0]).await {
+            Ok(_) => {}
+            Err(ProposeError::NotLeader { .. }) => {
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+            Err(error) => break error,
+        }
+    };
+    handle.stop().await;
+    drop(std::panic::take_hook());
+    std::fs::remove_dir_all(folder).unwrap();
+    assert!(matches!(
+        fault,
+        ProposeError::OutcomeUnknown | ProposeError::Stopped
+    ));
+    assert_eq!(PANICS.load(Ordering::Relaxed), 0);
+}
