--- a/crates/wasabipoint_entry/src/claim.rs
+++ b/crates/wasabipoint_entry/src/claim.rs
@@ -10,7 +10,7 @@
 };
 
 use crate::link::{AgentLink, ControlLink};
-use crate::scheduler::Turn;
+use crate::scheduler::EndpointPermit;
 
 /// Time between outcome queries while the holder's call runs.
 const HOLDER_PAUSE: Duration = Duration::from_millis(100);
@@ -48,14 +48,14 @@
     pub(crate) async fn claim(
         &self,
         claim: &Claim,
-        turn: &Turn,
+        permit: &EndpointPermit,
         request_id: RequestId,
         mut replaces: Option<RequestId>,
         deadline: Instant,
     ) -> Result<Ownership, Refusal> {
         let mut is_holder_running = false;
         loop {
-            let request = build_request(claim, turn, request_id, replaces);
+            let request = build_request(claim, permit, request_id, replaces);
             let claimed = timeout_at(deadline, self.control.claim(request)).await;
             let Ok(Ok(outcome)) = claimed else {
                 return Err(unavailable(is_holder_running));
@@ -100,7 +100,7 @@
 
 fn build_request(
     claim: &Claim,
-    turn: &Turn,
+    permit: &EndpointPermit,
     request_id: RequestId,
     replaces: Option<RequestId>,
 ) -> ClaimRequest {
@@ -110,9 +110,9 @@
         fingerprint: claim.fingerprint,
         holder: ClaimHolder {
             request_id,
-            endpoint: turn.endpoint.endpoint.clone(),
-            incarnation: turn.endpoint.incarnation,
-            address: turn.endpoint.address,
+            endpoint: permit.endpoint.endpoint.clone(),
+            incarnation: permit.endpoint.incarnation,
+            address: permit.endpoint.address,
         },
         replaces,
     }
--- a/crates/wasabipoint_entry/src/relay.rs
+++ b/crates/wasabipoint_entry/src/relay.rs
@@ -166,7 +166,7 @@
         pending = match next {
             Ok(Ok(StreamEvent::Data(bytes))) => bytes,
             Ok(Ok(StreamEvent::End(load))) => {
-                open.turn.record_load(load);
+                open.permit.record_load(load);
                 let rest = splitter.finish();
                 if !rest.is_empty() && !send(sender, rest).await {
                     return End::CallerLeft;
@@ -174,7 +174,7 @@
                 return End::Complete;
             }
             Ok(Ok(StreamEvent::Head { .. }) | Err(_)) => {
-                open.turn.pass_over(BROKEN_MS);
+                open.permit.pass_over(BROKEN_MS);
                 return End::Broken;
             }
             Err(_) => {
--- a/crates/wasabipoint_entry/src/run.rs
+++ b/crates/wasabipoint_entry/src/run.rs
@@ -18,7 +18,7 @@
 use crate::link::{AgentError, AgentLink};
 use crate::quota::Reservation;
 use crate::retry::RetryBudget;
-use crate::scheduler::{Scheduler, Target, Turn, WaitingRequest};
+use crate::scheduler::{EndpointPermit, Scheduler, Target, WaitingRequest};
 
 /// Largest response that is collected before it is sent to the caller.
 const WHOLE_RESPONSE_BYTES: usize = 32 * 1_024 * 1_024;
@@ -61,7 +61,7 @@
     pub(crate) headers: Vec<(String, String)>,
     pub(crate) first: Vec<u8>,
     pub(crate) reader: FrameReader,
-    pub(crate) turn: Turn,
+    pub(crate) permit: EndpointPermit,
 }
 
 /// The answer of a call.
@@ -122,7 +122,7 @@
         mut reservation: Option<&mut Reservation>,
     ) -> Result<Reply, Refusal> {
         self.budget.note_request();
-        let mut turn = self.wait_for_turn(call).await?;
+        let mut permit = self.wait_for_permit(call).await?;
         let deadline = self.deadline(call) + Duration::from_millis(call.run_allowance_ms);
         let mut attempt_id = call.waiting.request_id;
         let mut replaces = None;
@@ -134,7 +134,7 @@
             if let Some(claim) = &call.claim {
                 let owned = self
                     .claimer
-                    .claim(claim, &turn, attempt_id, replaces, deadline);
+                    .claim(claim, &permit, attempt_id, replaces, deadline);
                 if let Ownership::Answered(response) = owned.await? {
                     return Ok(Reply::Whole(response));
                 }
@@ -142,8 +142,8 @@
             if let Some(reservation) = reservation.as_deref_mut() {
                 reservation.set_may_have_run(true);
             }
-            tried.push(turn.endpoint.endpoint.clone());
-            let failure = match timeout_at(deadline, self.attempt(call, turn, attempt_id)).await {
+            tried.push(permit.endpoint.endpoint.clone());
+            let failure = match timeout_at(deadline, self.attempt(call, permit, attempt_id)).await {
                 Ok(Ok(reply)) => return Ok(reply),
                 Ok(Err(failure)) => failure,
                 Err(_) => {
@@ -159,13 +159,13 @@
             let may_repeat =
                 failure.is_retryable && (call.is_idempotent || !may_have_run) && self.budget.take();
             let next = may_repeat.then(|| self.scheduler.route_again(&call.waiting, &tried));
-            turn = match next.flatten() {
-                Some(turn) => turn,
+            permit = match next.flatten() {
+                Some(permit) => permit,
                 // The agents that were tried refused for reasons that pass; the call waits for its
                 // turn again, as long as its deadline allows.
                 None if failure.may_wait && !may_have_run => {
                     tried.clear();
-                    self.wait_for_turn(call).await?
+                    self.wait_for_permit(call).await?
                 }
                 None => return Err(finish(call, failure.refusal, may_have_run)),
             };
@@ -182,7 +182,7 @@
         Instant::now() + Duration::from_millis(left_ms)
     }
 
-    async fn wait_for_turn(&self, call: &Call) -> Result<Turn, Refusal> {
+    async fn wait_for_permit(&self, call: &Call) -> Result<EndpointPermit, Refusal> {
         let mut ticket = self.scheduler.enqueue(call.waiting.clone())?;
         match timeout_at(self.deadline(call), &mut ticket.receiver).await {
             Ok(Ok(result)) => result,
@@ -201,28 +201,28 @@
     async fn attempt(
         &self,
         call: &Call,
-        turn: Turn,
+        permit: EndpointPermit,
         request_id: RequestId,
     ) -> Result<Reply, Failure> {
-        let request = self.build_request(call, &turn, request_id);
-        let sent = self.agents.dispatch(turn.endpoint.address, &request);
+        let request = self.build_request(call, &permit, request_id);
+        let sent = self.agents.dispatch(permit.endpoint.address, &request);
         let pieces = match timeout(self.silence_bound, sent).await {
             Ok(Ok(pieces)) => pieces,
             Ok(Err(AgentError::NotSent(detail))) => {
                 self.scheduler
-                    .pass_over(&turn.endpoint.endpoint, UNREACHABLE_MS);
+                    .pass_over(&permit.endpoint.endpoint, UNREACHABLE_MS);
                 return Err(Failure::not_run(ErrorKind::NoEndpoint, detail));
             }
             Ok(Err(AgentError::Refused { kind, run, detail })) => {
-                return Err(self.judge_refusal(&turn, kind, run, detail));
+                return Err(self.judge_refusal(&permit, kind, run, detail));
             }
             Ok(Err(AgentError::Interrupted(_))) | Err(_) => {
-                return self.learn_outcome(call, &turn, request_id).await;
+                return self.learn_outcome(call, &permit, request_id).await;
             }
         };
         let began_ms = self.clock.now_ms();
         let mut reader = FrameReader::new(pieces, request_id, self.silence_bound);
-        let start = self.read_start(call, &turn, &mut reader).await;
+        let start = self.read_start(call, &permit, &mut reader).await;
         match start {
             Ok(Start::Whole(response)) => {
                 // The end of a whole completion says nothing of its first token.
@@ -237,18 +237,18 @@
                     headers,
                     first,
                     reader,
-                    turn,
+                    permit,
                 })))
             }
             Err(StreamError::Failed { kind, run, detail }) => {
-                Err(self.judge_refusal(&turn, kind, run, detail))
+                Err(self.judge_refusal(&permit, kind, run, detail))
             }
             Err(StreamError::Silent) => {
-                self.give_up_connection(call, turn, reader, "no frame arrived in time")
+                self.give_up_connection(call, permit, reader, "no frame arrived in time")
                     .await
             }
             Err(StreamError::Broken(cause)) => {
-                self.give_up_connection(call, turn, reader, cause).await
+                self.give_up_connection(call, permit, reader, cause).await
             }
         }
     }
@@ -257,7 +257,7 @@
     async fn give_up_connection(
         &self,
         call: &Call,
-        turn: Turn,
+        permit: EndpointPermit,
         reader: FrameReader,
         cause: &str,
     ) -> Result<Reply, Failure> {
@@ -265,9 +265,9 @@
         drop(reader);
         warn!(self.logger, "routing: closed the connection of a request";
             "request" => %call.waiting.request_id,
-            "endpoint" => %turn.endpoint.endpoint,
+            "endpoint" => %permit.endpoint.endpoint,
             "cause" => cause);
-        self.learn_outcome(call, &turn, request_id).await
+        self.learn_outcome(call, &permit, request_id).await
     }
 
     fn note_first(&self, target: &Target, began_ms: u64) {
@@ -275,7 +275,12 @@
         self.scheduler.record_first_answer(target, elapsed_ms);
     }
 
-    fn build_request(&self, call: &Call, turn: &Turn, request_id: RequestId) -> DispatchRequest {
+    fn build_request(
+        &self,
+        call: &Call,
+        permit: &EndpointPermit,
+        request_id: RequestId,
+    ) -> DispatchRequest {
         let model = match &call.waiting.target {
             Target::Model(model) => Some(model.clone()),
             Target::Service(_) => None,
@@ -283,7 +288,7 @@
         let now_ms = self.clock.now_ms();
         DispatchRequest {
             request_id,
-            incarnation: turn.endpoint.incarnation,
+            incarnation: permit.endpoint.incarnation,
             model,
             adapter: call.waiting.adapter.clone(),
             remaining_ms: (call.waiting.deadline_ms + call.run_allowance_ms).saturating_sub(now_ms),
@@ -293,7 +298,7 @@
             path: call.path.clone(),
             headers: call.headers.clone(),
             body: call.body.to_vec(),
-            known_cache_sequence: turn.known_cache_sequence,
+            known_cache_sequence: permit.known_cache_sequence,
         }
     }
 
@@ -301,7 +306,7 @@
     async fn read_start(
         &self,
         call: &Call,
-        turn: &Turn,
+        permit: &EndpointPermit,
         reader: &mut FrameReader,
     ) -> Result<Start, StreamError> {
         let mut head = None;
@@ -340,7 +345,7 @@
                     body.extend_from_slice(&bytes);
                 }
                 StreamEvent::End(load) => {
-                    self.scheduler.record_load(&turn.endpoint, load);
+                    self.scheduler.record_load(&permit.endpoint, load);
                     let (status, headers) = head.unwrap_or((200, Vec::new()));
                     return Ok(Start::Whole(StoredResponse {
                         status,
@@ -354,12 +359,12 @@
 
     fn judge_refusal(
         &self,
-        turn: &Turn,
+        permit: &EndpointPermit,
         kind: ErrorKind,
         run: RunState,
         detail: String,
     ) -> Failure {
-        let endpoint = &turn.endpoint;
+        let endpoint = &permit.endpoint;
         match kind {
             ErrorKind::Draining => {
                 self.scheduler
@@ -398,10 +403,10 @@
     async fn learn_outcome(
         &self,
         call: &Call,
-        turn: &Turn,
+        permit: &EndpointPermit,
         request_id: RequestId,
     ) -> Result<Reply, Failure> {
-        let endpoint = &turn.endpoint;
+        let endpoint = &permit.endpoint;
         self.scheduler.pass_over(&endpoint.endpoint, UNREACHABLE_MS);
         if call.is_idempotent {
             return Err(Failure::unknown("the connection to the endpoint was lost"));
--- a/crates/wasabipoint_entry/src/scheduler.rs
+++ b/crates/wasabipoint_entry/src/scheduler.rs
@@ -62,7 +62,7 @@
 
 struct Queued {
     request: WaitingRequest,
-    sender: oneshot::Sender<Result<Turn, Refusal>>,
+    sender: oneshot::Sender<Result<EndpointPermit, Refusal>>,
 }
 
 #[derive(Default)]
@@ -95,7 +95,7 @@
 }
 
 /// An endpoint for a request, counted there until the permit is dropped.
-pub(crate) struct Turn {
+pub(crate) struct EndpointPermit {
     pub(crate) endpoint: EndpointView,
     pub(crate) known_cache_sequence: u64,
     scheduler: Arc<Scheduler>,
@@ -103,7 +103,7 @@
     began_ms: u64,
 }
 
-impl Turn {
+impl EndpointPermit {
     pub(crate) fn record_load(&self, load: LoadReport) {
         self.scheduler.record_load(&self.endpoint, load);
     }
@@ -114,7 +114,7 @@
     }
 }
 
-impl Drop for Turn {
+impl Drop for EndpointPermit {
     fn drop(&mut self) {
         let scheduler = &self.scheduler;
         let mut state = scheduler.lock();
@@ -135,7 +135,7 @@
     id: u64,
     customer: CustomerId,
     target: Target,
-    pub(crate) receiver: oneshot::Receiver<Result<Turn, Refusal>>,
+    pub(crate) receiver: oneshot::Receiver<Result<EndpointPermit, Refusal>>,
 }
 
 impl Drop for Ticket {
@@ -316,17 +316,17 @@
                         break;
                     };
                     state.leave(&queued.request);
-                    let Some(turn) = self.assign(&mut state, &view, &queued.request, &[], true)
+                    let Some(permit) = self.assign(&mut state, &view, &queued.request, &[], true)
                     else {
                         break;
                     };
-                    turns.push((queued.sender, turn));
+                    turns.push((queued.sender, permit));
                 }
             }
         }
         // A turn whose request is gone takes the lock when it is dropped.
-        for (sender, turn) in turns {
-            let _ = sender.send(Ok(turn));
+        for (sender, permit) in turns {
+            let _ = sender.send(Ok(permit));
         }
     }
 
@@ -335,7 +335,7 @@
         self: &Arc<Self>,
         request: &WaitingRequest,
         excluded: &[EndpointId],
-    ) -> Option<Turn> {
+    ) -> Option<EndpointPermit> {
         let view = self.fleet.view();
         let mut state = self.lock();
         self.assign(&mut state, &view, request, excluded, false)
@@ -348,14 +348,14 @@
         request: &WaitingRequest,
         excluded: &[EndpointId],
         needs_slot: bool,
-    ) -> Option<Turn> {
+    ) -> Option<EndpointPermit> {
         let now_ms = self.clock.now_ms();
         let choice = state
             .endpoints
             .choose(view, request, excluded, needs_slot, now_ms)?;
         *state.in_flight.entry(request.target.clone()).or_default() += 1;
         self.record(request, &choice, now_ms);
-        Some(Turn {
+        Some(EndpointPermit {
             endpoint: choice.endpoint,
             known_cache_sequence: choice.known_cache_sequence,
             scheduler: Arc::clone(self),
