--- a/crates/wasabipoint_entry/src/scheduler.rs
+++ b/crates/wasabipoint_entry/src/scheduler.rs
@@ -324,13 +324,13 @@
                 }
             }
         }
-        // A turn whose request is gone takes the lock when it is dropped.
+        // A permit whose request is gone takes the lock when it is dropped.
         for (sender, permit) in turns {
             let _ = sender.send(Ok(permit));
         }
     }
 
-    /// Chooses another endpoint at once for a request that already had a turn.
+    /// Chooses another endpoint at once for a request that already had a permit.
     pub(crate) fn route_again(
         self: &Arc<Self>,
         request: &WaitingRequest,
