--- a/crates/wasabipoint_entry/src/scheduler.rs
+++ b/crates/wasabipoint_entry/src/scheduler.rs
@@ -300,7 +300,7 @@
     pub(crate) fn pump(self: &Arc<Self>) {
         let view = self.fleet.view();
         let now_ms = self.clock.now_ms();
-        let mut turns = Vec::new();
+        let mut permits = Vec::new();
         {
             let mut state = self.lock();
             let mut targets: Vec<Target> = state.queues.keys().cloned().collect();
@@ -320,12 +320,12 @@
                     else {
                         break;
                     };
-                    turns.push((queued.sender, permit));
+                    permits.push((queued.sender, permit));
                 }
             }
         }
         // A permit whose request is gone takes the lock when it is dropped.
-        for (sender, permit) in turns {
+        for (sender, permit) in permits {
             let _ = sender.send(Ok(permit));
         }
     }
