--- a/crates/wasabipoint_agent/src/main.rs
+++ b/crates/wasabipoint_agent/src/main.rs
@@ -6,12 +6,10 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bpaf::Bpaf;
-use slog::Level;
 use wasabipoint_agent::{Agent, AgentConfig, AgentService, HttpEndpoint, RpcControlLink};
 use wasabipoint_http::HttpServer;
 use wasabipoint_kernel::{
-    AGENT_SETTINGS, ErrorKind, Incarnation, LogFormat, Metrics, Settings, build_logger,
-    wait_for_termination,
+    AGENT_SETTINGS, ErrorKind, Incarnation, Metrics, Settings, build_logger, wait_for_termination,
 };
 use wasabipoint_rpc::ControlClient;
 
@@ -36,7 +34,7 @@
         Ok(settings) => settings,
         Err(errors) => {
             eprintln!("{errors}");
-            return ExitCode::from(ErrorKind::InvalidConfiguration.answer().exit_code);
+            return ErrorKind::InvalidConfiguration.exit_code();
         }
     };
     if options.check {
@@ -52,18 +50,13 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("agent: {error}");
-            ExitCode::from(ErrorKind::Unavailable.answer().exit_code)
+            ErrorKind::Unavailable.exit_code()
         }
     }
 }
 
 async fn run(settings: &Settings) -> std::io::Result<()> {
-    let format = match settings.text("log_format") {
-        "json" => LogFormat::Json,
-        _ => LogFormat::Text,
-    };
-    let level = settings.text("log_level").parse().unwrap_or(Level::Info);
-    let (logger, _guard) = build_logger("wasabipoint-agent", format, level);
+    let (logger, _guard) = build_logger("wasabipoint-agent", settings);
     let mut config = AgentConfig::new(settings);
     let server = HttpServer::new(config.listen)?.with_workers(config.workers);
     config.listen = server.local_address()?;
--- a/crates/wasabipoint_control/src/main.rs
+++ b/crates/wasabipoint_control/src/main.rs
@@ -5,10 +5,10 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use slog::{Level, crit, info};
+use slog::{crit, info};
 use wasabipoint_control::{ControlConfig, ControlServer};
 use wasabipoint_kernel::{
-    CONTROL_SETTINGS, ErrorKind, LogFormat, Settings, build_logger, wait_for_termination,
+    CONTROL_SETTINGS, ErrorKind, Settings, build_logger, wait_for_termination,
 };
 
 /// Control member of wasabipoint: configuration, keys, placement and quota
@@ -28,7 +28,7 @@
         Ok(settings) => settings,
         Err(errors) => {
             eprintln!("{errors}");
-            return exit_code(ErrorKind::InvalidConfiguration);
+            return ErrorKind::InvalidConfiguration.exit_code();
         }
     };
     let config = ControlConfig::from_settings(&settings);
@@ -38,7 +38,7 @@
             arguments.settings.display(),
             config.member
         );
-        return exit_code(ErrorKind::InvalidConfiguration);
+        return ErrorKind::InvalidConfiguration.exit_code();
     }
     if arguments.check {
         println!("{}: ok", arguments.settings.display());
@@ -51,28 +51,18 @@
         Ok(runtime) => runtime.block_on(run(config, &settings)),
         Err(error) => {
             eprintln!("the runtime cannot start: {error}");
-            exit_code(ErrorKind::Internal)
+            ErrorKind::Internal.exit_code()
         }
     }
 }
 
 async fn run(config: ControlConfig, settings: &Settings) -> ExitCode {
-    let format = match settings.text("log_format") {
-        "json" => LogFormat::Json,
-        _ => LogFormat::Text,
-    };
-    let level = match settings.text("log_level") {
-        "error" => Level::Error,
-        "warning" => Level::Warning,
-        "debug" => Level::Debug,
-        _ => Level::Info,
-    };
-    let (logger, _guard) = build_logger("wasabipoint-control", format, level);
+    let (logger, _guard) = build_logger("wasabipoint-control", settings);
     let server = match ControlServer::start(config, logger.clone()).await {
         Ok(server) => server,
         Err(error) => {
             crit!(logger, "control: the member cannot start"; "error" => %error);
-            return exit_code(error.kind());
+            return error.kind().exit_code();
         }
     };
     let ready = format!(
@@ -89,13 +79,9 @@
         }
         () = server.wait_until_stopped() => {
             crit!(logger, "control: the replica has stopped");
-            exit_code(ErrorKind::DataFolderUnusable)
+            ErrorKind::DataFolderUnusable.exit_code()
         }
     };
     server.stop().await;
     code
 }
-
-fn exit_code(kind: ErrorKind) -> ExitCode {
-    ExitCode::from(kind.answer().exit_code)
-}
--- a/crates/wasabipoint_entry/src/main.rs
+++ b/crates/wasabipoint_entry/src/main.rs
@@ -7,11 +7,11 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use bpaf::Bpaf;
-use slog::{Level, Logger, error};
+use slog::{Logger, error};
 use wasabipoint_entry::{Entry, EntryConfig, EntryHandler, HttpAgentLink, RpcControlLink};
 use wasabipoint_http::HttpServer;
 use wasabipoint_kernel::{
-    ENTRY_SETTINGS, ErrorKind, Incarnation, LogFormat, Settings, build_logger, wait_for_termination,
+    ENTRY_SETTINGS, ErrorKind, Incarnation, Settings, build_logger, wait_for_termination,
 };
 
 /// Serves callers and routes their requests to endpoints.
@@ -31,29 +31,19 @@
         Ok(settings) => settings,
         Err(errors) => {
             eprintln!("{errors}");
-            return exit_code(ErrorKind::InvalidConfiguration);
+            return ErrorKind::InvalidConfiguration.exit_code();
         }
     };
     if arguments.check {
         println!("{}: the settings are valid", display(&arguments.settings));
         return ExitCode::SUCCESS;
     }
-    let format = match settings.text("log_format") {
-        "json" => LogFormat::Json,
-        _ => LogFormat::Text,
-    };
-    let level = match settings.text("log_level") {
-        "error" => Level::Error,
-        "warning" => Level::Warning,
-        "debug" => Level::Debug,
-        _ => Level::Info,
-    };
-    let (logger, _guard) = build_logger("wasabipoint-entry", format, level);
+    let (logger, _guard) = build_logger("wasabipoint-entry", &settings);
     match run(&settings, &logger) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             error!(logger, "entry: cannot run"; "error" => %fault);
-            exit_code(ErrorKind::Unavailable)
+            ErrorKind::Unavailable.exit_code()
         }
     }
 }
@@ -83,7 +73,3 @@
 fn display(path: &Path) -> String {
     path.display().to_string()
 }
-
-fn exit_code(kind: ErrorKind) -> ExitCode {
-    ExitCode::from(kind.answer().exit_code)
-}
--- a/crates/wasabipoint_kernel/src/error.rs
+++ b/crates/wasabipoint_kernel/src/error.rs
@@ -1,6 +1,7 @@
 //! The closed list of error kinds, and the table from kind to answer.
 
 use std::fmt;
+use std::process::ExitCode;
 
 use serde_json::json;
 
@@ -149,6 +150,13 @@
     Internal = "internal", 500, Unknown, Later, 1, "an internal error";
 }
 
+impl ErrorKind {
+    /// Returns the exit code of a program that ends with this kind.
+    pub fn exit_code(self) -> ExitCode {
+        ExitCode::from(self.answer().exit_code)
+    }
+}
+
 impl fmt::Display for ErrorKind {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(self.answer().name)
--- a/crates/wasabipoint_kernel/src/lib.rs
+++ b/crates/wasabipoint_kernel/src/lib.rs
@@ -25,7 +25,7 @@
 pub use ini_document::{IniDocument, IniEntry, IniSection, SettingError, SettingErrors};
 pub use inventory::{Adapter, Customer, Inventory, InventoryChange, Model};
 pub use key::{KeyDigest, KeyDigester};
-pub use log::{LogFormat, build_logger};
+pub use log::build_logger;
 pub use metrics::Metrics;
 pub use rules::{
     AdmissionRules, PlacementRules, RouteAccess, RouteRule, RoutingRules, Rules, StoreRules,
