--- a/crates/wasabipoint_consensus/src/replica/driver.rs
+++ b/crates/wasabipoint_consensus/src/replica/driver.rs
@@ -303,7 +303,7 @@
 
     fn publish_status(&self) {
         let status = self.core.status();
-        let is_changed = self.status.send_if_modified(|current| {
+        self.status.send_if_modified(|current| {
             let is_changed = *current != status;
             if is_changed && (current.role, current.term) != (status.role, status.term) {
                 info!(self.logger, "consensus: role or term changed";
@@ -313,7 +313,6 @@
             *current = status;
             is_changed
         });
-        let _ = is_changed;
     }
 
     /// Waits for the write in progress, closes the files and answers all callers.
