Add complete configurations, listed endpoints, commanded engines and joining members to control

Control holds a complete configuration under the operator's version, follows a polled list of endpoints, plans models of engines by demand, loads adapters on request and lets processes with an empty disk join.

--- a/crates/wasabipoint_control/src/control.rs
+++ b/crates/wasabipoint_control/src/control.rs
@@ -1,13 +1,14 @@
 //! What the services of one control member share.
 
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use slog::Logger;
 use tokio::sync::Notify;
 use wasabipoint_consensus::ProposeError;
 use wasabipoint_kernel::KeyDigester;
 
+use crate::engines::EngineCommander;
 use crate::leader_state::{LeaderState, SilenceBounds};
 use crate::member::Member;
 use crate::metrics::ControlMetrics;
@@ -20,6 +21,10 @@
     pub(crate) logger: Logger,
     /// Wakes placement when requests wait for a model without a replica.
     pub(crate) wake_placement: Notify,
+    /// Wakes the planner of commanded engines.
+    pub(crate) wake_engines: Notify,
+    /// Sends commands to engines without an agent.
+    pub(crate) commander: Option<Arc<dyn EngineCommander>>,
     pub(crate) slice_lifetime_ms: u64,
     pub(crate) silence_bounds: SilenceBounds,
     pub(crate) key_digester: KeyDigester,
--- /dev/null
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -0,0 +1,171 @@
+//! What the leader knows of engines beyond the list: its own commands, demand and disks.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+use wasabipoint_kernel::{EndpointId, Incarnation, ModelName};
+use wasabipoint_rpc::EndpointView;
+
+/// Time for which the leader's own knowledge outlasts a change, longer than the lag of the list.
+const LIST_LAG: Duration = Duration::from_secs(2);
+
+/// Time constant of the averaged demand. Demand moves within a few seconds.
+const DEMAND_DECAY_S: f64 = 1.5;
+
+/// Models that the leader knows an engine to hold.
+#[derive(Debug, Clone)]
+struct Known {
+    incarnation: Incarnation,
+    models: Vec<ModelName>,
+    /// End of its precedence over the list; `None` while a change is in progress.
+    until: Option<Instant>,
+}
+
+/// The place from which commands to one engine go out, one at a time.
+#[derive(Debug, Default)]
+pub(crate) struct EngineSlot {
+    /// Incarnation and number of accepted commands, if known.
+    pub(crate) sequence: Option<(Incarnation, u64)>,
+}
+
+/// Averaged concurrent requests of a model.
+#[derive(Debug, Clone, Copy)]
+struct Average {
+    load: f64,
+    at: Instant,
+}
+
+/// The leader's knowledge of engines for its term.
+#[derive(Debug, Default)]
+pub(crate) struct EngineBook {
+    known: BTreeMap<EndpointId, Known>,
+    near: BTreeMap<EndpointId, BTreeSet<ModelName>>,
+    slots: BTreeMap<EndpointId, Arc<tokio::sync::Mutex<EngineSlot>>>,
+    averages: BTreeMap<ModelName, Average>,
+    adapter_use: BTreeMap<(EndpointId, ModelName), Instant>,
+    store_loads: VecDeque<Instant>,
+}
+
+impl EngineBook {
+    /// Replaces what the list says of engines under change by what the leader knows.
+    pub(crate) fn correct(&mut self, mut listed: Vec<EndpointView>) -> Vec<EndpointView> {
+        let now = Instant::now();
+        self.known
+            .retain(|_, known| known.until.is_none_or(|until| until > now));
+        for endpoint in &mut listed {
+            let models = endpoint.models.iter().filter(|model| is_model(model));
+            let near = self.near.entry(endpoint.endpoint.clone()).or_default();
+            near.extend(models.cloned());
+            let known = self.known.get(&endpoint.endpoint);
+            if let Some(known) = known.filter(|k| k.incarnation == endpoint.incarnation) {
+                endpoint.models.clone_from(&known.models);
+            }
+        }
+        listed
+    }
+
+    /// Records what an engine holds while a change is in progress there.
+    pub(crate) fn begin(&mut self, endpoint: &EndpointView, models: Vec<ModelName>) {
+        self.set(endpoint, models, None);
+    }
+
+    /// Records what an engine holds after a change.
+    pub(crate) fn finish(&mut self, endpoint: &EndpointView, models: Vec<ModelName>) {
+        let near = self.near.entry(endpoint.endpoint.clone()).or_default();
+        near.extend(models.iter().filter(|model| is_model(model)).cloned());
+        self.set(endpoint, models, Some(Instant::now() + LIST_LAG));
+    }
+
+    fn set(&mut self, endpoint: &EndpointView, models: Vec<ModelName>, until: Option<Instant>) {
+        let known = Known {
+            incarnation: endpoint.incarnation,
+            models,
+            until,
+        };
+        self.known.insert(endpoint.endpoint.clone(), known);
+    }
+
+    /// Returns the models that an engine holds, by the leader's knowledge or by the list.
+    pub(crate) fn models(&self, endpoint: &EndpointView) -> Vec<ModelName> {
+        self.known
+            .get(&endpoint.endpoint)
+            .filter(|known| known.incarnation == endpoint.incarnation)
+            .map_or_else(|| endpoint.models.clone(), |known| known.models.clone())
+    }
+
+    /// Tells whether a change is in progress at an engine.
+    pub(crate) fn is_changing(&self, endpoint: &EndpointView) -> bool {
+        let known = self.known.get(&endpoint.endpoint);
+        known.is_some_and(|k| k.incarnation == endpoint.incarnation && k.until.is_none())
+    }
+
+    /// Returns the models whose weights an engine has on its disk.
+    pub(crate) fn near(&self, endpoint: &EndpointId) -> BTreeSet<ModelName> {
+        self.near.get(endpoint).cloned().unwrap_or_default()
+    }
+
+    /// Records what an engine reports to have on its disk.
+    pub(crate) fn add_near(&mut self, endpoint: &EndpointId, near: &[ModelName]) {
+        let known = self.near.entry(endpoint.clone()).or_default();
+        known.extend(near.iter().cloned());
+    }
+
+    /// Returns the place from which commands to an engine go out.
+    pub(crate) fn slot(&mut self, endpoint: &EndpointId) -> Arc<tokio::sync::Mutex<EngineSlot>> {
+        Arc::clone(self.slots.entry(endpoint.clone()).or_default())
+    }
+
+    /// Averages the concurrent requests of a model and returns the average.
+    pub(crate) fn average(&mut self, model: &ModelName, current: f64) -> f64 {
+        let now = Instant::now();
+        let average = self
+            .averages
+            .entry(model.clone())
+            .or_insert(Average { load: 0.0, at: now });
+        let age_s = (now - average.at).as_secs_f64();
+        let kept = (-age_s / DEMAND_DECAY_S).exp();
+        average.load = average.load * kept + current * (1.0 - kept);
+        average.at = now;
+        average.load
+    }
+
+    /// Records the use of an adapter.
+    pub(crate) fn use_adapter(&mut self, endpoint: &EndpointId, adapter: &ModelName) {
+        let key = (endpoint.clone(), adapter.clone());
+        self.adapter_use.insert(key, Instant::now());
+    }
+
+    /// Returns the time since an adapter was last used.
+    pub(crate) fn adapter_idle(&self, endpoint: &EndpointId, adapter: &ModelName) -> Duration {
+        let used = self.adapter_use.get(&(endpoint.clone(), adapter.clone()));
+        used.map_or(Duration::MAX, |used| used.elapsed())
+    }
+
+    /// Returns how many loads from the store may begin now.
+    pub(crate) fn store_loads_left(&mut self, per_1000_s: u64) -> u32 {
+        // The rate holds over every window; the bound that is kept is one window of it.
+        const WINDOW: Duration = Duration::from_secs(5);
+        let now = Instant::now();
+        while self
+            .store_loads
+            .front()
+            .is_some_and(|at| now - *at >= WINDOW)
+        {
+            self.store_loads.pop_front();
+        }
+        let allowed = per_1000_s.saturating_mul(WINDOW.as_secs()) / 1_000;
+        (allowed as u32).saturating_sub(self.store_loads.len() as u32)
+    }
+
+    /// Counts a load from the store.
+    pub(crate) fn count_store_load(&mut self) {
+        self.store_loads.push_back(Instant::now());
+    }
+}
+
+/// Tells a model from an adapter, whose name has a slash.
+pub(crate) fn is_model(name: &ModelName) -> bool {
+    !name.as_str().contains('/')
+}
--- /dev/null
+++ b/crates/wasabipoint_control/src/engines/change.rs
@@ -0,0 +1,216 @@
+//! One change of what an engine holds, from the first command to the confirmed result.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{info, warn};
+use tokio::time::Instant;
+use wasabipoint_kernel::{FencingToken, ModelName};
+use wasabipoint_policy::EngineChange;
+use wasabipoint_rpc::EndpointView;
+
+use super::{CommandAnswer, EngineCommand, EngineCommander, EngineOperation, EngineState};
+use crate::control::Control;
+use crate::directory::commit;
+use crate::state::EndpointChanges;
+
+/// Longest wait for an answer of an engine. Engines answer within milliseconds.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Pause between questions whether a command is complete.
+const CHECK_PAUSE: Duration = Duration::from_millis(250);
+
+/// Longest time for an unload, which waits for the requests that run.
+const UNLOAD_LIMIT: Duration = Duration::from_secs(30);
+
+/// Longest time for a load. A load takes longer while the store is busy.
+const LOAD_LIMIT: Duration = Duration::from_secs(30);
+
+/// Sends commands to one engine on behalf of one term of the leader.
+pub(crate) struct EngineSession {
+    pub(crate) control: Arc<Control>,
+    pub(crate) commander: Arc<dyn EngineCommander>,
+    pub(crate) term: u64,
+    pub(crate) endpoint: EndpointView,
+}
+
+impl EngineSession {
+    /// Unloads and loads models and publishes the result.
+    pub(crate) async fn run(self, change: EngineChange, expected_load: Duration) {
+        let began = Instant::now();
+        let mut models = self.held();
+        models.retain(|held| !is_part_of(held, &change.unload));
+        self.publish(&models, false).await;
+        let mut result = Ok(());
+        for model in &change.unload {
+            if result.is_ok() {
+                result = self.unload(model).await;
+            }
+        }
+        if result.is_ok() {
+            result = self.load(&change.load, expected_load).await;
+        }
+        let state = self.read_state().await;
+        let held = match &state {
+            Ok(state) => state.models.clone(),
+            Err(_) if result.is_ok() => {
+                models.push(change.load.clone());
+                models
+            }
+            Err(_) => models,
+        };
+        self.publish(&held, true).await;
+        let logger = &self.control.logger;
+        match result {
+            Ok(()) => info!(logger, "placement: changed"; "endpoint" => %self.endpoint.endpoint,
+                "loaded" => %change.load, "unloaded" => change.unload.len(),
+                "is_from_store" => change.is_from_store,
+                "elapsed_ms" => began.elapsed().as_millis() as u64),
+            Err(detail) => warn!(logger, "placement: a change failed";
+                "endpoint" => %self.endpoint.endpoint, "model" => %change.load,
+                "detail" => detail, "elapsed_ms" => began.elapsed().as_millis() as u64),
+        }
+    }
+
+    fn held(&self) -> Vec<ModelName> {
+        self.control
+            .with_leader_state(self.term, |leader| leader.engines.models(&self.endpoint))
+    }
+
+    /// Records what the engine holds and commits it for the entry processes.
+    pub(crate) async fn publish(&self, models: &[ModelName], is_finished: bool) {
+        if self.control.member.leading_term() != Some(self.term) {
+            return;
+        }
+        self.control.with_leader_state(self.term, |leader| {
+            if is_finished {
+                leader.engines.finish(&self.endpoint, models.to_vec());
+            } else {
+                leader.engines.begin(&self.endpoint, models.to_vec());
+            }
+        });
+        let current = self.control.member.read(|state| {
+            let known = state.view.endpoints.get(&self.endpoint.endpoint);
+            known
+                .filter(|known| known.incarnation == self.endpoint.incarnation)
+                .cloned()
+        });
+        if let Some(mut endpoint) = current {
+            endpoint.models = models.to_vec();
+            let changes = EndpointChanges {
+                put: vec![endpoint],
+                removed: Vec::new(),
+            };
+            commit(&self.control, changes).await;
+        }
+    }
+
+    async fn unload(&self, model: &ModelName) -> Result<(), String> {
+        self.carry_out(EngineOperation::Unload, model, Duration::ZERO, UNLOAD_LIMIT)
+            .await
+    }
+
+    async fn load(&self, model: &ModelName, expected: Duration) -> Result<(), String> {
+        self.carry_out(EngineOperation::Load, model, expected, LOAD_LIMIT)
+            .await
+    }
+
+    /// Sends a command and waits until it is complete. Every command names the sequence number
+    /// that the engine reported, so that one of two can be carried out, however late they arrive.
+    async fn carry_out(
+        &self,
+        operation: EngineOperation,
+        model: &ModelName,
+        expected: Duration,
+        limit: Duration,
+    ) -> Result<(), String> {
+        let deadline = Instant::now() + limit;
+        let wants_held = operation == EngineOperation::Load;
+        let mut is_sent = false;
+        while Instant::now() < deadline {
+            if self.control.member.leading_term() != Some(self.term) {
+                return Err("another member leads".to_owned());
+            }
+            let Ok(state) = self.read_state().await else {
+                tokio::time::sleep(CHECK_PAUSE).await;
+                continue;
+            };
+            let is_held = state.models.contains(model);
+            if is_held == wants_held && !state.is_busy {
+                return Ok(());
+            }
+            if !state.is_busy && !is_sent {
+                match self.send(operation, model, state.sequence).await {
+                    Ok(CommandAnswer::Accepted) => {
+                        is_sent = true;
+                        tokio::time::sleep(expected).await;
+                    }
+                    Ok(CommandAnswer::AlreadyHolds) => return Ok(()),
+                    Ok(CommandAnswer::Fenced) => {
+                        return Err("a higher fencing token was used".to_owned());
+                    }
+                    Ok(CommandAnswer::Rejected | CommandAnswer::WrongEndpoint) => {
+                        return Err("the engine rejects the command".to_owned());
+                    }
+                    Ok(CommandAnswer::Conflict) | Err(_) => {}
+                }
+            } else if !state.is_busy {
+                // Accepted, not in progress and not complete: the engine gave it up.
+                is_sent = false;
+            }
+            tokio::time::sleep(CHECK_PAUSE).await;
+        }
+        Err("not complete in time".to_owned())
+    }
+
+    /// Sends one command. Its place keeps any other command to the engine out meanwhile.
+    pub(crate) async fn send(
+        &self,
+        operation: EngineOperation,
+        model: &ModelName,
+        expected_sequence: u64,
+    ) -> Result<CommandAnswer, String> {
+        let slot = self.control.with_leader_state(self.term, |leader| {
+            leader.engines.slot(&self.endpoint.endpoint)
+        });
+        let mut slot = slot.lock().await;
+        let command = EngineCommand {
+            operation,
+            model: model.clone(),
+            expected_sequence,
+            holder: format!("member-{}", self.control.member.id()),
+            fencing_token: FencingToken(self.term),
+        };
+        let sent = self.commander.command(&self.endpoint, &command);
+        let answer = tokio::time::timeout(ANSWER_TIMEOUT, sent).await;
+        let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
+        slot.sequence = match answer {
+            Ok(CommandAnswer::Accepted) => Some((self.endpoint.incarnation, expected_sequence + 1)),
+            _ => None,
+        };
+        info!(self.control.logger, "placement: command"; "endpoint" => %self.endpoint.endpoint,
+            "operation" => ?operation, "model" => %model, "sequence" => expected_sequence,
+            "fencing_token" => self.term, "answer" => ?answer);
+        answer
+    }
+
+    /// Asks the engine for its state.
+    pub(crate) async fn read_state(&self) -> Result<EngineState, String> {
+        let asked = tokio::time::timeout(ANSWER_TIMEOUT, self.commander.state(&self.endpoint));
+        let state = asked
+            .await
+            .unwrap_or_else(|_| Err("no answer in time".to_owned()))?;
+        self.control.with_leader_state(self.term, |leader| {
+            leader
+                .engines
+                .add_near(&self.endpoint.endpoint, &state.near);
+        });
+        Ok(state)
+    }
+}
+
+/// Tells whether a name is one of the models or an adapter of one.
+fn is_part_of(name: &ModelName, models: &[ModelName]) -> bool {
+    let base = name.as_str().split('/').next().unwrap_or_default();
+    models.iter().any(|model| model.as_str() == base)
+}
--- /dev/null
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -0,0 +1,180 @@
+//! The task of the leader that plans changes of engines.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::info;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use wasabipoint_kernel::{EngineSpec, ModelName, ServiceName};
+use wasabipoint_policy::{EngineHolding, ModelLoad, plan_engine_changes};
+use wasabipoint_rpc::EndpointView;
+
+use super::EngineCommander;
+use super::book::is_model;
+use super::change::EngineSession;
+use crate::control::Control;
+use crate::leader_state::DemandSum;
+
+/// Pause between plans.
+const PLAN_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Shortest time between two plans.
+const MIN_PLAN_GAP: Duration = Duration::from_millis(50);
+
+/// Plans and carries out changes while this member leads.
+///
+/// A new leader waits for `lease` before its first command, so that the commands of its predecessor
+/// have arrived.
+pub(crate) async fn run_engines(
+    control: Arc<Control>,
+    commander: Arc<dyn EngineCommander>,
+    lease: Duration,
+) {
+    let mut changes = JoinSet::new();
+    let mut leading: Option<(u64, Instant)> = None;
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(PLAN_INTERVAL) => {}
+            () = control.wake_engines.notified() => tokio::time::sleep(MIN_PLAN_GAP).await,
+        }
+        while changes.try_join_next().is_some() {}
+        let Some(term) = control.member.leading_term() else {
+            leading = None;
+            changes.abort_all();
+            continue;
+        };
+        let since = match leading {
+            Some((known, since)) if known == term => since,
+            _ => Instant::now(),
+        };
+        leading = Some((term, since));
+        if since.elapsed() < lease {
+            continue;
+        }
+        for (session, change, expected) in plan(&control, &commander, term) {
+            info!(control.logger, "placement: change decided"; "term" => term,
+                "endpoint" => %change.endpoint, "load" => %change.load,
+                "unload" => ?change.unload.iter().map(ModelName::as_str).collect::<Vec<_>>(),
+                "is_from_store" => change.is_from_store);
+            changes.spawn(session.run(change, expected));
+        }
+    }
+}
+
+type PlannedChange = (EngineSession, wasabipoint_policy::EngineChange, Duration);
+
+fn plan(
+    control: &Arc<Control>,
+    commander: &Arc<dyn EngineCommander>,
+    term: u64,
+) -> Vec<PlannedChange> {
+    let services: Vec<(ServiceName, EngineSpec, Vec<EndpointView>)> =
+        control.member.read(|state| {
+            let deployment = state.view.deployment.iter();
+            let services = deployment.flat_map(|deployment| deployment.services.values());
+            services
+                .filter_map(|service| {
+                    let endpoints = state.view.endpoints.values();
+                    let endpoints = endpoints.filter(|endpoint| endpoint.service == service.name);
+                    let engine = service.engine.clone()?;
+                    Some((service.name.clone(), engine, endpoints.cloned().collect()))
+                })
+                .collect()
+        });
+    let mut planned = Vec::new();
+    for (_, engine, endpoints) in services {
+        planned.extend(plan_service(control, commander, term, &engine, &endpoints));
+    }
+    planned
+}
+
+fn plan_service(
+    control: &Arc<Control>,
+    commander: &Arc<dyn EngineCommander>,
+    term: u64,
+    engine: &EngineSpec,
+    endpoints: &[EndpointView],
+) -> Vec<PlannedChange> {
+    let changes = control.with_leader_state(term, |leader| {
+        let demand = sum_by_model(leader.demand());
+        let models: Vec<ModelLoad> = engine
+            .models
+            .values()
+            .map(|model| {
+                let sum = demand.get(&model.name).copied().unwrap_or_default();
+                let current = f64::from(sum.queued + sum.in_flight);
+                ModelLoad {
+                    name: model.name.clone(),
+                    weights_mb: model.weights_mb,
+                    load: leader.engines.average(&model.name, current),
+                    waiting: sum.queued,
+                }
+            })
+            .collect();
+        let adapter_mb = engine.models.values().map(|model| model.adapter_mb).max();
+        let reserve_mb = adapter_mb.unwrap_or(0) * u64::from(engine.adapter_slots);
+        let holdings: Vec<EngineHolding> = endpoints
+            .iter()
+            .map(|endpoint| EngineHolding {
+                endpoint: endpoint.endpoint.clone(),
+                capacity_mb: engine.weights_mb.saturating_sub(reserve_mb),
+                models: leader
+                    .engines
+                    .models(endpoint)
+                    .into_iter()
+                    .filter(is_model)
+                    .collect(),
+                on_disk: leader.engines.near(&endpoint.endpoint),
+                is_changeable: !endpoint.is_leaving && !leader.engines.is_changing(endpoint),
+            })
+            .collect();
+        let store_loads = leader
+            .engines
+            .store_loads_left(engine.store_loads_per_1000_s);
+        let changes = plan_engine_changes(&models, &holdings, engine.slots, store_loads);
+        for change in &changes {
+            if change.is_from_store {
+                leader.engines.count_store_load();
+            }
+            let endpoint = endpoints.iter().find(|e| e.endpoint == change.endpoint);
+            if let Some(endpoint) = endpoint {
+                let models = leader.engines.models(endpoint);
+                leader.engines.begin(endpoint, models);
+            }
+        }
+        changes
+    });
+    changes
+        .into_iter()
+        .filter_map(|change| {
+            let endpoint = endpoints.iter().find(|e| e.endpoint == change.endpoint)?;
+            let model = engine.models.get(&change.load)?;
+            let load_ms = if change.is_from_store {
+                model.store_load_ms
+            } else {
+                model.disk_load_ms
+            };
+            let session = EngineSession {
+                control: Arc::clone(control),
+                commander: Arc::clone(commander),
+                term,
+                endpoint: endpoint.clone(),
+            };
+            Some((session, change, Duration::from_millis(load_ms)))
+        })
+        .collect()
+}
+
+/// Adds the demand for adapters to that for their models.
+fn sum_by_model(demand: BTreeMap<ModelName, DemandSum>) -> BTreeMap<ModelName, DemandSum> {
+    let mut sums: BTreeMap<ModelName, DemandSum> = BTreeMap::new();
+    for (name, one) in demand {
+        let base = name.as_str().split('/').next().unwrap_or_default();
+        let sum = sums.entry(ModelName::new(base)).or_default();
+        sum.in_flight += one.in_flight;
+        sum.queued += one.queued;
+    }
+    sums
+}
--- a/crates/wasabipoint_control/src/leader_state.rs
+++ b/crates/wasabipoint_control/src/leader_state.rs
@@ -7,6 +7,7 @@
 use wasabipoint_kernel::{EndpointId, EntryId, FencingToken, Incarnation, ModelName};
 use wasabipoint_rpc::{AgentReport, CheckpointTier, EntryReport};
 
+use crate::engines::EngineBook;
 use crate::placement::{DecisionRecord, LoadTimes, StorePacer};
 
 /// Age after which the report of a silent entry no longer counts as demand.
@@ -59,6 +60,8 @@
     pub(crate) tiers: BTreeMap<FencingToken, CheckpointTier>,
     pub(crate) load_times: LoadTimes,
     pub(crate) pacer: StorePacer,
+    /// Engines that obey the leader's commands.
+    pub(crate) engines: EngineBook,
     bounds: SilenceBounds,
     /// Checkpoints that are nearer than the weight store.
     near: BTreeMap<ModelName, BTreeMap<EndpointId, CheckpointTier>>,
@@ -80,6 +83,7 @@
             tiers: BTreeMap::new(),
             load_times: LoadTimes::default(),
             pacer: StorePacer::new(now),
+            engines: EngineBook::default(),
             bounds,
             near: BTreeMap::new(),
             failed: BTreeMap::new(),
--- a/crates/wasabipoint_control/src/lib.rs
+++ b/crates/wasabipoint_control/src/lib.rs
@@ -2,9 +2,13 @@
 
 mod api;
 mod control;
+mod deployment;
+mod directory;
+mod engines;
 mod leader_state;
 mod machine;
 mod member;
+mod membership;
 mod metrics;
 mod peer;
 mod placement;
@@ -14,10 +18,15 @@
 mod state;
 mod stream;
 
+pub use deployment::{DeploymentCallError, DeploymentStore};
+pub use directory::EndpointDirectory;
+pub use engines::{CommandAnswer, EngineCommand, EngineCommander, EngineOperation, EngineState};
 pub use machine::ControlMachine;
-pub use server::{ControlConfig, ControlServer, ControlStartError};
+pub use membership::{MemberIdentity, discard_identity, find_identity, first_member_id};
+pub use server::{ControlConfig, ControlServer, ControlStartError, Deployed};
 pub use state::{
-    Bucket, ClaimState, Command, ConfigApply, ConfigBody, ConfigState, ControlState, EntryQuota,
-    FleetState, GrantPhase, GrantRecord, GrantRequest, MemberAddress, Outcome, QuotaState,
-    Registration, SliceRecord, StampedCommand, VmState,
+    Bucket, ClaimState, Command, ConfigApply, ConfigBody, ConfigState, ControlState,
+    DeploymentRecord, EndpointChanges, EntryQuota, FleetState, GrantPhase, GrantRecord,
+    GrantRequest, MemberAddress, Outcome, QuotaState, Registration, SliceRecord, StampedCommand,
+    VmState,
 };
--- a/crates/wasabipoint_control/src/machine.rs
+++ b/crates/wasabipoint_control/src/machine.rs
@@ -7,7 +7,7 @@
 use crate::state::{ControlState, Outcome, StampedCommand};
 
 /// Version of the snapshot encoding, its first byte.
-const SNAPSHOT_VERSION: u8 = 1;
+const SNAPSHOT_VERSION: u8 = 2;
 
 /// The replicated state with notices of its changes.
 pub struct ControlMachine {
--- a/crates/wasabipoint_control/src/rpc.rs
+++ b/crates/wasabipoint_control/src/rpc.rs
@@ -13,11 +13,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
-use wasabipoint_kernel::{ErrorKind, ModelName};
+use wasabipoint_kernel::{EndpointId, ErrorKind, ModelName};
 use wasabipoint_rpc::{
-    AgentDirective, AgentReport, ClaimOutcome, ClaimRequest, ColdEstimate, ControlRefusal,
-    ControlRpc, EntryDirective, EntryReport, FleetUpdate, PeerBatch, PeerRpc, QuotaExchange,
-    QuotaGrants, RPC_FRAME_BYTES, WatchReply, WatchRequest,
+    AdapterRequest, AgentDirective, AgentReport, ClaimOutcome, ClaimRequest, ColdEstimate,
+    ControlRefusal, ControlRpc, EntryDirective, EntryReport, FleetUpdate, JoinReply, JoinRequest,
+    PeerBatch, PeerRpc, QuotaExchange, QuotaGrants, RPC_FRAME_BYTES, WatchReply, WatchRequest,
 };
 
 use crate::control::Control;
@@ -335,6 +335,7 @@
         });
         if is_urgent {
             control.wake_placement.notify_one();
+            control.wake_engines.notify_one();
         }
         for (endpoint, incarnation) in draining {
             let is_new = control.member.read(|state| {
@@ -424,4 +425,20 @@
             }
         }
     }
+
+    async fn join(self, _: Context, request: JoinRequest) -> Result<JoinReply, ControlRefusal> {
+        self.control.metrics.count_call("join");
+        self.leading_term()?;
+        self.control.accept_join(&request).await
+    }
+
+    async fn load_adapter(
+        self,
+        _: Context,
+        request: AdapterRequest,
+    ) -> Result<EndpointId, ControlRefusal> {
+        self.control.metrics.count_call("load_adapter");
+        let term = self.leading_term()?;
+        self.control.load_adapter(term, &request).await
+    }
 }
--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -12,14 +12,18 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use wasabipoint_consensus::{Replica, ReplicaConfig, ReplicaStatus, StartError};
-use wasabipoint_http::{HttpServer, HttpServerHandle};
+use wasabipoint_http::{HttpHandler, HttpServer, HttpServerHandle};
 use wasabipoint_kernel::{ErrorKind, KeyDigester, MemberId, Settings};
 
 use crate::api::OperatorApi;
 use crate::control::Control;
+use crate::deployment::DeploymentStore;
+use crate::directory::{EndpointDirectory, poll_directory};
+use crate::engines::{EngineCommander, run_engines};
 use crate::leader_state::SilenceBounds;
 use crate::machine::ControlMachine;
 use crate::member::Member;
+use crate::membership::keep_membership;
 use crate::metrics::ControlMetrics;
 use crate::peer::PeerTransport;
 use crate::placement::run_placement;
@@ -127,6 +131,18 @@
 
 impl std::error::Error for ControlStartError {}
 
+/// What a deployment on a platform adds to a member.
+pub struct Deployed {
+    /// List of endpoints.
+    pub directory: Arc<dyn EndpointDirectory>,
+    /// Sender of commands to engines.
+    pub commander: Arc<dyn EngineCommander>,
+    /// Time after an election in which the predecessor's commands may still arrive.
+    pub command_lease: Duration,
+    /// Builds the operators' interface over the configuration and the product's own interface.
+    pub operator_api: fn(DeploymentStore, Arc<dyn HttpHandler>) -> Arc<dyn HttpHandler>,
+}
+
 /// A running control member.
 pub struct ControlServer {
     control: Arc<Control>,
@@ -149,6 +165,16 @@
         config: ControlConfig,
         listener: TcpListener,
         logger: Logger,
+    ) -> Result<Self, ControlStartError> {
+        Self::start_deployed(config, listener, logger, None).await
+    }
+
+    /// Starts a member of a deployment on a platform.
+    pub async fn start_deployed(
+        config: ControlConfig,
+        listener: TcpListener,
+        logger: Logger,
+        deployed: Option<Deployed>,
     ) -> Result<Self, ControlStartError> {
         let listen_error = |address| move |error| ControlStartError::Listen { address, error };
         let bound_rpc = listener
@@ -192,6 +218,8 @@
             metrics: ControlMetrics::new(),
             logger,
             wake_placement: tokio::sync::Notify::new(),
+            wake_engines: tokio::sync::Notify::new(),
+            commander: deployed.as_ref().map(|d| Arc::clone(&d.commander)),
             slice_lifetime_ms: config.slice_lifetime_ms,
             silence_bounds: SilenceBounds {
                 in_doubt: config.agent_silence,
@@ -217,9 +245,20 @@
         if let Some(url) = config.platform_list {
             tasks.spawn(poll_platform(Arc::clone(&control), url));
         }
-        let handle = http
-            .serve(Arc::new(OperatorApi::new(Arc::clone(&control))))
-            .map_err(listen_error(bound_http))?;
+        let mut api: Arc<dyn HttpHandler> = Arc::new(OperatorApi::new(Arc::clone(&control)));
+        if let Some(deployed) = deployed {
+            let (directory, commander) = (deployed.directory, deployed.commander);
+            tasks.spawn(poll_directory(Arc::clone(&control), directory));
+            tasks.spawn(run_engines(
+                Arc::clone(&control),
+                commander,
+                deployed.command_lease,
+            ));
+            tasks.spawn(keep_membership(Arc::clone(&control)));
+            let store = DeploymentStore::new(Arc::clone(&control));
+            api = (deployed.operator_api)(store, api);
+        }
+        let handle = http.serve(api).map_err(listen_error(bound_http))?;
         info!(control.logger, "control: ready"; "member" => config.member.0,
             "rpc" => %bound_rpc, "http" => %bound_http);
         Ok(Self {
--- a/crates/wasabipoint_control/src/state.rs
+++ b/crates/wasabipoint_control/src/state.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod config;
+mod deployment;
 mod fleet;
 mod quota;
 
@@ -9,8 +10,8 @@
 use std::net::SocketAddr;
 
 use wasabipoint_kernel::{
-    ChangeId, ConfigVersion, EndpointId, ErrorKind, FencingToken, Incarnation, Inventory, KeyId,
-    MemberId, ModelName, Rules, VmId, plain_data,
+    ChangeId, ConfigVersion, Deployment, EndpointId, ErrorKind, FencingToken, Incarnation,
+    Inventory, KeyId, MemberId, ModelName, Rules, VmId, plain_data,
 };
 use wasabipoint_rpc::{
     AgentReport, ClaimOutcome, ClaimRequest, FleetChange, FleetUpdate, FleetView, KeyRecord,
@@ -19,6 +20,7 @@
 
 pub use claims::ClaimState;
 pub use config::ConfigState;
+pub use deployment::{DeploymentRecord, EndpointChanges};
 pub use fleet::{FleetState, GrantPhase, GrantRecord, GrantRequest, Registration};
 pub use quota::{Bucket, EntryQuota, QuotaState, SliceRecord};
 
@@ -127,6 +129,15 @@
         },
         /// Forgets the addresses of a removed member.
         RemoveMember(MemberId),
+        /// Puts a complete configuration in force under the operator's version.
+        ApplyDeployment {
+            /// The document as the operator sent it.
+            document: Vec<u8>,
+            /// What it says.
+            deployment: Box<Deployment>,
+        },
+        /// Changes the listed endpoints.
+        ChangeEndpoints(EndpointChanges),
     }
 }
 
@@ -217,6 +228,8 @@
         pub profile: Option<(String, Vec<u8>)>,
         /// Addresses of members.
         pub members: BTreeMap<MemberId, MemberAddress>,
+        /// Complete configuration of a forwarding deployment.
+        pub deployment: DeploymentRecord,
         /// The view that entries hold; the only place of inventory, rules and keys.
         pub view: FleetView,
         /// Recent changes of the view with the revision that each led to.
@@ -235,6 +248,7 @@
             claims: ClaimState::default(),
             profile: None,
             members: BTreeMap::new(),
+            deployment: DeploymentRecord::default(),
             view: FleetView::new(),
             changes: VecDeque::new(),
         }
@@ -282,6 +296,11 @@
                 self.members.remove(&member);
                 Outcome::Done
             }
+            Command::ApplyDeployment {
+                document,
+                deployment,
+            } => self.apply_deployment(document, deployment),
+            Command::ChangeEndpoints(changes) => self.change_endpoints(changes),
         }
     }
 
--- a/crates/wasabipoint_kernel/src/lib.rs
+++ b/crates/wasabipoint_kernel/src/lib.rs
@@ -4,6 +4,7 @@
 extern crate self as wasabipoint_kernel;
 
 mod clock;
+mod deployment;
 mod derive;
 mod error;
 mod id;
@@ -17,6 +18,10 @@
 mod shutdown;
 
 pub use clock::MonotonicClock;
+pub use deployment::{
+    CallerLimits, Deployment, DeploymentError, EngineModel, EngineSpec, ForwardCustomer,
+    ForwardRoute, ForwardService, RateUnit, RunPolicy,
+};
 pub use error::{ErrorAnswer, ErrorKind, Refusal, RetryAdvice, RunState};
 pub use id::{
     AdapterName, ChangeId, ConfigVersion, CustomerId, EndpointId, EntryId, FailureDomain,
--- /dev/null
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -0,0 +1,243 @@
+//! Which engine loads and unloads which model, for engines that obey commands of the leader.
+//!
+//! Replicas follow demand: each model with demand gets one, and the places that are left go, one
+//! after another, to the model with the most concurrent requests per replica. A model is moved only
+//! for a clear gain, because a load from the store takes seconds.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use wasabipoint_kernel::{EndpointId, ModelName, plain_data};
+
+/// Concurrent requests below which a model counts as unused.
+const UNUSED_LOAD: f64 = 0.05;
+
+/// Share of an engine's slots up to which a replica is not relieved by another one. Above it the
+/// pauses between tokens grow noticeably.
+const RELIEF_SHARE: f64 = 0.25;
+
+/// A further replica has to lower the load per replica to this part of the victim's new load.
+const GAIN: f64 = 1.5;
+
+plain_data! {
+    data
+    /// A model and its demand.
+    pub struct ModelLoad {
+        /// Name of the model.
+        pub name: ModelName,
+        /// Memory of the weights in MB.
+        pub weights_mb: u64,
+        /// Concurrent requests, running and waiting, over all entry processes.
+        pub load: f64,
+        /// Requests that wait because no engine holds the model.
+        pub waiting: u32,
+    }
+}
+
+plain_data! {
+    data
+    /// An engine and what it holds.
+    pub struct EngineHolding {
+        /// The endpoint.
+        pub endpoint: EndpointId,
+        /// Memory for weights in MB, without the reserve for adapters.
+        pub capacity_mb: u64,
+        /// Models that it holds.
+        pub models: Vec<ModelName>,
+        /// Models whose weights are on its disk.
+        pub on_disk: BTreeSet<ModelName>,
+        /// Whether it is live and no command is in progress there.
+        pub is_changeable: bool,
+    }
+}
+
+plain_data! {
+    data
+    /// One change of what an engine holds.
+    pub struct EngineChange {
+        /// The endpoint.
+        pub endpoint: EndpointId,
+        /// Models that make room.
+        pub unload: Vec<ModelName>,
+        /// Model to load.
+        pub load: ModelName,
+        /// Whether the weights come from the store.
+        pub is_from_store: bool,
+    }
+}
+
+/// Chooses changes for engines with `slots` places for requests each.
+///
+/// At most `store_loads` of the changes load from the weight store.
+pub fn plan_engine_changes(
+    models: &[ModelLoad],
+    engines: &[EngineHolding],
+    slots: u32,
+    store_loads: u32,
+) -> Vec<EngineChange> {
+    let mut plan = Plan::new(models, engines, slots, store_loads);
+    while let Some(model) = plan.neediest() {
+        if !plan.add_replica(&model) {
+            plan.given_up.insert(model);
+        }
+    }
+    plan.changes
+}
+
+struct Plan<'p> {
+    models: BTreeMap<&'p ModelName, &'p ModelLoad>,
+    engines: Vec<EngineHolding>,
+    replicas: BTreeMap<ModelName, u32>,
+    relief_load: f64,
+    store_loads: u32,
+    given_up: BTreeSet<ModelName>,
+    changes: Vec<EngineChange>,
+}
+
+impl<'p> Plan<'p> {
+    fn new(
+        models: &'p [ModelLoad],
+        engines: &[EngineHolding],
+        slots: u32,
+        store_loads: u32,
+    ) -> Self {
+        let mut replicas: BTreeMap<ModelName, u32> = BTreeMap::new();
+        for model in engines.iter().flat_map(|engine| &engine.models) {
+            *replicas.entry(model.clone()).or_default() += 1;
+        }
+        Self {
+            models: models.iter().map(|model| (&model.name, model)).collect(),
+            engines: engines.to_vec(),
+            replicas,
+            relief_load: f64::from(slots) * RELIEF_SHARE,
+            store_loads,
+            given_up: BTreeSet::new(),
+            changes: Vec::new(),
+        }
+    }
+
+    fn replicas(&self, model: &ModelName) -> u32 {
+        self.replicas.get(model).copied().unwrap_or(0)
+    }
+
+    fn load(&self, model: &ModelName) -> f64 {
+        self.models.get(model).map_or(0.0, |model| model.load)
+    }
+
+    /// Returns the model that gains most from a further replica.
+    fn neediest(&self) -> Option<ModelName> {
+        let needs = self.models.values().filter_map(|model| {
+            let replicas = self.replicas(&model.name);
+            let is_needed = match replicas {
+                0 => model.waiting > 0 || model.load > UNUSED_LOAD,
+                _ => model.load / f64::from(replicas) > self.relief_load,
+            };
+            if !is_needed || self.given_up.contains(&model.name) {
+                return None;
+            }
+            let need = match replicas {
+                0 => 1e6 + model.load + f64::from(model.waiting),
+                _ => model.load / f64::from(replicas),
+            };
+            Some((need, &model.name))
+        });
+        needs
+            .max_by(|one, other| one.0.total_cmp(&other.0))
+            .map(|(_, name)| name.clone())
+    }
+
+    fn add_replica(&mut self, model: &ModelName) -> bool {
+        let weights_mb = self.models[model].weights_mb;
+        let gain = self.load(model) / f64::from(self.replicas(model) + 1);
+        let mut best: Option<(f64, usize, Vec<ModelName>)> = None;
+        for (index, engine) in self.engines.iter().enumerate() {
+            if !engine.is_changeable || engine.models.contains(model) {
+                continue;
+            }
+            let is_near = engine.on_disk.contains(model);
+            if !is_near && self.store_loads == 0 {
+                continue;
+            }
+            let Some((loss, victims)) = self.make_room(engine, weights_mb) else {
+                continue;
+            };
+            if self.replicas(model) > 0 && loss * GAIN >= gain {
+                continue;
+            }
+            // A load from disk takes a fifth of the time and leaves the store to others.
+            let cost = loss + self.engine_load(engine) * 0.1 - if is_near { 4.0 } else { 0.0 };
+            if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
+                best = Some((cost, index, victims));
+            }
+        }
+        let Some((_, index, unload)) = best else {
+            return false;
+        };
+        self.apply(index, unload, model);
+        true
+    }
+
+    /// Returns the models that make room, with the largest load per replica that remains of them.
+    fn make_room(&self, engine: &EngineHolding, weights_mb: u64) -> Option<(f64, Vec<ModelName>)> {
+        let size = |model: &ModelName| self.models.get(model).map_or(0, |known| known.weights_mb);
+        let used_mb: u64 = engine.models.iter().map(size).sum();
+        let mut free_mb = engine.capacity_mb.saturating_sub(used_mb);
+        let mut candidates: Vec<(f64, &ModelName)> = engine
+            .models
+            .iter()
+            .filter_map(|held| Some((self.loss(held)?, held)))
+            .collect();
+        candidates.sort_by(|one, other| one.0.total_cmp(&other.0));
+        let mut victims = Vec::new();
+        let mut loss: f64 = 0.0;
+        let mut candidates = candidates.into_iter();
+        while free_mb < weights_mb {
+            let (lost, victim) = candidates.next()?;
+            loss = loss.max(lost);
+            free_mb += size(victim);
+            victims.push(victim.clone());
+        }
+        Some((loss, victims))
+    }
+
+    /// Returns the load per replica that an unload leaves, or `None` for the last replica of a
+    /// model in use.
+    fn loss(&self, model: &ModelName) -> Option<f64> {
+        let load = self.load(model);
+        match self.replicas(model) {
+            0 | 1 => (load <= UNUSED_LOAD).then_some(0.0),
+            replicas => Some(load / f64::from(replicas - 1)),
+        }
+    }
+
+    fn engine_load(&self, engine: &EngineHolding) -> f64 {
+        let shares = engine
+            .models
+            .iter()
+            .map(|model| self.load(model) / f64::from(self.replicas(model).max(1)));
+        shares.sum()
+    }
+
+    fn apply(&mut self, index: usize, unload: Vec<ModelName>, load: &ModelName) {
+        let engine = &mut self.engines[index];
+        let is_from_store = !engine.on_disk.contains(load);
+        engine.is_changeable = false;
+        engine.models.retain(|held| !unload.contains(held));
+        engine.models.push(load.clone());
+        let endpoint = engine.endpoint.clone();
+        for victim in &unload {
+            if let Some(replicas) = self.replicas.get_mut(victim) {
+                *replicas -= 1;
+            }
+        }
+        *self.replicas.entry(load.clone()).or_default() += 1;
+        if is_from_store {
+            self.store_loads -= 1;
+        }
+        self.changes.push(EngineChange {
+            endpoint,
+            unload,
+            load: load.clone(),
+            is_from_store,
+        });
+    }
+}
--- a/crates/wasabipoint_policy/src/lib.rs
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -6,9 +6,11 @@
     reason = "distributed slices place their elements in a link section"
 )]
 
+mod engine_plan;
 mod placement;
 mod routing;
 
+pub use engine_plan::{EngineChange, EngineHolding, ModelLoad, plan_engine_changes};
 pub use placement::{
     DemandSample, EndpointCapacity, GrantState, GrantView, LoadOption, ModelView,
     PLACEMENT_POLICIES, PlacementDecision, PlacementPlan, PlacementPlugin, PlacementPolicy,
--- a/crates/wasabipoint_rpc/src/config.rs
+++ b/crates/wasabipoint_rpc/src/config.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use wasabipoint_kernel::{
-    ConfigVersion, CustomerId, EndpointId, FailureDomain, Incarnation, Inventory, InventoryChange,
-    KeyDigest, KeyId, ModelName, Rules, ServiceName, plain_data,
+    ConfigVersion, CustomerId, Deployment, EndpointId, FailureDomain, Incarnation, Inventory,
+    InventoryChange, KeyDigest, KeyId, ModelName, Rules, ServiceName, plain_data,
 };
 
 use crate::agent::EndpointKind;
@@ -64,6 +64,8 @@
         pub keys: BTreeMap<KeyId, KeyRecord>,
         /// Registered endpoints by name.
         pub endpoints: BTreeMap<EndpointId, EndpointView>,
+        /// Complete configuration of a forwarding deployment, once an operator has applied one.
+        pub deployment: Option<Box<Deployment>>,
     }
 }
 
@@ -77,6 +79,7 @@
             rules: Rules::default(),
             keys: BTreeMap::new(),
             endpoints: BTreeMap::new(),
+            deployment: None,
         }
     }
 
@@ -99,6 +102,8 @@
             FleetChange::RemoveEndpoint(id) => {
                 self.endpoints.remove(id);
             }
+            FleetChange::Deployment(deployment) => self.deployment = Some(deployment.clone()),
+            FleetChange::Superseded => {}
         }
     }
 }
@@ -127,6 +132,10 @@
         PutEndpoint(Box<EndpointView>),
         /// An endpoint is gone.
         RemoveEndpoint(EndpointId),
+        /// A complete configuration is in force.
+        Deployment(Box<Deployment>),
+        /// A complete configuration that a later change has replaced.
+        Superseded,
     }
 }
 
--- a/crates/wasabipoint_rpc/src/service.rs
+++ b/crates/wasabipoint_rpc/src/service.rs
@@ -5,7 +5,7 @@
 
 use tarpc::serde_transport::tcp;
 use tarpc::tokio_serde::formats::Bincode;
-use wasabipoint_kernel::{ErrorKind, MemberId, plain_data};
+use wasabipoint_kernel::{EndpointId, ErrorKind, MemberId, ModelName, plain_data};
 
 use crate::agent::{AgentDirective, AgentReport};
 use crate::config::{WatchReply, WatchRequest};
@@ -16,6 +16,39 @@
 /// Largest tarpc frame. A whole fleet view at the design size is about 1 MB.
 pub const RPC_FRAME_BYTES: usize = 8 * 1_024 * 1_024;
 
+plain_data! {
+    data
+    /// A process with an empty disk asks to become a member.
+    pub struct JoinRequest {
+        /// New id, never used before.
+        pub member: MemberId,
+        /// Its rpc address.
+        pub rpc: SocketAddr,
+        /// Its address for operators.
+        pub http: SocketAddr,
+    }
+}
+
+plain_data! {
+    data
+    /// The members that a joining process exchanges messages with.
+    pub struct JoinReply {
+        /// Ids and rpc addresses.
+        pub members: Vec<(MemberId, SocketAddr)>,
+    }
+}
+
+plain_data! {
+    data
+    /// An entry process needs an adapter on one of the endpoints.
+    pub struct AdapterRequest {
+        /// Model and adapter, joined by a slash.
+        pub adapter: ModelName,
+        /// Endpoints that hold the model, best first.
+        pub candidates: Vec<EndpointId>,
+    }
+}
+
 plain_data! {
     data
     /// Why a control member does not answer a call.
@@ -65,6 +98,10 @@
     async fn claim(request: ClaimRequest) -> Result<ClaimOutcome, ControlRefusal>;
     /// Reports the state of an endpoint and asks for its grants.
     async fn report_agent(report: AgentReport) -> Result<AgentDirective, ControlRefusal>;
+    /// Asks to become a member; the answer lists the members to talk to.
+    async fn join(request: JoinRequest) -> Result<JoinReply, ControlRefusal>;
+    /// Loads an adapter on one of the endpoints that hold its model.
+    async fn load_adapter(request: AdapterRequest) -> Result<EndpointId, ControlRefusal>;
 }
 
 /// Messages between control members.
