Forward requests by route, and run on the platform

The entry process forwards any request by host and longest prefix, with keys, quota, a shared retry budget, a choice of endpoints by load and resumption of streams.

--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -23,7 +23,7 @@
 use crate::leader_state::SilenceBounds;
 use crate::machine::ControlMachine;
 use crate::member::Member;
-use crate::membership::keep_membership;
+use crate::membership::{MemberIdentity, keep_membership};
 use crate::metrics::ControlMetrics;
 use crate::peer::PeerTransport;
 use crate::placement::run_placement;
@@ -68,6 +68,33 @@
 }
 
 impl ControlConfig {
+    /// Builds the configuration of a member that found its identity by itself.
+    pub fn for_platform(
+        settings: &Settings,
+        identity: &MemberIdentity,
+        rpc_listen: SocketAddr,
+        http_listen: SocketAddr,
+    ) -> Self {
+        Self {
+            cluster: "platform".to_owned(),
+            member: identity.member,
+            members: identity.members.clone(),
+            is_joining: identity.is_joining,
+            rpc_listen,
+            http_listen,
+            data_folder: settings.path("data_folder"),
+            failure_domain: settings.text("failure_domain").to_owned(),
+            key_secret: String::new(),
+            operator_token: format!("{:032x}", rand::random::<u128>()),
+            platform_list: None,
+            tick_ms: 50,
+            snapshot_entries: 512,
+            slice_lifetime_ms: 5_000,
+            agent_silence: Duration::from_secs(5),
+            replace_after: Duration::from_secs(10),
+        }
+    }
+
     /// Takes the values of the section `[control]`.
     pub fn from_settings(settings: &Settings) -> Self {
         let platform_list = settings.text("platform_list");
@@ -290,6 +317,12 @@
         let _ = status.wait_for(|status| status.is_stopped).await;
     }
 
+    /// Tells whether the other members refuse this one, so that it can only join anew.
+    pub fn is_refused(&self) -> bool {
+        let fault = self.control.member.replica().status().fault;
+        fault.is_some_and(|fault| fault.starts_with("the other members refuse this one"))
+    }
+
     /// Closes the ports and then the data folder.
     pub async fn stop(mut self) {
         self.tasks.shutdown().await;
--- /dev/null
+++ b/crates/wasabipoint_entry/src/forward/answer.rs
@@ -0,0 +1,137 @@
+//! Responses to callers.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::{HeaderMap, Response, StatusCode};
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::mpsc;
+use wasabipoint_kernel::Refusal;
+
+/// A response stream that ends before it is complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BrokenOff;
+
+impl std::fmt::Display for BrokenOff {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the response broke off")
+    }
+}
+
+impl std::error::Error for BrokenOff {}
+
+impl From<Infallible> for BrokenOff {
+    fn from(never: Infallible) -> Self {
+        match never {}
+    }
+}
+
+/// The body of a response to a caller.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// All bytes at once.
+    Whole(Option<Bytes>),
+    /// Pieces; `None` ends the body, a dropped sender breaks it off.
+    Stream(mpsc::Receiver<Option<Bytes>>),
+    /// The end was delivered.
+    Ended,
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        let this = self.get_mut();
+        match this {
+            Self::Whole(bytes) => {
+                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
+                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Self::Stream(receiver) => match receiver.poll_recv(context) {
+                Poll::Pending => Poll::Pending,
+                Poll::Ready(Some(Some(bytes))) => Poll::Ready(Some(Ok(Frame::data(bytes)))),
+                Poll::Ready(Some(None)) => {
+                    *this = Self::Ended;
+                    Poll::Ready(None)
+                }
+                Poll::Ready(None) => {
+                    *this = Self::Ended;
+                    Poll::Ready(Some(Err(BrokenOff)))
+                }
+            },
+            Self::Ended => Poll::Ready(None),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Stream(_) => false,
+            Self::Ended => true,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Stream(_) => SizeHint::default(),
+            Self::Ended => SizeHint::with_exact(0),
+        }
+    }
+}
+
+/// Builds the response for a refusal.
+pub(crate) fn refusal_answer(refusal: &Refusal) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Whole(Some(refusal.to_json().into())));
+    *response.status_mut() =
+        StatusCode::from_u16(refusal.kind.answer().status).expect("the table holds valid statuses");
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(ms) = refusal.retry_after_ms {
+        let seconds = format!("{}.{:03}", ms / 1_000, ms % 1_000);
+        let value = HeaderValue::from_str(&seconds).expect("digits are a valid header value");
+        headers.insert(RETRY_AFTER, value);
+    }
+    response
+}
+
+/// Asks the caller to close the connection after this response.
+pub(crate) fn close_after(response: &mut Response<AnswerBody>) {
+    let headers = response.headers_mut();
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
+/// Removes headers that concern one connection only.
+pub(crate) fn strip_connection_headers(headers: &mut HeaderMap) {
+    const CONNECTION_HEADERS: [&str; 9] = [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ];
+    let named: Vec<String> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+    for name in named {
+        headers.remove(name.as_str());
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_entry/src/forward/endpoints.rs
@@ -0,0 +1,272 @@
+//! Endpoints as one entry process sees them, and the choice among them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use wasabipoint_kernel::{EndpointId, FailureDomain, Incarnation, ModelName, ServiceName};
+use wasabipoint_rpc::EndpointView;
+
+use super::dialect::ReportedLoad;
+
+/// Time for which an endpoint is avoided after a failure, in milliseconds.
+const AVOID_MS: u64 = 1_500;
+
+/// Time for which an endpoint counts as lacking a model after it refused a request for it, in
+/// milliseconds. The list catches up within it.
+const MISSING_MS: u64 = 1_500;
+
+/// Time after which a reported load says nothing any more, in milliseconds.
+const LOAD_AGE_MS: u64 = 3_000;
+
+/// Load, as a share of the slots, that a request in another failure domain has to save.
+const REMOTE_COST: f64 = 0.03;
+
+/// Load, as a share of the slots, that a cached prompt part is worth.
+const CACHED_GAIN: f64 = 0.10;
+
+/// Prompt parts remembered per endpoint.
+const KEPT_PARTS: usize = 512;
+
+#[derive(Debug)]
+struct Known {
+    view: EndpointView,
+    own: u32,
+    others: u32,
+    reported_ms: u64,
+    avoid_until_ms: u64,
+    missing: BTreeMap<ModelName, u64>,
+    parts: HashMap<(ModelName, u64), u64>,
+}
+
+/// What a request needs of an endpoint.
+#[derive(Debug, Clone)]
+pub struct Need<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The model, or `MODEL/ADAPTER`.
+    pub model: Option<&'a ModelName>,
+    /// First parts of the prompt that other requests share.
+    pub parts: &'a [(u64, u64)],
+    /// Endpoints that were tried already.
+    pub tried: &'a BTreeSet<EndpointId>,
+}
+
+/// The endpoint chosen for a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Choice {
+    /// The endpoint.
+    pub endpoint: EndpointView,
+    /// Estimated requests there.
+    pub load: u32,
+    /// Candidates among which it was chosen.
+    pub candidates: usize,
+}
+
+/// Endpoints with their loads.
+#[derive(Debug)]
+pub struct Endpoints {
+    failure_domain: FailureDomain,
+    known: BTreeMap<EndpointId, Known>,
+}
+
+impl Endpoints {
+    /// Creates an empty set seen from a failure domain.
+    pub fn new(failure_domain: FailureDomain) -> Self {
+        Self {
+            failure_domain,
+            known: BTreeMap::new(),
+        }
+    }
+
+    /// Takes the endpoints that control lists. A new incarnation starts afresh.
+    pub fn update(&mut self, views: &BTreeMap<EndpointId, EndpointView>) {
+        self.known.retain(|id, known| {
+            views
+                .get(id)
+                .is_some_and(|view| view.incarnation == known.view.incarnation)
+        });
+        for (id, view) in views {
+            match self.known.get_mut(id) {
+                Some(known) => {
+                    if known.view != *view {
+                        known.view = view.clone();
+                    }
+                }
+                None => {
+                    let known = Known {
+                        view: view.clone(),
+                        own: 0,
+                        others: 0,
+                        reported_ms: 0,
+                        avoid_until_ms: 0,
+                        missing: BTreeMap::new(),
+                        parts: HashMap::new(),
+                    };
+                    self.known.insert(id.clone(), known);
+                }
+            }
+        }
+    }
+
+    /// Chooses the endpoint with the least load among those that can serve a request. Endpoints
+    /// that failed a moment ago are used only when there is no other.
+    pub fn choose(&self, need: &Need<'_>, now_ms: u64) -> Option<Choice> {
+        let mut best: Option<(bool, f64, &Known)> = None;
+        let mut candidates = 0;
+        for known in self.candidates(need, now_ms) {
+            candidates += 1;
+            let is_avoided = known.avoid_until_ms > now_ms;
+            let cost = self.cost(known, need, now_ms);
+            if best
+                .as_ref()
+                .is_none_or(|(avoided, least, _)| (is_avoided, cost) < (*avoided, *least))
+            {
+                best = Some((is_avoided, cost, known));
+            }
+        }
+        best.map(|(_, _, known)| Choice {
+            endpoint: known.view.clone(),
+            load: load_of(known, now_ms),
+            candidates,
+        })
+    }
+
+    fn candidates(&self, need: &Need<'_>, now_ms: u64) -> impl Iterator<Item = &Known> {
+        self.known.values().filter(move |known| {
+            let view = &known.view;
+            view.service == *need.service
+                && !view.is_leaving
+                && !need.tried.contains(&view.endpoint)
+                && need.model.is_none_or(|model| {
+                    view.models.contains(model)
+                        && known
+                            .missing
+                            .get(model)
+                            .is_none_or(|until| *until <= now_ms)
+                })
+        })
+    }
+
+    fn cost(&self, known: &Known, need: &Need<'_>, now_ms: u64) -> f64 {
+        let slots = f64::from(known.view.concurrency.max(1));
+        let mut cost = f64::from(load_of(known, now_ms)) / slots;
+        if known.view.failure_domain != self.failure_domain {
+            cost += REMOTE_COST;
+        }
+        if let Some(model) = need.model
+            && let Some((part, _)) = need.parts.first()
+            && known.parts.contains_key(&(model.clone(), *part))
+        {
+            cost -= CACHED_GAIN;
+        }
+        cost
+    }
+
+    /// Tells whether any endpoint of a service exists that is not leaving.
+    pub fn has_endpoints(&self, service: &ServiceName) -> bool {
+        let mut known = self.known.values();
+        known.any(|known| known.view.service == *service && !known.view.is_leaving)
+    }
+
+    /// Returns the endpoints that hold a model, least loaded first.
+    pub fn holders(
+        &self,
+        service: &ServiceName,
+        model: &ModelName,
+        now_ms: u64,
+    ) -> Vec<EndpointId> {
+        let need = Need {
+            service,
+            model: Some(model),
+            parts: &[],
+            tried: &BTreeSet::new(),
+        };
+        let mut holders: Vec<_> = self
+            .candidates(&need, now_ms)
+            .map(|known| (load_of(known, now_ms), known.view.endpoint.clone()))
+            .collect();
+        holders.sort();
+        holders.into_iter().map(|(_, id)| id).collect()
+    }
+
+    /// Counts a request that was sent.
+    pub fn begin(&mut self, endpoint: &EndpointView, need: &Need<'_>, now_ms: u64) {
+        let Some(known) = self.same(&endpoint.endpoint, endpoint.incarnation) else {
+            return;
+        };
+        known.own += 1;
+        if let Some(model) = need.model {
+            for (part, _) in need.parts {
+                known.parts.insert((model.clone(), *part), now_ms);
+            }
+            if known.parts.len() > KEPT_PARTS {
+                let oldest = known.parts.iter().min_by_key(|(_, used)| **used);
+                if let Some(key) = oldest.map(|(key, _)| key.clone()) {
+                    known.parts.remove(&key);
+                }
+            }
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn end(&mut self, endpoint: &EndpointId, incarnation: Incarnation) {
+        if let Some(known) = self.same(endpoint, incarnation) {
+            known.own = known.own.saturating_sub(1);
+        }
+    }
+
+    /// Takes the load that an endpoint tells.
+    pub fn report(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        load: ReportedLoad,
+        now_ms: u64,
+    ) {
+        if let Some(known) = self.same(endpoint, incarnation) {
+            known.others = (load.running + load.waiting).saturating_sub(known.own);
+            known.reported_ms = now_ms;
+            known.avoid_until_ms = 0;
+        }
+    }
+
+    /// Avoids an endpoint for a while.
+    pub fn avoid(&mut self, endpoint: &EndpointId, incarnation: Incarnation, now_ms: u64) {
+        if let Some(known) = self.same(endpoint, incarnation) {
+            known.avoid_until_ms = now_ms + AVOID_MS;
+        }
+    }
+
+    /// Records that an endpoint lacks a model.
+    pub fn note_missing(&mut self, endpoint: &EndpointId, model: &ModelName, now_ms: u64) {
+        if let Some(known) = self.known.get_mut(endpoint) {
+            known.missing.insert(model.clone(), now_ms + MISSING_MS);
+        }
+    }
+
+    /// Records that control has loaded an adapter at an endpoint.
+    pub fn note_loaded(&mut self, endpoint: &EndpointId, model: &ModelName) {
+        if let Some(known) = self.known.get_mut(endpoint) {
+            known.missing.remove(model);
+            if !known.view.models.contains(model) {
+                known.view.models.push(model.clone());
+            }
+        }
+    }
+
+    /// Tells whether an address belongs to a known endpoint.
+    pub fn has_address(&self, address: &std::net::SocketAddr) -> bool {
+        let mut known = self.known.values();
+        known.any(|known| known.view.address == *address)
+    }
+
+    fn same(&mut self, endpoint: &EndpointId, incarnation: Incarnation) -> Option<&mut Known> {
+        let known = self.known.get_mut(endpoint)?;
+        (known.view.incarnation == incarnation).then_some(known)
+    }
+}
+
+fn load_of(known: &Known, now_ms: u64) -> u32 {
+    let is_fresh = known.reported_ms > 0 && now_ms.saturating_sub(known.reported_ms) < LOAD_AGE_MS;
+    let others = if is_fresh { known.others } else { 0 };
+    known.own + others
+}
--- /dev/null
+++ b/crates/wasabipoint_entry/src/forward/meters.rs
@@ -0,0 +1,66 @@
+//! Counters and histograms of a forwarding entry process.
+
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram};
+use wasabipoint_kernel::Metrics;
+
+/// Bounds of the latency histograms in seconds.
+const LATENCY_BOUNDS_S: &[f64] = &[
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0,
+];
+
+/// Instruments of one process.
+pub(crate) struct Meters {
+    metrics: Metrics,
+    requests: Counter<u64>,
+    total: Histogram<f64>,
+    first_byte: Histogram<f64>,
+}
+
+impl Meters {
+    pub(crate) fn new() -> Self {
+        let metrics = Metrics::new("wasabipoint-entry");
+        let meter = metrics.meter().clone();
+        let histogram = |name: &'static str, text: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_description(text)
+                .with_unit("s")
+                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+                .build()
+        };
+        Self {
+            requests: meter
+                .u64_counter("wasabipoint_forward_requests")
+                .with_description("Requests by outcome.")
+                .build(),
+            total: histogram(
+                "wasabipoint_forward_duration",
+                "Time from the request to the last byte of its response.",
+            ),
+            first_byte: histogram(
+                "wasabipoint_forward_first_byte",
+                "Time from the request to the first byte of its response.",
+            ),
+            metrics,
+        }
+    }
+
+    pub(crate) fn count(&self, outcome: &'static str) {
+        self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    pub(crate) fn record_total(&self, elapsed: Duration) {
+        self.total.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn record_first_byte(&self, elapsed: Duration) {
+        self.first_byte.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    pub(crate) fn render(&self) -> String {
+        self.metrics.render()
+    }
+}
--- a/crates/wasabipoint_entry/src/lib.rs
+++ b/crates/wasabipoint_entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod events;
 mod fair_queue;
 mod fleet;
+mod forward;
 mod frames;
 mod link;
 mod measures;
@@ -32,6 +33,11 @@
 pub use config::EntryConfig;
 pub use entry::Entry;
 pub use fair_queue::FairQueue;
+pub use forward::{
+    AnswerBody, BrokenOff, Choice, Endpoints, EventSplitter, ForwardConfig, ForwardDialect,
+    ForwardFacts, Forwarder, Need, ReportedLoad, RequestFacts, ResponseFacts, RetryBudget,
+    RouteTable, pick_service,
+};
 pub use link::{AgentError, AgentLink, ControlLink, HttpAgentLink, ResponsePieces, RpcControlLink};
 pub use prefix_index::{PrefixIndex, hash_prompt};
 pub use quota_ledger::{AskResult, QuotaLedger, ReservedTokens};
--- a/crates/wasabipoint_entry/src/link.rs
+++ b/crates/wasabipoint_entry/src/link.rs
@@ -8,11 +8,11 @@
 use http::{Request, StatusCode};
 use serde_json::Value;
 use wasabipoint_http::{ClientError, HttpClient, ResponseBody};
-use wasabipoint_kernel::{ErrorKind, RunState};
+use wasabipoint_kernel::{EndpointId, ErrorKind, RunState};
 use wasabipoint_rpc::{
-    ClaimOutcome, ClaimRequest, ControlClient, ControlError, DispatchRequest, EntryDirective,
-    EntryReport, Outcome, OutcomeRequest, QuotaExchange, QuotaGrants, WatchReply, WatchRequest,
-    decode_message, encode_message,
+    AdapterRequest, ClaimOutcome, ClaimRequest, ControlClient, ControlError, DispatchRequest,
+    EntryDirective, EntryReport, Outcome, OutcomeRequest, QuotaExchange, QuotaGrants, WatchReply,
+    WatchRequest, decode_message, encode_message,
 };
 
 /// Time for a call that does not wait at control, over all members that are tried.
@@ -43,6 +43,13 @@
     ) -> BoxFuture<'_, Result<QuotaGrants, ControlError>>;
     /// Claims an idempotency key.
     fn claim(&self, request: ClaimRequest) -> BoxFuture<'_, Result<ClaimOutcome, ControlError>>;
+    /// Asks for an adapter at one of the endpoints that hold its model.
+    fn load_adapter(
+        &self,
+        _request: AdapterRequest,
+    ) -> BoxFuture<'_, Result<EndpointId, ControlError>> {
+        Box::pin(async { Err(ControlError::Unavailable) })
+    }
 }
 
 /// Why an agent's response cannot be read.
@@ -150,6 +157,20 @@
                 .await
         })
     }
+
+    fn load_adapter(
+        &self,
+        request: AdapterRequest,
+    ) -> BoxFuture<'_, Result<EndpointId, ControlError>> {
+        Box::pin(async move {
+            self.caller
+                .call(Duration::ZERO, CONTROL_CALL, |client, context| {
+                    let request = request.clone();
+                    async move { client.load_adapter(context, request).await }
+                })
+                .await
+        })
+    }
 }
 
 /// Agents over HTTP/1.1.
--- a/crates/wasabipoint_kernel/src/log.rs
+++ b/crates/wasabipoint_kernel/src/log.rs
@@ -1,4 +1,6 @@
-//! Structured logs on standard error.
+//! Structured logs.
+
+use std::io::Write;
 
 use slog::{Drain, Level, LevelFilter, Logger, o};
 
@@ -9,6 +11,24 @@
 pub fn build_logger(
     program: &'static str,
     settings: &Settings,
+) -> (Logger, slog_async::AsyncGuard) {
+    build_logger_to(program, settings, std::io::stderr)
+}
+
+/// Builds the logger of a program whose records go to standard output.
+///
+/// The guard writes what is buffered when it is dropped.
+pub fn build_stdout_logger(
+    program: &'static str,
+    settings: &Settings,
+) -> (Logger, slog_async::AsyncGuard) {
+    build_logger_to(program, settings, std::io::stdout)
+}
+
+fn build_logger_to<W: Write + Send + 'static>(
+    program: &'static str,
+    settings: &Settings,
+    output: fn() -> W,
 ) -> (Logger, slog_async::AsyncGuard) {
     let level = match settings.text("log_level") {
         "error" => Level::Error,
@@ -18,9 +38,9 @@
     };
     let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> =
         if settings.text("log_format") == "json" {
-            Box::new(slog_json::Json::default(std::io::stderr()).fuse())
+            Box::new(slog_json::Json::default(output()).fuse())
         } else {
-            let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+            let decorator = slog_term::PlainDecorator::new(output());
             Box::new(slog_term::FullFormat::new(decorator).build().fuse())
         };
     // Records beyond the buffer are dropped and counted, so that a burst cannot block requests.
