Count tokens as spent when sent, and use the allowed overshoot for slices

Cause: tokens of running streams counted as outstanding until the stream ended, which stopped the refill of a burst of one second.

--- a/crates/wasabipoint_control/src/control.rs
+++ b/crates/wasabipoint_control/src/control.rs
@@ -12,7 +12,7 @@
 use crate::leader_state::{LeaderState, SilenceBounds};
 use crate::member::Member;
 use crate::metrics::ControlMetrics;
-use crate::state::Command;
+use crate::state::{Command, RateAllowance};
 
 /// Shared parts of the services of one member.
 pub(crate) struct Control {
@@ -26,6 +26,8 @@
     /// Sends commands to engines without an agent.
     pub(crate) commander: Option<Arc<dyn EngineCommander>>,
     pub(crate) slice_lifetime_ms: u64,
+    /// What customers of a forwarding deployment may use beyond rate and burst.
+    pub(crate) rate_allowance: RateAllowance,
     pub(crate) silence_bounds: SilenceBounds,
     pub(crate) key_digester: KeyDigester,
     pub(crate) key_secret: String,
--- a/crates/wasabipoint_control/src/deployment.rs
+++ b/crates/wasabipoint_control/src/deployment.rs
@@ -48,6 +48,7 @@
         let command = Command::ApplyDeployment {
             document,
             deployment: Box::new(deployment),
+            allowance: self.control.rate_allowance,
         };
         let proposed = self.control.member.propose(command).await;
         match proposed {
--- a/crates/wasabipoint_control/src/lib.rs
+++ b/crates/wasabipoint_control/src/lib.rs
@@ -27,6 +27,6 @@
 pub use state::{
     Bucket, ClaimState, Command, ConfigApply, ConfigBody, ConfigState, ControlState,
     DeploymentRecord, EndpointChanges, EntryQuota, FleetState, GrantPhase, GrantRecord,
-    GrantRequest, MemberAddress, Outcome, QuotaState, Registration, SliceRecord, StampedCommand,
-    VmState,
+    GrantRequest, MemberAddress, Outcome, QuotaState, RateAllowance, Registration, SliceRecord,
+    StampedCommand, VmState,
 };
--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -29,6 +29,7 @@
 use crate::placement::run_placement;
 use crate::platform::poll_platform;
 use crate::rpc::serve_rpc;
+use crate::state::RateAllowance;
 
 /// Resolved settings of a control member.
 #[derive(Debug, Clone)]
@@ -166,6 +167,8 @@
     pub commander: Arc<dyn EngineCommander>,
     /// Time after an election in which the predecessor's commands may still arrive.
     pub command_lease: Duration,
+    /// What customers may use beyond rate and burst.
+    pub rate_allowance: RateAllowance,
     /// Builds the operators' interface over the configuration and the product's own interface.
     pub operator_api: fn(DeploymentStore, Arc<dyn HttpHandler>) -> Arc<dyn HttpHandler>,
 }
@@ -248,6 +251,10 @@
             wake_engines: tokio::sync::Notify::new(),
             commander: deployed.as_ref().map(|d| Arc::clone(&d.commander)),
             slice_lifetime_ms: config.slice_lifetime_ms,
+            rate_allowance: deployed
+                .as_ref()
+                .map(|d| d.rate_allowance)
+                .unwrap_or_default(),
             silence_bounds: SilenceBounds {
                 in_doubt: config.agent_silence,
                 replace_after: config.replace_after,
--- a/crates/wasabipoint_control/src/state.rs
+++ b/crates/wasabipoint_control/src/state.rs
@@ -20,7 +20,7 @@
 
 pub use claims::ClaimState;
 pub use config::ConfigState;
-pub use deployment::{DeploymentRecord, EndpointChanges};
+pub use deployment::{DeploymentRecord, EndpointChanges, RateAllowance};
 pub use fleet::{FleetState, GrantPhase, GrantRecord, GrantRequest, Registration};
 pub use quota::{Bucket, EntryQuota, QuotaState, SliceRecord};
 
@@ -135,6 +135,8 @@
             document: Vec<u8>,
             /// What it says.
             deployment: Box<Deployment>,
+            /// What customers may use beyond rate and burst.
+            allowance: RateAllowance,
         },
         /// Changes the listed endpoints.
         ChangeEndpoints(EndpointChanges),
@@ -299,7 +301,8 @@
             Command::ApplyDeployment {
                 document,
                 deployment,
-            } => self.apply_deployment(document, deployment),
+                allowance,
+            } => self.apply_deployment(document, deployment, allowance),
             Command::ChangeEndpoints(changes) => self.change_endpoints(changes),
         }
     }
--- a/crates/wasabipoint_control/src/state/deployment.rs
+++ b/crates/wasabipoint_control/src/state/deployment.rs
@@ -19,6 +19,31 @@
     }
 }
 
+plain_data! {
+    copy
+    /// What a customer may use beyond its rate and burst in any window. Slices that are out at
+    /// entry processes make use of it.
+    #[derive(Default)]
+    pub struct RateAllowance {
+        /// Length of the window in milliseconds.
+        pub window_ms: u64,
+        /// Share of rate and burst over the window, in percent.
+        pub overshoot_percent: u64,
+        /// Units on top of it.
+        pub slack: u64,
+    }
+}
+
+impl RateAllowance {
+    /// Returns a burst enlarged by nine tenths of the allowance; the rest covers rounding and
+    /// clocks.
+    fn enlarge(&self, rate_per_s: u64, burst: u64) -> u64 {
+        let window = rate_per_s.saturating_mul(self.window_ms) / 1_000 + burst;
+        let allowed = window.saturating_mul(self.overshoot_percent) / 100 + self.slack;
+        burst + allowed / 10 * 9
+    }
+}
+
 plain_data! {
     data
     /// Changes of the listed endpoints.
@@ -36,6 +61,7 @@
         &mut self,
         document: Vec<u8>,
         deployment: Box<Deployment>,
+        allowance: RateAllowance,
     ) -> Outcome {
         if deployment.version <= self.deployment.version {
             return Outcome::Done;
@@ -44,7 +70,7 @@
             version: deployment.version,
             document,
         };
-        let customers = limited_customers(&deployment);
+        let customers = limited_customers(&deployment, allowance);
         self.quota.set_customers(self.time_ms, &customers);
         // A process that follows changes needs only the newest configuration.
         for (_, change) in &mut self.changes {
@@ -73,14 +99,18 @@
 }
 
 /// Returns the customers whose rate is limited, as the quota counts them.
-fn limited_customers(deployment: &Deployment) -> BTreeMap<CustomerId, Customer> {
+fn limited_customers(
+    deployment: &Deployment,
+    allowance: RateAllowance,
+) -> BTreeMap<CustomerId, Customer> {
     let limited = deployment.customers.values().filter_map(|customer| {
+        let rate_per_s = customer.rate_per_s?;
         Some((
             customer.id.clone(),
             Customer {
                 id: customer.id.clone(),
-                rate_tokens_per_s: customer.rate_per_s?,
-                burst_tokens: customer.burst,
+                rate_tokens_per_s: rate_per_s,
+                burst_tokens: allowance.enlarge(rate_per_s, customer.burst),
                 models: Vec::new(),
                 routes: Vec::new(),
                 priority: 0,
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -422,9 +422,11 @@
             .take_repeat(&self.service, now_ms)
     }
 
+    /// Counts the tokens of a request that may have run as spent at once, so that the quota refills
+    /// while the response runs.
     fn set_may_have_run(&mut self) {
         if let Some(reservation) = &mut self.reservation {
-            reservation.set_may_have_run(true);
+            reservation.settle(None);
         }
     }
 
