Bound loads of further replicas and refuse cold requests by estimate

Cause: five engines loaded further replicas of one model at once from the store, so models without any replica found no engine; callers of streams leave after four objectives, and were held longer. Ruled out: overload of engines (p50 40 ms).

--- a/crates/wasabipoint_control/src/engines/adapters.rs
+++ b/crates/wasabipoint_control/src/engines/adapters.rs
@@ -53,6 +53,10 @@
     async fn load_adapter_at(&self, session: &EngineSession, adapter: &ModelName) -> bool {
         let endpoint = &session.endpoint;
         let slots = self.adapter_slots(endpoint);
+        let gate = self.with_leader_state(session.term, |leader| {
+            leader.engines.gate(&endpoint.endpoint)
+        });
+        let _turn = gate.lock().await;
         let place = self.with_leader_state(session.term, |leader| {
             leader.engines.slot(&endpoint.endpoint)
         });
--- a/crates/wasabipoint_control/src/engines/book.rs
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -30,6 +30,13 @@
     pub(crate) sequence: Option<(Incarnation, u64)>,
 }
 
+/// A load in progress.
+#[derive(Debug, Clone, Copy)]
+struct Loading {
+    ready: Instant,
+    is_from_store: bool,
+}
+
 /// Averaged concurrent requests of a model.
 #[derive(Debug, Clone, Copy)]
 struct Average {
@@ -46,6 +53,8 @@
     averages: BTreeMap<ModelName, Average>,
     adapter_use: BTreeMap<(EndpointId, ModelName), Instant>,
     store_loads: VecDeque<Instant>,
+    loading: BTreeMap<(EndpointId, ModelName), Loading>,
+    gates: BTreeMap<EndpointId, Arc<tokio::sync::Mutex<()>>>,
 }
 
 impl EngineBook {
@@ -71,6 +80,56 @@
         self.set(endpoint, models, None);
     }
 
+    /// Records a load that begins and when it should be complete.
+    pub(crate) fn begin_load(
+        &mut self,
+        endpoint: &EndpointId,
+        model: &ModelName,
+        expected: Duration,
+        is_from_store: bool,
+    ) {
+        if is_from_store {
+            self.store_loads.push_back(Instant::now());
+        }
+        let loading = Loading {
+            ready: Instant::now() + expected,
+            is_from_store,
+        };
+        self.loading
+            .insert((endpoint.clone(), model.clone()), loading);
+    }
+
+    /// Forgets a load that ended.
+    pub(crate) fn end_load(&mut self, endpoint: &EndpointId, model: &ModelName) {
+        self.loading.remove(&(endpoint.clone(), model.clone()));
+    }
+
+    /// Returns how many loads from the store are running.
+    pub(crate) fn store_loads_running(&self) -> u32 {
+        let running = self.loading.values().filter(|load| load.is_from_store);
+        running.count() as u32
+    }
+
+    /// Returns when a model that is being loaded should be ready.
+    pub(crate) fn ready_in(&self, model: &ModelName) -> Option<Duration> {
+        let loads = self
+            .loading
+            .iter()
+            .filter(|((_, loading), _)| loading == model);
+        let ready = loads.map(|(_, load)| load.ready).min()?;
+        Some(ready.saturating_duration_since(Instant::now()))
+    }
+
+    /// Tells whether any engine has the weights of a model on its disk.
+    pub(crate) fn is_near_anywhere(&self, model: &ModelName) -> bool {
+        self.near.values().any(|models| models.contains(model))
+    }
+
+    /// Returns the lock that keeps loads of adapters at one engine in sequence.
+    pub(crate) fn gate(&mut self, endpoint: &EndpointId) -> Arc<tokio::sync::Mutex<()>> {
+        Arc::clone(self.gates.entry(endpoint.clone()).or_default())
+    }
+
     /// Records what an engine holds after a change.
     pub(crate) fn finish(&mut self, endpoint: &EndpointView, models: Vec<ModelName>) {
         let near = self.near.entry(endpoint.endpoint.clone()).or_default();
@@ -158,11 +217,6 @@
         let allowed = per_1000_s.saturating_mul(WINDOW.as_secs()) / 1_000;
         (allowed as u32).saturating_sub(self.store_loads.len() as u32)
     }
-
-    /// Counts a load from the store.
-    pub(crate) fn count_store_load(&mut self) {
-        self.store_loads.push_back(Instant::now());
-    }
 }
 
 /// Tells a model from an adapter, whose name has a slash.
--- a/crates/wasabipoint_control/src/engines/change.rs
+++ b/crates/wasabipoint_control/src/engines/change.rs
@@ -50,6 +50,11 @@
         if result.is_ok() {
             result = self.load(&change.load, expected_load).await;
         }
+        self.control.with_leader_state(self.term, |leader| {
+            leader
+                .engines
+                .end_load(&self.endpoint.endpoint, &change.load);
+        });
         let state = self.read_state().await;
         let held = match &state {
             Ok(state) => state.models.clone(),
--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -8,7 +8,7 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use wasabipoint_kernel::{EngineSpec, ModelName, ServiceName};
-use wasabipoint_policy::{EngineHolding, ModelLoad, plan_engine_changes};
+use wasabipoint_policy::{EngineHolding, ModelLoad, StoreBudget, plan_engine_changes};
 use wasabipoint_rpc::EndpointView;
 
 use super::EngineCommander;
@@ -63,6 +63,13 @@
     }
 }
 
+/// Loads from the store at once that each have their full speed.
+const FULL_SPEED_LOADS: u32 = 4;
+
+/// Time that a change takes beside its load: commands, the unload before it, the news to the entry
+/// processes.
+const CHANGE_OVERHEAD: Duration = Duration::from_millis(500);
+
 type PlannedChange = (EngineSession, wasabipoint_policy::EngineChange, Duration);
 
 fn plan(
@@ -130,14 +137,22 @@
                 is_changeable: !endpoint.is_leaving && !leader.engines.is_changing(endpoint),
             })
             .collect();
-        let store_loads = leader
-            .engines
-            .store_loads_left(engine.store_loads_per_1000_s);
-        let changes = plan_engine_changes(&models, &holdings, engine.slots, store_loads);
+        let store = StoreBudget {
+            loads_left: leader
+                .engines
+                .store_loads_left(engine.store_loads_per_1000_s),
+            loads_running: leader.engines.store_loads_running(),
+            full_speed_loads: FULL_SPEED_LOADS,
+        };
+        let changes = plan_engine_changes(&models, &holdings, engine.slots, store);
         for change in &changes {
-            if change.is_from_store {
-                leader.engines.count_store_load();
-            }
+            let expected = expected_load(engine, &change.load, change.is_from_store);
+            leader.engines.begin_load(
+                &change.endpoint,
+                &change.load,
+                expected + CHANGE_OVERHEAD,
+                change.is_from_store,
+            );
             let endpoint = endpoints.iter().find(|e| e.endpoint == change.endpoint);
             if let Some(endpoint) = endpoint {
                 let models = leader.engines.models(endpoint);
@@ -150,19 +165,14 @@
         .into_iter()
         .filter_map(|change| {
             let endpoint = endpoints.iter().find(|e| e.endpoint == change.endpoint)?;
-            let model = engine.models.get(&change.load)?;
-            let load_ms = if change.is_from_store {
-                model.store_load_ms
-            } else {
-                model.disk_load_ms
-            };
+            let expected = expected_load(engine, &change.load, change.is_from_store);
             let session = EngineSession {
                 control: Arc::clone(control),
                 commander: Arc::clone(commander),
                 term,
                 endpoint: endpoint.clone(),
             };
-            Some((session, change, Duration::from_millis(load_ms)))
+            Some((session, change, expected))
         })
         .collect()
 }
@@ -178,3 +188,46 @@
     }
     sums
 }
+
+fn expected_load(engine: &EngineSpec, model: &ModelName, is_from_store: bool) -> Duration {
+    let model = engine.models.get(model);
+    let load_ms = model.map_or(0, |model| {
+        if is_from_store {
+            model.store_load_ms
+        } else {
+            model.disk_load_ms
+        }
+    });
+    Duration::from_millis(load_ms)
+}
+
+impl Control {
+    /// Estimates when a model that no engine holds can be ready.
+    pub(crate) fn estimate_load(&self, term: u64, name: &ModelName) -> Option<Duration> {
+        let base = name.as_str().split('/').next().unwrap_or_default();
+        let base = ModelName::new(base);
+        let engine = self.member.read(|state| {
+            let is_held = state
+                .view
+                .endpoints
+                .values()
+                .any(|endpoint| !endpoint.is_leaving && endpoint.models.contains(&base));
+            let deployment = state.view.deployment.iter();
+            let mut services = deployment.flat_map(|deployment| deployment.services.values());
+            let engine = services.find_map(|service| {
+                let engine = service.engine.as_ref()?;
+                engine.models.contains_key(&base).then(|| engine.clone())
+            });
+            engine.filter(|_| !is_held)
+        })?;
+        self.with_leader_state(term, |leader| {
+            let loading = leader.engines.ready_in(&base);
+            let is_from_store = !leader.engines.is_near_anywhere(&base);
+            Some(
+                loading.unwrap_or_else(|| {
+                    expected_load(&engine, &base, is_from_store) + CHANGE_OVERHEAD
+                }),
+            )
+        })
+    }
+}
--- a/crates/wasabipoint_entry/src/forward.rs
+++ b/crates/wasabipoint_entry/src/forward.rs
@@ -14,6 +14,7 @@
 mod server;
 mod table;
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
@@ -28,7 +29,7 @@
 use tokio::time::Instant;
 use wasabipoint_kernel::{
     CustomerId, EntryId, ErrorKind, FailureDomain, ForwardCustomer, ForwardRoute, Incarnation,
-    KeyDigester, MonotonicClock, RateUnit, Refusal,
+    KeyDigester, ModelName, MonotonicClock, RateUnit, Refusal,
 };
 use wasabipoint_rpc::{EntryReport, FleetUpdate, FleetView, WatchRequest};
 
@@ -65,6 +66,9 @@
 /// Pause between sweeps of idle connections.
 const PRUNE_INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Age up to which an expected load time is used without asking again.
+const LOAD_TIME_AGE: Duration = Duration::from_millis(700);
+
 /// One successful request in this many is logged whole; failed and refused ones always are.
 const LOG_SAMPLE: u64 = 16;
 
@@ -99,6 +103,8 @@
     budget: RetryBudget,
     demand: Demand,
     view: FleetView,
+    /// When control expects models that no endpoint holds, and when it said so.
+    load_times: HashMap<ModelName, (Instant, Instant)>,
 }
 
 /// A forwarding entry process.
@@ -137,6 +143,7 @@
                 budget: RetryBudget::default(),
                 demand: Demand::default(),
                 view: FleetView::new(),
+                load_times: HashMap::new(),
             }),
             quota: Arc::new(Quota::new(config.entry.clone(), incarnation, clock)),
             digester: KeyDigester::new(&config.key_secret),
@@ -226,12 +233,9 @@
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
-        let id = head
-            .headers
-            .get("x-request-id")
-            .and_then(|value| value.to_str().ok())
-            .unwrap_or_default()
-            .to_owned();
+        let named = self.dialect.read_request(&head).unwrap_or_default();
+        let (id, model) = (named.request_id, named.model);
+        let model = model.as_ref().map(ModelName::as_str);
         match Arc::clone(&self).serve(head, body, arrived).await {
             Ok(response) => {
                 self.meters.record_first_byte(arrived.elapsed());
@@ -240,6 +244,7 @@
             Err(refusal) => {
                 self.meters.count(refusal.kind.answer().name);
                 info!(self.logger, "admission: refused"; "request" => id,
+                    "model" => model,
                     "kind" => %refusal.kind, "run" => refusal.run.as_str(),
                     "detail" => &refusal.detail, "retry_after_ms" => refusal.retry_after_ms,
                     "config_version" => self.table().map(|table| table.version),
@@ -283,7 +288,11 @@
         let reservation = match cost {
             Some((id, cost)) => {
                 let deadline_ms = self.clock.now_ms() + limit_ms;
-                Some(self.quota.reserve(id, cost, deadline_ms).await?)
+                let reserved = self.quota.reserve(id, cost, deadline_ms).await;
+                Some(reserved.map_err(|refusal| Refusal {
+                    detail: format!("customer {id}, cost {cost}"),
+                    ..refusal
+                })?)
             }
             None => None,
         };
@@ -413,9 +422,16 @@
         }
     }
 
-    /// Sends a report at once.
-    async fn report_now(&self) {
+    /// Reports at once and returns when control expects a model that no endpoint holds.
+    async fn ask_load_time(&self, model: &ModelName) -> Option<Duration> {
+        let known = self.lock().load_times.get(model).copied();
+        if let Some((ready, _)) = known.filter(|(_, told)| told.elapsed() < LOAD_TIME_AGE) {
+            return Some(ready.saturating_duration_since(Instant::now()));
+        }
         self.send_report(false).await;
+        let state = self.lock();
+        let (ready, _) = state.load_times.get(model)?;
+        Some(ready.saturating_duration_since(Instant::now()))
     }
 
     async fn send_report(&self, was_idle: bool) -> bool {
@@ -436,7 +452,15 @@
         };
         drop(sequence);
         // A lost report is followed by the next one.
-        let _ = self.control.report(report).await;
+        if let Ok(directive) = self.control.report(report).await {
+            let now = Instant::now();
+            let estimates = directive.cold_estimates.into_iter();
+            let times = estimates.map(|estimate| {
+                let ready = now + Duration::from_millis(estimate.ready_in_ms);
+                (estimate.model, (ready, now))
+            });
+            self.lock().load_times = times.collect();
+        }
         is_idle
     }
 
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -36,8 +36,17 @@
 /// Shortest such silence in milliseconds.
 const MIN_SILENCE_MS: u64 = 1_200;
 
-/// Time in which a model from the store is usually loaded, in milliseconds.
-const STORE_LOAD_MS: u64 = 7_000;
+/// Shortest time that callers wait for the first event of a stream, in milliseconds.
+const MIN_PATIENCE_MS: u64 = 2_000;
+
+/// Time that callers wait for the first event, as a multiple of the objective.
+const PATIENCE_OBJECTIVES: u64 = 4;
+
+/// Time that callers wait for the first event, as a multiple of the longest pause on time.
+const PATIENCE_GAPS: u64 = 8;
+
+/// Time left for the first event once a model is loaded, in milliseconds.
+const FIRST_EVENT_MS: u64 = 200;
 
 /// Time after which a refused caller finds the situation changed, in milliseconds.
 const RETRY_AFTER_MS: u64 = 500;
@@ -269,29 +278,49 @@
                 has_asked = true;
                 continue;
             }
-            if self.remaining_ms() < STORE_LOAD_MS {
-                forwarder.lock().demand.begin_wait(model);
-                let _told = WaitGuard {
-                    forwarder: &forwarder,
-                    model,
-                };
-                forwarder.report_now().await;
-                return Err(self.refuse("the model is not loaded"));
-            }
             if wait.is_none() {
                 forwarder.lock().demand.begin_wait(model);
                 wait = Some(WaitGuard {
                     forwarder: &forwarder,
                     model,
                 });
-                forwarder.wake_report.notify_one();
             }
-            let limit = self.deadline.min(Instant::now() + Duration::from_secs(1));
+            let ready = forwarder.ask_load_time(model).await;
+            if changed.has_changed().unwrap_or(false) {
+                continue;
+            }
+            let patience = self.patience();
+            let Some(ready) = ready.filter(|ready| Instant::now() + *ready < patience) else {
+                return Err(self.refuse_cold(ready));
+            };
+            let look = Duration::from_millis(500).max(ready / 2);
+            let limit = patience.min(Instant::now() + look);
             // A timeout leads to another look: an endpoint may no longer be avoided.
             let _ = timeout_at(limit, changed.changed()).await;
         }
     }
 
+    /// Returns when the caller of a stream without any event leaves.
+    fn patience(&self) -> Instant {
+        if !self.route.run_policy.is_stream() {
+            return self.deadline;
+        }
+        let patience_ms = MIN_PATIENCE_MS
+            .max(self.route.objective_ms * PATIENCE_OBJECTIVES)
+            .max(self.route.max_gap_ms * PATIENCE_GAPS);
+        let until = self.arrived + Duration::from_millis(patience_ms - FIRST_EVENT_MS);
+        until.min(self.deadline)
+    }
+
+    /// The answer when a model is loaded too late for the request.
+    fn refuse_cold(&self, ready: Option<Duration>) -> Refusal {
+        let mut refusal = self.refuse("the model is not loaded in time");
+        if let (Some(ready), Some(_)) = (ready, refusal.retry_after_ms) {
+            refusal.retry_after_ms = Some(ready.as_millis() as u64);
+        }
+        refusal
+    }
+
     fn has_tried_holders(&self, model: &ModelName) -> bool {
         let state = self.forwarder.lock();
         let now_ms = self.forwarder.clock.now_ms();
--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -11,10 +11,20 @@
 /// Concurrent requests below which a model counts as unused.
 const UNUSED_LOAD: f64 = 0.05;
 
-/// Share of an engine's slots up to which a replica is not relieved by another one. Above it the
-/// pauses between tokens grow noticeably.
+/// Share of an engine's slots up to which a replica is not relieved by another one whose weights
+/// come from a disk. Above it the pauses between tokens grow noticeably.
 const RELIEF_SHARE: f64 = 0.25;
 
+/// The same where the weights come from the store, which occupies the engine for seconds.
+const STORE_RELIEF_SHARE: f64 = 0.5;
+
+/// Loads from the store that further replicas may occupy at once. The rest of the store's speed is
+/// kept for models that no engine holds.
+const RELIEF_STORE_LOADS: u32 = 2;
+
+/// A model in use without another replica gives way only to one with this many times its demand.
+const DISPLACEMENT: f64 = 3.0;
+
 /// A further replica has to lower the load per replica to this part of the victim's new load.
 const GAIN: f64 = 1.5;
 
@@ -65,16 +75,38 @@
     }
 }
 
+plain_data! {
+    copy
+    /// What the weight store can take on now.
+    pub struct StoreBudget {
+        /// Loads that may begin.
+        pub loads_left: u32,
+        /// Loads that are running.
+        pub loads_running: u32,
+        /// Loads at once up to which each has its full speed.
+        pub full_speed_loads: u32,
+    }
+}
+
+impl StoreBudget {
+    fn can_load(&self, is_relief: bool) -> bool {
+        let at_once = if is_relief {
+            RELIEF_STORE_LOADS.min(self.full_speed_loads)
+        } else {
+            self.full_speed_loads
+        };
+        self.loads_left > 0 && self.loads_running < at_once
+    }
+}
+
 /// Chooses changes for engines with `slots` places for requests each.
-///
-/// At most `store_loads` of the changes load from the weight store.
 pub fn plan_engine_changes(
     models: &[ModelLoad],
     engines: &[EngineHolding],
     slots: u32,
-    store_loads: u32,
+    store: StoreBudget,
 ) -> Vec<EngineChange> {
-    let mut plan = Plan::new(models, engines, slots, store_loads);
+    let mut plan = Plan::new(models, engines, slots, store);
     while let Some(model) = plan.neediest() {
         if !plan.add_replica(&model) {
             plan.given_up.insert(model);
@@ -87,8 +119,8 @@
     models: BTreeMap<&'p ModelName, &'p ModelLoad>,
     engines: Vec<EngineHolding>,
     replicas: BTreeMap<ModelName, u32>,
-    relief_load: f64,
-    store_loads: u32,
+    slots: f64,
+    store: StoreBudget,
     given_up: BTreeSet<ModelName>,
     changes: Vec<EngineChange>,
 }
@@ -98,7 +130,7 @@
         models: &'p [ModelLoad],
         engines: &[EngineHolding],
         slots: u32,
-        store_loads: u32,
+        store: StoreBudget,
     ) -> Self {
         let mut replicas: BTreeMap<ModelName, u32> = BTreeMap::new();
         for model in engines.iter().flat_map(|engine| &engine.models) {
@@ -108,8 +140,8 @@
             models: models.iter().map(|model| (&model.name, model)).collect(),
             engines: engines.to_vec(),
             replicas,
-            relief_load: f64::from(slots) * RELIEF_SHARE,
-            store_loads,
+            slots: f64::from(slots),
+            store,
             given_up: BTreeSet::new(),
             changes: Vec::new(),
         }
@@ -129,7 +161,7 @@
             let replicas = self.replicas(&model.name);
             let is_needed = match replicas {
                 0 => model.waiting > 0 || model.load > UNUSED_LOAD,
-                _ => model.load / f64::from(replicas) > self.relief_load,
+                _ => model.load / f64::from(replicas) > self.slots * RELIEF_SHARE,
             };
             if !is_needed || self.given_up.contains(&model.name) {
                 return None;
@@ -147,20 +179,30 @@
 
     fn add_replica(&mut self, model: &ModelName) -> bool {
         let weights_mb = self.models[model].weights_mb;
-        let gain = self.load(model) / f64::from(self.replicas(model) + 1);
+        let replicas = self.replicas(model);
+        let load = self.load(model);
+        let gain = load / f64::from(replicas + 1);
+        let is_relief = replicas > 0;
+        let is_store_worthwhile =
+            !is_relief || load / f64::from(replicas) > self.slots * STORE_RELIEF_SHARE;
+        let need = if is_relief {
+            0.0
+        } else {
+            load + f64::from(self.models[model].waiting)
+        };
         let mut best: Option<(f64, usize, Vec<ModelName>)> = None;
         for (index, engine) in self.engines.iter().enumerate() {
             if !engine.is_changeable || engine.models.contains(model) {
                 continue;
             }
             let is_near = engine.on_disk.contains(model);
-            if !is_near && self.store_loads == 0 {
+            if !is_near && !(is_store_worthwhile && self.store.can_load(is_relief)) {
                 continue;
             }
-            let Some((loss, victims)) = self.make_room(engine, weights_mb) else {
+            let Some((loss, victims)) = self.make_room(engine, weights_mb, need) else {
                 continue;
             };
-            if self.replicas(model) > 0 && loss * GAIN >= gain {
+            if is_relief && loss * GAIN >= gain {
                 continue;
             }
             // A load from disk takes a fifth of the time and leaves the store to others.
@@ -177,14 +219,19 @@
     }
 
     /// Returns the models that make room, with the largest load per replica that remains of them.
-    fn make_room(&self, engine: &EngineHolding, weights_mb: u64) -> Option<(f64, Vec<ModelName>)> {
+    fn make_room(
+        &self,
+        engine: &EngineHolding,
+        weights_mb: u64,
+        need: f64,
+    ) -> Option<(f64, Vec<ModelName>)> {
         let size = |model: &ModelName| self.models.get(model).map_or(0, |known| known.weights_mb);
         let used_mb: u64 = engine.models.iter().map(size).sum();
         let mut free_mb = engine.capacity_mb.saturating_sub(used_mb);
         let mut candidates: Vec<(f64, &ModelName)> = engine
             .models
             .iter()
-            .filter_map(|held| Some((self.loss(held)?, held)))
+            .filter_map(|held| Some((self.loss(held, need)?, held)))
             .collect();
         candidates.sort_by(|one, other| one.0.total_cmp(&other.0));
         let mut victims = Vec::new();
@@ -200,11 +247,12 @@
     }
 
     /// Returns the load per replica that an unload leaves, or `None` for the last replica of a
-    /// model in use.
-    fn loss(&self, model: &ModelName) -> Option<f64> {
+    /// model whose demand is not far below `need`.
+    fn loss(&self, model: &ModelName, need: f64) -> Option<f64> {
         let load = self.load(model);
         match self.replicas(model) {
-            0 | 1 => (load <= UNUSED_LOAD).then_some(0.0),
+            0 | 1 if load <= UNUSED_LOAD => Some(0.0),
+            0 | 1 => (load * DISPLACEMENT < need).then_some(load * DISPLACEMENT),
             replicas => Some(load / f64::from(replicas - 1)),
         }
     }
@@ -231,7 +279,8 @@
         }
         *self.replicas.entry(load.clone()).or_default() += 1;
         if is_from_store {
-            self.store_loads -= 1;
+            self.store.loads_left -= 1;
+            self.store.loads_running += 1;
         }
         self.changes.push(EngineChange {
             endpoint,
