--- a/crates/wasabipoint_control/src/engines.rs
+++ b/crates/wasabipoint_control/src/engines.rs
@@ -4,6 +4,7 @@
 mod book;
 mod change;
 mod driver;
+mod ledger;
 
 use futures::future::BoxFuture;
 use wasabipoint_kernel::{FencingToken, ModelName, plain_data};
@@ -11,6 +12,7 @@
 
 pub(crate) use book::EngineBook;
 pub(crate) use driver::run_engines;
+pub use ledger::EngineLedger;
 
 plain_data! {
     data
--- a/crates/wasabipoint_control/src/engines/adapters.rs
+++ b/crates/wasabipoint_control/src/engines/adapters.rs
@@ -3,17 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use wasabipoint_kernel::{EndpointId, ErrorKind, ModelName};
+use wasabipoint_kernel::{EndpointId, EngineSpec, ErrorKind, ModelName};
 use wasabipoint_rpc::{AdapterRequest, ControlRefusal, EndpointView};
 
 use super::book::is_model;
 use super::change::EngineSession;
-use super::{CommandAnswer, EngineOperation};
+use super::{CommandAnswer, EngineLedger, EngineOperation};
 use crate::control::Control;
 
 /// Time that an adapter takes from the store while few are in transit.
 const ADAPTER_LOAD: Duration = Duration::from_millis(20);
 
+/// Time by which an engine's report of itself lags.
+const REPORT_LAG: Duration = Duration::from_millis(150);
+
 /// Idle time before an adapter gives way, so that a request sent a moment ago still finds it.
 const MIN_IDLE: Duration = Duration::from_millis(1_000);
 
@@ -37,11 +40,15 @@
             let Some(endpoint) = endpoint.filter(|endpoint| !endpoint.is_leaving) else {
                 continue;
             };
+            let Some(spec) = self.engine_spec(&endpoint) else {
+                continue;
+            };
             let session = EngineSession {
                 control: Arc::clone(self),
                 commander: Arc::clone(&commander),
                 term,
                 endpoint,
+                spec: Arc::new(spec),
             };
             if self.load_adapter_at(&session, &request.adapter).await {
                 return Ok(candidate.clone());
@@ -52,64 +59,67 @@
 
     async fn load_adapter_at(&self, session: &EngineSession, adapter: &ModelName) -> bool {
         let endpoint = &session.endpoint;
-        let slots = self.adapter_slots(endpoint);
-        let gate = self.with_leader_state(session.term, |leader| {
-            leader.engines.gate(&endpoint.endpoint)
-        });
-        let _turn = gate.lock().await;
-        let place = self.with_leader_state(session.term, |leader| {
-            leader.engines.slot(&endpoint.endpoint)
-        });
-        let known = place.lock().await.sequence;
-        let mut models =
-            self.with_leader_state(session.term, |leader| leader.engines.models(endpoint));
-        let sequence = known.filter(|(incarnation, _)| *incarnation == endpoint.incarnation);
-        let mut sequence = match sequence {
-            Some((_, sequence)) => sequence,
-            None => match session.read_state().await {
-                Ok(state) => {
-                    models.clone_from(&state.models);
-                    state.sequence
-                }
-                Err(_) => return false,
-            },
-        };
-        if models.contains(adapter) {
+        let ledger = session.ledger();
+        let mut ledger = ledger.lock().await;
+        if ledger.sequence(endpoint.incarnation).is_none()
+            && session.read_state(&mut ledger).await.is_err()
+        {
+            return false;
+        }
+        if ledger.models().contains(adapter) {
             self.note_use(session, adapter);
             return true;
         }
-        let adapters: Vec<ModelName> = models.iter().filter(|m| !is_model(m)).cloned().collect();
-        if adapters.len() >= slots {
-            let Some(victim) = self.idlest(session, &adapters) else {
+        let base = adapter.as_str().split('/').next().unwrap_or_default();
+        if !ledger.models().iter().any(|held| held.as_str() == base) {
+            return false;
+        }
+        if !ledger.fits(&session.spec, adapter) {
+            let held = ledger.models().iter().filter(|held| !is_model(held));
+            let Some(victim) = self.idlest(session, &held.cloned().collect::<Vec<_>>()) else {
                 return false;
             };
-            let unloaded = session.send(EngineOperation::Unload, &victim, sequence);
-            match unloaded.await {
-                Ok(CommandAnswer::Accepted | CommandAnswer::AlreadyHolds) => sequence += 1,
-                _ => return false,
+            let unloaded = session.send(&mut ledger, EngineOperation::Unload, &victim);
+            let is_unloaded = matches!(
+                unloaded.await,
+                Ok(CommandAnswer::Accepted | CommandAnswer::AlreadyHolds)
+            );
+            if !is_unloaded || !self.is_known(session, &mut ledger).await {
+                return false;
             }
-            models.retain(|held| *held != victim);
         }
-        let loaded = session.send(EngineOperation::Load, adapter, sequence).await;
+        let loaded = session.send(&mut ledger, EngineOperation::Load, adapter);
         if !matches!(
-            loaded,
+            loaded.await,
             Ok(CommandAnswer::Accepted | CommandAnswer::AlreadyHolds)
         ) {
             return false;
         }
-        models.push(adapter.clone());
-        self.with_leader_state(session.term, |leader| {
-            if leader.engines.is_changing(endpoint) {
-                leader.engines.begin(endpoint, models);
-            } else {
-                leader.engines.finish(endpoint, models);
-            }
-        });
+        if self.is_known(session, &mut ledger).await {
+            let models = ledger.models().to_vec();
+            self.with_leader_state(session.term, |leader| {
+                if leader.engines.is_changing(endpoint) {
+                    leader.engines.begin(endpoint, models);
+                } else {
+                    leader.engines.finish(endpoint, models);
+                }
+            });
+        }
         self.note_use(session, adapter);
+        drop(ledger);
         tokio::time::sleep(ADAPTER_LOAD).await;
         true
     }
 
+    /// Tells whether the ledger is known, reading the engine's state where it is not.
+    async fn is_known(&self, session: &EngineSession, ledger: &mut EngineLedger) -> bool {
+        if ledger.sequence(session.endpoint.incarnation).is_some() {
+            return true;
+        }
+        tokio::time::sleep(REPORT_LAG).await;
+        session.read_state(ledger).await.is_ok()
+    }
+
     fn note_use(&self, session: &EngineSession, adapter: &ModelName) {
         self.with_leader_state(session.term, |leader| {
             leader
@@ -132,12 +142,11 @@
         })
     }
 
-    fn adapter_slots(&self, endpoint: &EndpointView) -> usize {
+    fn engine_spec(&self, endpoint: &EndpointView) -> Option<EngineSpec> {
         self.member.read(|state| {
-            let deployment = state.view.deployment.as_ref();
-            let service = deployment.and_then(|d| d.services.get(&endpoint.service));
-            let engine = service.and_then(|service| service.engine.as_ref());
-            engine.map_or(0, |engine| engine.adapter_slots as usize)
+            let deployment = state.view.deployment.as_ref()?;
+            let service = deployment.services.get(&endpoint.service)?;
+            service.engine.clone()
         })
     }
 }
--- a/crates/wasabipoint_control/src/engines/book.rs
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -8,6 +8,8 @@
 use wasabipoint_kernel::{EndpointId, Incarnation, ModelName};
 use wasabipoint_rpc::EndpointView;
 
+use super::ledger::EngineLedger;
+
 /// Time for which the leader's own knowledge outlasts a change, longer than the lag of the list.
 const LIST_LAG: Duration = Duration::from_secs(2);
 
@@ -23,13 +25,6 @@
     until: Option<Instant>,
 }
 
-/// The place from which commands to one engine go out, one at a time.
-#[derive(Debug, Default)]
-pub(crate) struct EngineSlot {
-    /// Incarnation and number of accepted commands, if known.
-    pub(crate) sequence: Option<(Incarnation, u64)>,
-}
-
 /// A load in progress.
 #[derive(Debug, Clone, Copy)]
 struct Loading {
@@ -49,12 +44,11 @@
 pub(crate) struct EngineBook {
     known: BTreeMap<EndpointId, Known>,
     near: BTreeMap<EndpointId, BTreeSet<ModelName>>,
-    slots: BTreeMap<EndpointId, Arc<tokio::sync::Mutex<EngineSlot>>>,
+    ledgers: BTreeMap<EndpointId, Arc<tokio::sync::Mutex<EngineLedger>>>,
     averages: BTreeMap<ModelName, Average>,
     adapter_use: BTreeMap<(EndpointId, ModelName), Instant>,
     store_loads: VecDeque<Instant>,
     loading: BTreeMap<(EndpointId, ModelName), Loading>,
-    gates: BTreeMap<EndpointId, Arc<tokio::sync::Mutex<()>>>,
 }
 
 impl EngineBook {
@@ -125,11 +119,6 @@
         self.near.values().any(|models| models.contains(model))
     }
 
-    /// Returns the lock that keeps loads of adapters at one engine in sequence.
-    pub(crate) fn gate(&mut self, endpoint: &EndpointId) -> Arc<tokio::sync::Mutex<()>> {
-        Arc::clone(self.gates.entry(endpoint.clone()).or_default())
-    }
-
     /// Records what an engine holds after a change.
     pub(crate) fn finish(&mut self, endpoint: &EndpointView, models: Vec<ModelName>) {
         let near = self.near.entry(endpoint.endpoint.clone()).or_default();
@@ -171,9 +160,12 @@
         known.extend(near.iter().cloned());
     }
 
-    /// Returns the place from which commands to an engine go out.
-    pub(crate) fn slot(&mut self, endpoint: &EndpointId) -> Arc<tokio::sync::Mutex<EngineSlot>> {
-        Arc::clone(self.slots.entry(endpoint.clone()).or_default())
+    /// Returns the ledger of an engine. Whoever holds its lock may send a command.
+    pub(crate) fn ledger(
+        &mut self,
+        endpoint: &EndpointId,
+    ) -> Arc<tokio::sync::Mutex<EngineLedger>> {
+        Arc::clone(self.ledgers.entry(endpoint.clone()).or_default())
     }
 
     /// Averages the concurrent requests of a model and returns the average.
--- a/crates/wasabipoint_control/src/engines/change.rs
+++ b/crates/wasabipoint_control/src/engines/change.rs
@@ -5,11 +5,13 @@
 
 use slog::{info, warn};
 use tokio::time::Instant;
-use wasabipoint_kernel::{FencingToken, ModelName};
+use wasabipoint_kernel::{EngineSpec, FencingToken, ModelName};
 use wasabipoint_policy::EngineChange;
 use wasabipoint_rpc::EndpointView;
 
-use super::{CommandAnswer, EngineCommand, EngineCommander, EngineOperation, EngineState};
+use super::{
+    CommandAnswer, EngineCommand, EngineCommander, EngineLedger, EngineOperation, EngineState,
+};
 use crate::control::Control;
 use crate::directory::commit;
 use crate::state::EndpointChanges;
@@ -32,6 +34,7 @@
     pub(crate) commander: Arc<dyn EngineCommander>,
     pub(crate) term: u64,
     pub(crate) endpoint: EndpointView,
+    pub(crate) spec: Arc<EngineSpec>,
 }
 
 impl EngineSession {
@@ -55,15 +58,18 @@
                 .engines
                 .end_load(&self.endpoint.endpoint, &change.load);
         });
-        let state = self.read_state().await;
+        let ledger = self.ledger();
+        let mut ledger = ledger.lock().await;
+        let state = self.read_state(&mut ledger).await.map(|_| ledger.models());
         let held = match &state {
-            Ok(state) => state.models.clone(),
+            Ok(models) => models.to_vec(),
             Err(_) if result.is_ok() => {
                 models.push(change.load.clone());
                 models
             }
             Err(_) => models,
         };
+        drop(ledger);
         self.publish(&held, true).await;
         let logger = &self.control.logger;
         match result {
@@ -136,19 +142,24 @@
             if self.control.member.leading_term() != Some(self.term) {
                 return Err("another member leads".to_owned());
             }
-            let Ok(state) = self.read_state().await else {
+            let ledger = self.ledger();
+            let mut ledger = ledger.lock().await;
+            let Ok(state) = self.read_state(&mut ledger).await else {
+                drop(ledger);
                 tokio::time::sleep(CHECK_PAUSE).await;
                 continue;
             };
             let is_held = state.models.contains(model);
-            if is_held == wants_held && !state.is_busy {
+            let is_current = ledger.sequence(self.endpoint.incarnation) == Some(state.sequence);
+            if is_held == wants_held && !state.is_busy && is_current {
                 return Ok(());
             }
-            if !state.is_busy && !is_sent {
-                match self.send(operation, model, state.sequence).await {
+            let mut pause = CHECK_PAUSE;
+            if !state.is_busy && is_current && !is_sent {
+                match self.send(&mut ledger, operation, model).await {
                     Ok(CommandAnswer::Accepted) => {
                         is_sent = true;
-                        tokio::time::sleep(expected).await;
+                        pause = pause.max(expected);
                     }
                     Ok(CommandAnswer::AlreadyHolds) => return Ok(()),
                     Ok(CommandAnswer::Fenced) => {
@@ -159,26 +170,37 @@
                     }
                     Ok(CommandAnswer::Conflict) | Err(_) => {}
                 }
-            } else if !state.is_busy {
+            } else if !state.is_busy && is_current {
                 // Accepted, not in progress and not complete: the engine gave it up.
                 is_sent = false;
             }
-            tokio::time::sleep(CHECK_PAUSE).await;
+            drop(ledger);
+            tokio::time::sleep(pause).await;
         }
         Err("not complete in time".to_owned())
     }
 
-    /// Sends one command. Its place keeps any other command to the engine out meanwhile.
+    /// Returns the ledger of the engine; its lock keeps any other command out.
+    pub(crate) fn ledger(&self) -> Arc<tokio::sync::Mutex<EngineLedger>> {
+        self.control.with_leader_state(self.term, |leader| {
+            leader.engines.ledger(&self.endpoint.endpoint)
+        })
+    }
+
+    /// Sends one command that fits by the ledger.
     pub(crate) async fn send(
         &self,
+        ledger: &mut EngineLedger,
         operation: EngineOperation,
         model: &ModelName,
-        expected_sequence: u64,
     ) -> Result<CommandAnswer, String> {
-        let slot = self.control.with_leader_state(self.term, |leader| {
-            leader.engines.slot(&self.endpoint.endpoint)
-        });
-        let mut slot = slot.lock().await;
+        let Some(expected_sequence) = ledger.sequence(self.endpoint.incarnation) else {
+            return Err("the state of the engine is not known".to_owned());
+        };
+        let is_held = ledger.models().contains(model);
+        if operation == EngineOperation::Load && !is_held && !ledger.fits(&self.spec, model) {
+            return Err("the engine has no room".to_owned());
+        }
         let command = EngineCommand {
             operation,
             model: model.clone(),
@@ -189,10 +211,11 @@
         let sent = self.commander.command(&self.endpoint, &command);
         let answer = tokio::time::timeout(ANSWER_TIMEOUT, sent).await;
         let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
-        slot.sequence = match answer {
-            Ok(CommandAnswer::Accepted) => Some((self.endpoint.incarnation, expected_sequence + 1)),
-            _ => None,
-        };
+        match answer {
+            Ok(CommandAnswer::Accepted) => ledger.accept(operation, model),
+            // An immediate unload of an adapter counts as a command, one of an absent one does not.
+            _ => ledger.forget(),
+        }
         info!(self.control.logger, "placement: command"; "endpoint" => %self.endpoint.endpoint,
             "operation" => ?operation, "model" => %model, "sequence" => expected_sequence,
             "fencing_token" => self.term, "answer" => ?answer);
@@ -200,11 +223,15 @@
     }
 
     /// Asks the engine for its state.
-    pub(crate) async fn read_state(&self) -> Result<EngineState, String> {
+    pub(crate) async fn read_state(
+        &self,
+        ledger: &mut EngineLedger,
+    ) -> Result<EngineState, String> {
         let asked = tokio::time::timeout(ANSWER_TIMEOUT, self.commander.state(&self.endpoint));
         let state = asked
             .await
             .unwrap_or_else(|_| Err("no answer in time".to_owned()))?;
+        ledger.take_report(self.endpoint.incarnation, &state);
         self.control.with_leader_state(self.term, |leader| {
             leader
                 .engines
--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -14,6 +14,7 @@
 use super::EngineCommander;
 use super::book::is_model;
 use super::change::EngineSession;
+use super::ledger::adapter_reserve_mb;
 use crate::control::Control;
 use crate::leader_state::DemandSum;
 
@@ -120,8 +121,7 @@
                 }
             })
             .collect();
-        let adapter_mb = engine.models.values().map(|model| model.adapter_mb).max();
-        let reserve_mb = adapter_mb.unwrap_or(0) * u64::from(engine.adapter_slots);
+        let reserve_mb = adapter_reserve_mb(engine);
         let holdings: Vec<EngineHolding> = endpoints
             .iter()
             .map(|endpoint| EngineHolding {
@@ -161,6 +161,7 @@
         }
         changes
     });
+    let spec = Arc::new(engine.clone());
     changes
         .into_iter()
         .filter_map(|change| {
@@ -171,6 +172,7 @@
                 commander: Arc::clone(commander),
                 term,
                 endpoint: endpoint.clone(),
+                spec: Arc::clone(&spec),
             };
             Some((session, change, expected))
         })
--- a/crates/wasabipoint_control/src/lib.rs
+++ b/crates/wasabipoint_control/src/lib.rs
@@ -20,7 +20,9 @@
 
 pub use deployment::{DeploymentCallError, DeploymentStore};
 pub use directory::EndpointDirectory;
-pub use engines::{CommandAnswer, EngineCommand, EngineCommander, EngineOperation, EngineState};
+pub use engines::{
+    CommandAnswer, EngineCommand, EngineCommander, EngineLedger, EngineOperation, EngineState,
+};
 pub use machine::ControlMachine;
 pub use membership::{MemberIdentity, discard_identity, find_identity, first_member_id};
 pub use server::{ControlConfig, ControlServer, ControlStartError, Deployed};
--- a/crates/wasabipoint_entry/src/link.rs
+++ b/crates/wasabipoint_entry/src/link.rs
@@ -107,6 +107,12 @@
             caller: ControlClient::new(members),
         }
     }
+
+    /// Replaces the members that are asked when no leader is known.
+    pub fn set_members(&self, members: &[SocketAddr]) {
+        self.watcher.set_members(members);
+        self.caller.set_members(members);
+    }
 }
 
 impl ControlLink for RpcControlLink {
--- a/crates/wasabipoint_kernel/src/lib.rs
+++ b/crates/wasabipoint_kernel/src/lib.rs
@@ -39,7 +39,7 @@
     AGENT_SETTINGS, CLI_SETTINGS, CONTROL_SETTINGS, ENTRY_SETTINGS, SettingForm, SettingSpec,
     Settings, render_reference,
 };
-pub use shutdown::wait_for_termination;
+pub use shutdown::{reload_on_hangup, wait_for_termination};
 
 #[doc(hidden)]
 pub use serde as __serde;
--- a/crates/wasabipoint_kernel/src/shutdown.rs
+++ b/crates/wasabipoint_kernel/src/shutdown.rs
@@ -14,3 +14,16 @@
     }
     Ok(())
 }
+
+/// Runs `reload` at each SIGHUP.
+///
+/// # Errors
+///
+/// Fails when the signal cannot be received.
+pub async fn reload_on_hangup(mut reload: impl FnMut()) -> io::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    while hangup.recv().await.is_some() {
+        reload();
+    }
+    Ok(())
+}
--- a/crates/wasabipoint_rpc/src/client.rs
+++ b/crates/wasabipoint_rpc/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Mutex, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 use tarpc::context;
@@ -38,7 +38,7 @@
 /// Calls the control leader, following hints and trying the members in turn.
 #[derive(Debug)]
 pub struct ControlClient {
-    members: Vec<SocketAddr>,
+    members: RwLock<Vec<SocketAddr>>,
     connection: Mutex<Connection>,
 }
 
@@ -53,7 +53,7 @@
     /// Creates a client of the given members; connections are made on first use.
     pub fn new(members: &[SocketAddr]) -> Self {
         Self {
-            members: members.to_vec(),
+            members: RwLock::new(members.to_vec()),
             connection: Mutex::new(Connection::default()),
         }
     }
@@ -114,7 +114,7 @@
             let connection = self.lock();
             let address = connection
                 .hint
-                .unwrap_or(self.members[connection.target % self.members.len()]);
+                .unwrap_or_else(|| self.member(connection.target));
             if let Some((connected, client)) = &connection.client
                 && *connected == address
             {
@@ -127,6 +127,18 @@
         Some(client)
     }
 
+    /// Replaces the members that are asked when no leader is known.
+    pub fn set_members(&self, members: &[SocketAddr]) {
+        let mut known = self.members.write().unwrap_or_else(PoisonError::into_inner);
+        known.clear();
+        known.extend_from_slice(members);
+    }
+
+    fn member(&self, target: usize) -> SocketAddr {
+        let members = self.members.read().unwrap_or_else(PoisonError::into_inner);
+        members[target % members.len()]
+    }
+
     fn follow(&self, leader: Option<SocketAddr>) {
         match leader {
             Some(address) => {
