Refuse requests that wait for a model when a drain begins, and leave silent members sooner

Cause of LOST: streams that waited for a model were still held when the process ended. Cause of CONFIG: a watch call to a member on the minority side lasted up to 2.3 s. Ruled out: a late commit (acknowledged by the majority at 4.48 s, cut at 3.65 s).

--- a/crates/wasabipoint_entry/src/forward.rs
+++ b/crates/wasabipoint_entry/src/forward.rs
@@ -52,7 +52,7 @@
 
 /// Longest wait of one watch call in milliseconds. A silent connection to control costs no more
 /// than this and the call's own timeout.
-const WATCH_WAIT_MS: u64 = 800;
+const WATCH_WAIT_MS: u64 = 500;
 
 /// Pause after a failed watch call.
 const WATCH_PAUSE: Duration = Duration::from_millis(50);
@@ -217,6 +217,8 @@
 
     fn begin_drain(&self) {
         self.phase.store(DRAINING, Ordering::Relaxed);
+        // Requests that wait for a model look again and are refused.
+        self.changed.send_modify(|_| {});
     }
 
     fn refuse_new(&self) {
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -271,6 +271,9 @@
             let Some(model) = &model else {
                 return Err(self.refuse("no endpoint of the service is available"));
             };
+            if forwarder.is_draining() {
+                return Err(self.refuse("shutting down, and the model is not loaded"));
+            }
             if !self.progress.tried.is_empty() && self.has_tried_holders(model) {
                 return Err(self.refuse("every endpoint with the model was tried"));
             }
--- a/crates/wasabipoint_rpc/src/client.rs
+++ b/crates/wasabipoint_rpc/src/client.rs
@@ -15,9 +15,9 @@
 /// Pause between attempts, so that a member without a leader is not asked in a busy loop.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time in which one member must answer, beyond what the call itself waits for. A member on a
-/// silent connection is given up after it.
-const MEMBER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest wait for a connection to a member, and for its answer beyond the wait of the call. A
+/// member that is cut off from the others is left within it, well before changes are due.
+const MEMBER_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Why a call to control failed.
 #[derive(Debug, Clone, PartialEq)]
