--- a/crates/wasabipoint_control/src/engines/adapters.rs
+++ b/crates/wasabipoint_control/src/engines/adapters.rs
@@ -33,6 +33,7 @@
         let Some(commander) = self.commander.clone() else {
             return Err(unavailable("no engines are commanded here"));
         };
+        let mut failures = Vec::new();
         for candidate in request.candidates.iter().take(MAX_TRIES) {
             let endpoint = self
                 .member
@@ -50,51 +51,49 @@
                 endpoint,
                 spec: Arc::new(spec),
             };
-            if self.load_adapter_at(&session, &request.adapter).await {
-                return Ok(candidate.clone());
+            match self.load_adapter_at(&session, &request.adapter).await {
+                Ok(()) => return Ok(candidate.clone()),
+                Err(failure) => failures.push(failure),
             }
         }
-        Err(unavailable("no engine can load the adapter now"))
+        Err(unavailable(&format!(
+            "no engine can load the adapter now: {}",
+            failures.join("; ")
+        )))
     }
 
-    async fn load_adapter_at(&self, session: &EngineSession, adapter: &ModelName) -> bool {
+    async fn load_adapter_at(
+        &self,
+        session: &EngineSession,
+        adapter: &ModelName,
+    ) -> Result<(), String> {
         let endpoint = &session.endpoint;
         let ledger = session.ledger();
         let mut ledger = ledger.lock().await;
-        if ledger.sequence(endpoint.incarnation).is_none()
-            && session.read_state(&mut ledger).await.is_err()
-        {
-            return false;
+        if ledger.sequence(endpoint.incarnation).is_none() {
+            session.read_state(&mut ledger).await?;
         }
         if ledger.models().contains(adapter) {
             self.note_use(session, adapter);
-            return true;
+            return Ok(());
         }
         let base = adapter.as_str().split('/').next().unwrap_or_default();
         if !ledger.models().iter().any(|held| held.as_str() == base) {
-            return false;
+            return Err("the model is not there".to_owned());
         }
         if !ledger.fits(&session.spec, adapter) {
             let held = ledger.models().iter().filter(|held| !is_model(held));
             let Some(victim) = self.idlest(session, &held.cloned().collect::<Vec<_>>()) else {
-                return false;
+                return Err("every adapter there is in use".to_owned());
             };
             let unloaded = session.send(&mut ledger, EngineOperation::Unload, &victim);
-            let is_unloaded = matches!(
-                unloaded.await,
-                Ok(CommandAnswer::Accepted | CommandAnswer::AlreadyHolds)
-            );
-            if !is_unloaded || !self.is_known(session, &mut ledger).await {
-                return false;
+            check_accepted(unloaded.await?)?;
+            if !self.is_known(session, &mut ledger).await {
+                return Err("the state after an unload is not known".to_owned());
             }
         }
         let loaded = session.send(&mut ledger, EngineOperation::Load, adapter);
-        if !matches!(
-            loaded.await,
-            Ok(CommandAnswer::Accepted | CommandAnswer::AlreadyHolds)
-        ) {
-            return false;
-        }
+        check_accepted(loaded.await?)?;
         if self.is_known(session, &mut ledger).await {
             let models = ledger.models().to_vec();
             self.with_leader_state(session.term, |leader| {
@@ -108,7 +107,7 @@
         self.note_use(session, adapter);
         drop(ledger);
         tokio::time::sleep(ADAPTER_LOAD).await;
-        true
+        Ok(())
     }
 
     /// Tells whether the ledger is known, reading the engine's state where it is not.
@@ -151,6 +150,13 @@
     }
 }
 
+fn check_accepted(answer: CommandAnswer) -> Result<(), String> {
+    match answer {
+        CommandAnswer::Accepted | CommandAnswer::AlreadyHolds => Ok(()),
+        refused => Err(format!("the engine answers {refused:?}")),
+    }
+}
+
 fn unavailable(detail: &str) -> ControlRefusal {
     ControlRefusal::Refused {
         kind: ErrorKind::NoEndpoint,
--- a/crates/wasabipoint_control/src/engines/book.rs
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -48,6 +48,7 @@
     averages: BTreeMap<ModelName, Average>,
     adapter_use: BTreeMap<(EndpointId, ModelName), Instant>,
     store_loads: VecDeque<Instant>,
+    read_disks: BTreeSet<(EndpointId, Incarnation)>,
     loading: BTreeMap<(EndpointId, ModelName), Loading>,
 }
 
@@ -74,6 +75,12 @@
         self.set(endpoint, models, None);
     }
 
+    /// Tells whether the disk of an engine has not been asked for, and records that it is.
+    pub(crate) fn begin_read_of_disk(&mut self, endpoint: &EndpointView) -> bool {
+        let key = (endpoint.endpoint.clone(), endpoint.incarnation);
+        self.read_disks.insert(key)
+    }
+
     /// Records a load that begins and when it should be complete.
     pub(crate) fn begin_load(
         &mut self,
--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -51,6 +51,7 @@
             _ => Instant::now(),
         };
         leading = Some((term, since));
+        read_disks(&control, &commander, term);
         if since.elapsed() < lease {
             continue;
         }
@@ -71,6 +72,33 @@
 /// processes.
 const CHANGE_OVERHEAD: Duration = Duration::from_millis(500);
 
+/// Asks each engine once in a term what its disk holds.
+fn read_disks(control: &Arc<Control>, commander: &Arc<dyn EngineCommander>, term: u64) {
+    let endpoints: Vec<EndpointView> = control.member.read(|state| {
+        let engines = state.view.endpoints.values();
+        let engines = engines.filter(|endpoint| !endpoint.models.is_empty());
+        engines.cloned().collect()
+    });
+    for endpoint in endpoints {
+        let is_new =
+            control.with_leader_state(term, |leader| leader.engines.begin_read_of_disk(&endpoint));
+        if !is_new {
+            continue;
+        }
+        let (control, commander) = (Arc::clone(control), Arc::clone(commander));
+        tokio::spawn(async move {
+            let state = commander.state(&endpoint).await;
+            control.with_leader_state(term, |leader| match state {
+                Ok(state) => leader.engines.add_near(&endpoint.endpoint, &state.near),
+                Err(detail) => {
+                    info!(control.logger, "placement: an engine does not tell its disk";
+                        "endpoint" => %endpoint.endpoint, "detail" => detail);
+                }
+            });
+        });
+    }
+}
+
 type PlannedChange = (EngineSession, wasabipoint_policy::EngineChange, Duration);
 
 fn plan(
--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -13,10 +13,17 @@
 
 /// Share of an engine's slots up to which a replica is not relieved by another one whose weights
 /// come from a disk. Above it the pauses between tokens grow noticeably.
-const RELIEF_SHARE: f64 = 0.25;
+const RELIEF_SHARE: f64 = 0.5;
 
 /// The same where the weights come from the store, which occupies the engine for seconds.
-const STORE_RELIEF_SHARE: f64 = 0.5;
+const STORE_RELIEF_SHARE: f64 = 0.75;
+
+/// Share of an engine's slots that the remaining replicas of a model may reach when one of them
+/// makes room for a model that no engine holds and nobody asks for yet.
+const SPREAD_SHARE: f64 = 0.25;
+
+/// Loads from the store at once for models that nobody asks for yet.
+const SPREAD_STORE_LOADS: u32 = 1;
 
 /// Loads from the store that further replicas may occupy at once. The rest of the store's speed is
 /// kept for models that no engine holds.
@@ -88,12 +95,23 @@
     }
 }
 
+/// Why a model gets a replica.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// Requests ask for a model that no engine holds.
+    Cold,
+    /// The replicas of a model have too many requests.
+    Relief,
+    /// No engine holds the model, and nobody asks for it yet.
+    Spread,
+}
+
 impl StoreBudget {
-    fn can_load(&self, is_relief: bool) -> bool {
-        let at_once = if is_relief {
-            RELIEF_STORE_LOADS.min(self.full_speed_loads)
-        } else {
-            self.full_speed_loads
+    fn can_load(&self, cause: Cause) -> bool {
+        let at_once = match cause {
+            Cause::Cold => self.full_speed_loads,
+            Cause::Relief => RELIEF_STORE_LOADS.min(self.full_speed_loads),
+            Cause::Spread => SPREAD_STORE_LOADS,
         };
         self.loads_left > 0 && self.loads_running < at_once
     }
@@ -107,8 +125,8 @@
     store: StoreBudget,
 ) -> Vec<EngineChange> {
     let mut plan = Plan::new(models, engines, slots, store);
-    while let Some(model) = plan.neediest() {
-        if !plan.add_replica(&model) {
+    while let Some((model, cause)) = plan.neediest() {
+        if !plan.add_replica(&model, cause) {
             plan.given_up.insert(model);
         }
     }
@@ -155,40 +173,38 @@
         self.models.get(model).map_or(0.0, |model| model.load)
     }
 
-    /// Returns the model that gains most from a further replica.
-    fn neediest(&self) -> Option<ModelName> {
+    /// Returns the model that gains most from a further replica, and why.
+    fn neediest(&self) -> Option<(ModelName, Cause)> {
         let needs = self.models.values().filter_map(|model| {
-            let replicas = self.replicas(&model.name);
-            let is_needed = match replicas {
-                0 => model.waiting > 0 || model.load > UNUSED_LOAD,
-                _ => model.load / f64::from(replicas) > self.slots * RELIEF_SHARE,
-            };
-            if !is_needed || self.given_up.contains(&model.name) {
+            if self.given_up.contains(&model.name) {
                 return None;
             }
-            let need = match replicas {
-                0 => 1e6 + model.load + f64::from(model.waiting),
-                _ => model.load / f64::from(replicas),
+            let replicas = self.replicas(&model.name);
+            let per_replica = model.load / f64::from(replicas.max(1));
+            let (rank, cause) = match replicas {
+                0 if model.waiting > 0 || model.load > UNUSED_LOAD => (2, Cause::Cold),
+                0 => (0, Cause::Spread),
+                _ if per_replica > self.slots * RELIEF_SHARE => (1, Cause::Relief),
+                _ => return None,
             };
-            Some((need, &model.name))
+            let need = per_replica + f64::from(model.waiting);
+            Some((rank, need, cause, &model.name))
         });
         needs
-            .max_by(|one, other| one.0.total_cmp(&other.0))
-            .map(|(_, name)| name.clone())
+            .max_by(|one, other| one.0.cmp(&other.0).then(one.1.total_cmp(&other.1)))
+            .map(|(_, _, cause, name)| (name.clone(), cause))
     }
 
-    fn add_replica(&mut self, model: &ModelName) -> bool {
+    fn add_replica(&mut self, model: &ModelName, cause: Cause) -> bool {
         let weights_mb = self.models[model].weights_mb;
         let replicas = self.replicas(model);
         let load = self.load(model);
         let gain = load / f64::from(replicas + 1);
-        let is_relief = replicas > 0;
-        let is_store_worthwhile =
-            !is_relief || load / f64::from(replicas) > self.slots * STORE_RELIEF_SHARE;
-        let need = if is_relief {
-            0.0
-        } else {
-            load + f64::from(self.models[model].waiting)
+        let is_store_worthwhile = cause != Cause::Relief
+            || load / f64::from(replicas.max(1)) > self.slots * STORE_RELIEF_SHARE;
+        let need = match cause {
+            Cause::Cold => load + f64::from(self.models[model].waiting).max(UNUSED_LOAD),
+            Cause::Relief | Cause::Spread => 0.0,
         };
         let mut best: Option<(f64, usize, Vec<ModelName>)> = None;
         for (index, engine) in self.engines.iter().enumerate() {
@@ -196,13 +212,18 @@
                 continue;
             }
             let is_near = engine.on_disk.contains(model);
-            if !is_near && !(is_store_worthwhile && self.store.can_load(is_relief)) {
+            if !is_near && !(is_store_worthwhile && self.store.can_load(cause)) {
                 continue;
             }
             let Some((loss, victims)) = self.make_room(engine, weights_mb, need) else {
                 continue;
             };
-            if is_relief && loss * GAIN >= gain {
+            let is_too_dear = match cause {
+                Cause::Cold => false,
+                Cause::Relief => loss * GAIN >= gain,
+                Cause::Spread => loss > self.slots * SPREAD_SHARE,
+            };
+            if is_too_dear {
                 continue;
             }
             // A load from disk takes a fifth of the time and leaves the store to others.
@@ -233,7 +254,13 @@
             .iter()
             .filter_map(|held| Some((self.loss(held, need)?, held)))
             .collect();
-        candidates.sort_by(|one, other| one.0.total_cmp(&other.0));
+        // Of models without demand, one that another engine holds as well goes first.
+        candidates.sort_by(|one, other| {
+            let replicas = |model: &ModelName| std::cmp::Reverse(self.replicas(model));
+            one.0
+                .total_cmp(&other.0)
+                .then_with(|| replicas(one.1).cmp(&replicas(other.1)))
+        });
         let mut victims = Vec::new();
         let mut loss: f64 = 0.0;
         let mut candidates = candidates.into_iter();
@@ -251,7 +278,8 @@
     fn loss(&self, model: &ModelName, need: f64) -> Option<f64> {
         let load = self.load(model);
         match self.replicas(model) {
-            0 | 1 if load <= UNUSED_LOAD => Some(0.0),
+            // The last replica of an unused model is kept from mere relief: demand comes back to it.
+            0 | 1 if load <= UNUSED_LOAD => (need > 0.0).then_some(0.0),
             0 | 1 => (load * DISPLACEMENT < need).then_some(load * DISPLACEMENT),
             replicas => Some(load / f64::from(replicas - 1)),
         }
