Plan replicas by arrivals, one load of a model at a time

Cause: a queue in front of a cold model counted as load and brought up to seven replicas within a second; refused requests vanished from the demand; a failing engine was tried every 50 ms.

--- a/crates/wasabipoint_control/src/engines/book.rs
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -16,6 +16,16 @@
 /// Time constant of the averaged demand. Demand moves within a few seconds.
 const DEMAND_DECAY_S: f64 = 1.5;
 
+/// Time constant of the averaged rate of requests. A model that is asked for now and then stays in
+/// demand over it, also while every request for it is refused.
+const RATE_DECAY_S: f64 = 5.0;
+
+/// Concurrent requests that one request per second stands for.
+const LOAD_PER_RATE: f64 = 0.3;
+
+/// Time for which an engine is left alone after a change failed there.
+const FAILED_CHANGE_PAUSE: Duration = Duration::from_millis(2_000);
+
 /// Models that the leader knows an engine to hold.
 #[derive(Debug, Clone)]
 struct Known {
@@ -32,11 +42,31 @@
     is_from_store: bool,
 }
 
-/// Averaged concurrent requests of a model.
+/// Averaged demand for a model.
 #[derive(Debug, Clone, Copy)]
 struct Average {
+    /// Concurrent requests.
     load: f64,
     at: Instant,
+    /// Requests per second.
+    rate_per_s: f64,
+    rate_at: Instant,
+}
+
+impl Average {
+    fn new(now: Instant) -> Self {
+        Self {
+            load: 0.0,
+            at: now,
+            rate_per_s: 0.0,
+            rate_at: now,
+        }
+    }
+
+    fn rate(&self, now: Instant) -> f64 {
+        let age_s = (now - self.rate_at).as_secs_f64();
+        self.rate_per_s * (-age_s / RATE_DECAY_S).exp()
+    }
 }
 
 /// The leader's knowledge of engines for its term.
@@ -48,6 +78,8 @@
     averages: BTreeMap<ModelName, Average>,
     adapter_use: BTreeMap<(EndpointId, ModelName), Instant>,
     store_loads: VecDeque<Instant>,
+    failed: BTreeMap<EndpointId, Instant>,
+    commands_from: Option<Instant>,
     read_disks: BTreeSet<(EndpointId, Incarnation)>,
     loading: BTreeMap<(EndpointId, ModelName), Loading>,
 }
@@ -175,18 +207,59 @@
         Arc::clone(self.ledgers.entry(endpoint.clone()).or_default())
     }
 
-    /// Averages the concurrent requests of a model and returns the average.
+    /// Averages the concurrent requests of a model and returns its demand.
     pub(crate) fn average(&mut self, model: &ModelName, current: f64) -> f64 {
         let now = Instant::now();
         let average = self
             .averages
             .entry(model.clone())
-            .or_insert(Average { load: 0.0, at: now });
+            .or_insert_with(|| Average::new(now));
         let age_s = (now - average.at).as_secs_f64();
         let kept = (-age_s / DEMAND_DECAY_S).exp();
         average.load = average.load * kept + current * (1.0 - kept);
         average.at = now;
-        average.load
+        average.load + average.rate(now) * LOAD_PER_RATE
+    }
+
+    /// Counts requests for a model, whether they were served or refused.
+    pub(crate) fn count_arrivals(&mut self, name: &ModelName, count: u32) {
+        let base = name.as_str().split('/').next().unwrap_or_default();
+        let now = Instant::now();
+        let average = self
+            .averages
+            .entry(ModelName::new(base))
+            .or_insert_with(|| Average::new(now));
+        average.rate_per_s = average.rate(now) + f64::from(count) / RATE_DECAY_S;
+        average.rate_at = now;
+    }
+
+    /// Leaves an engine alone for a while after a change failed there.
+    pub(crate) fn note_failed_change(&mut self, endpoint: &EndpointId) {
+        self.failed.insert(endpoint.clone(), Instant::now());
+    }
+
+    /// Tells whether a change failed at an engine a moment ago.
+    pub(crate) fn has_failed(&self, endpoint: &EndpointId) -> bool {
+        let failed = self.failed.get(endpoint);
+        failed.is_some_and(|at| at.elapsed() < FAILED_CHANGE_PAUSE)
+    }
+
+    /// Records from when on this leader sends commands.
+    pub(crate) fn set_commands_from(&mut self, from: Instant) {
+        self.commands_from = Some(from);
+    }
+
+    /// Returns the time until this leader sends commands.
+    pub(crate) fn wait_for_commands(&self) -> Duration {
+        let from = self.commands_from;
+        from.map_or(Duration::ZERO, |from| {
+            from.saturating_duration_since(Instant::now())
+        })
+    }
+
+    /// Tells whether a model is being loaded anywhere.
+    pub(crate) fn is_loading(&self, model: &ModelName) -> bool {
+        self.loading.keys().any(|(_, loading)| loading == model)
     }
 
     /// Records the use of an adapter.
--- a/crates/wasabipoint_control/src/engines/change.rs
+++ b/crates/wasabipoint_control/src/engines/change.rs
@@ -57,6 +57,9 @@
             leader
                 .engines
                 .end_load(&self.endpoint.endpoint, &change.load);
+            if result.is_err() {
+                leader.engines.note_failed_change(&self.endpoint.endpoint);
+            }
         });
         let ledger = self.ledger();
         let mut ledger = ledger.lock().await;
--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -52,6 +52,9 @@
         };
         leading = Some((term, since));
         read_disks(&control, &commander, term);
+        control.with_leader_state(term, |leader| {
+            leader.engines.set_commands_from(since + lease);
+        });
         if since.elapsed() < lease {
             continue;
         }
@@ -140,12 +143,13 @@
             .values()
             .map(|model| {
                 let sum = demand.get(&model.name).copied().unwrap_or_default();
-                let current = f64::from(sum.queued + sum.in_flight);
+                let current = f64::from(sum.in_flight);
                 ModelLoad {
                     name: model.name.clone(),
                     weights_mb: model.weights_mb,
                     load: leader.engines.average(&model.name, current),
                     waiting: sum.queued,
+                    is_loading: leader.engines.is_loading(&model.name),
                 }
             })
             .collect();
@@ -162,7 +166,9 @@
                     .filter(is_model)
                     .collect(),
                 on_disk: leader.engines.near(&endpoint.endpoint),
-                is_changeable: !endpoint.is_leaving && !leader.engines.is_changing(endpoint),
+                is_changeable: !endpoint.is_leaving
+                    && !leader.engines.is_changing(endpoint)
+                    && !leader.engines.has_failed(&endpoint.endpoint),
             })
             .collect();
         let store = StoreBudget {
--- a/crates/wasabipoint_control/src/leader_state.rs
+++ b/crates/wasabipoint_control/src/leader_state.rs
@@ -112,6 +112,7 @@
             }
             let arrived = self.arrived.entry(demand.model.clone()).or_default();
             *arrived = arrived.saturating_add(demand.arrived);
+            self.engines.count_arrivals(&demand.model, demand.arrived);
         }
         let memory = EntryMemory {
             report,
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -45,6 +45,10 @@
 /// Time that callers wait for the first event, as a multiple of the longest pause on time.
 const PATIENCE_GAPS: u64 = 8;
 
+/// Share of a caller's patience that an expected load may take. Loads often take longer than
+/// expected, and a refused caller comes back in time.
+const WAIT_SHARE: f64 = 0.7;
+
 /// Time left for the first event once a model is loaded, in milliseconds.
 const FIRST_EVENT_MS: u64 = 200;
 
@@ -293,7 +297,8 @@
                 continue;
             }
             let patience = self.patience();
-            let Some(ready) = ready.filter(|ready| Instant::now() + *ready < patience) else {
+            let left = patience.saturating_duration_since(Instant::now());
+            let Some(ready) = ready.filter(|ready| *ready < left.mul_f64(WAIT_SHARE)) else {
                 return Err(self.refuse_cold(ready));
             };
             let look = Duration::from_millis(500).max(ready / 2);
--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -47,6 +47,8 @@
         pub load: f64,
         /// Requests that wait because no engine holds the model.
         pub waiting: u32,
+        /// Whether a load of the model is in progress.
+        pub is_loading: bool,
     }
 }
 
@@ -176,7 +178,8 @@
     /// Returns the model that gains most from a further replica, and why.
     fn neediest(&self) -> Option<(ModelName, Cause)> {
         let needs = self.models.values().filter_map(|model| {
-            if self.given_up.contains(&model.name) {
+            // The load in progress may be enough.
+            if model.is_loading || self.given_up.contains(&model.name) {
                 return None;
             }
             let replicas = self.replicas(&model.name);
@@ -236,6 +239,8 @@
             return false;
         };
         self.apply(index, unload, model);
+        // The next plan sees what this replica changes.
+        self.given_up.insert(model.clone());
         true
     }
 
