Send commands at once after an election where engines check fencing tokens

Cause: a new leader changed no engine for 3 s, while models moved. Engines that check fencing tokens refuse the predecessor's; elsewhere the wait stays.

--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -78,9 +78,15 @@
 /// Asks each engine once in a term what its disk holds.
 fn read_disks(control: &Arc<Control>, commander: &Arc<dyn EngineCommander>, term: u64) {
     let endpoints: Vec<EndpointView> = control.member.read(|state| {
-        let engines = state.view.endpoints.values();
-        let engines = engines.filter(|endpoint| !endpoint.models.is_empty());
-        engines.cloned().collect()
+        let Some(deployment) = &state.view.deployment else {
+            return Vec::new();
+        };
+        let is_engine = |endpoint: &&EndpointView| {
+            let service = deployment.services.get(&endpoint.service);
+            service.is_some_and(|service| service.engine.is_some())
+        };
+        let endpoints = state.view.endpoints.values();
+        endpoints.filter(is_engine).cloned().collect()
     });
     for endpoint in endpoints {
         let is_new =
@@ -259,11 +265,10 @@
         self.with_leader_state(term, |leader| {
             let loading = leader.engines.ready_in(&base);
             let is_from_store = !leader.engines.is_near_anywhere(&base);
-            Some(
-                loading.unwrap_or_else(|| {
-                    expected_load(&engine, &base, is_from_store) + CHANGE_OVERHEAD
-                }),
-            )
+            Some(loading.unwrap_or_else(|| {
+                let load = expected_load(&engine, &base, is_from_store);
+                load + CHANGE_OVERHEAD + leader.engines.wait_for_commands()
+            }))
         })
     }
 }
