--- a/crates/wasabipoint_control/src/engines/adapters.rs
+++ b/crates/wasabipoint_control/src/engines/adapters.rs
@@ -20,9 +20,6 @@
 /// Idle time before an adapter gives way, so that a request sent a moment ago still finds it.
 const MIN_IDLE: Duration = Duration::from_millis(1_000);
 
-/// Endpoints tried for one request.
-const MAX_TRIES: usize = 3;
-
 impl Control {
     /// Loads an adapter on the first of the candidates that can take it.
     pub(crate) async fn load_adapter(
@@ -34,13 +31,18 @@
             return Err(unavailable("no engines are commanded here"));
         };
         let mut failures = Vec::new();
-        for candidate in request.candidates.iter().take(MAX_TRIES) {
+        for candidate in &request.candidates {
             let endpoint = self
                 .member
                 .read(|state| state.view.endpoints.get(candidate).cloned());
             let Some(endpoint) = endpoint.filter(|endpoint| !endpoint.is_leaving) else {
                 continue;
             };
+            // An engine carries out one command at a time, and a model takes seconds.
+            if self.with_leader_state(term, |leader| leader.engines.is_changing(&endpoint)) {
+                failures.push("a change is in progress there".to_owned());
+                continue;
+            }
             let Some(spec) = self.engine_spec(&endpoint) else {
                 continue;
             };
@@ -92,8 +94,15 @@
                 return Err("the state after an unload is not known".to_owned());
             }
         }
-        let loaded = session.send(&mut ledger, EngineOperation::Load, adapter);
-        check_accepted(loaded.await?)?;
+        let mut loaded = session
+            .send(&mut ledger, EngineOperation::Load, adapter)
+            .await?;
+        if loaded == CommandAnswer::Conflict && self.is_known(session, &mut ledger).await {
+            loaded = session
+                .send(&mut ledger, EngineOperation::Load, adapter)
+                .await?;
+        }
+        check_accepted(loaded)?;
         if self.is_known(session, &mut ledger).await {
             let models = ledger.models().to_vec();
             self.with_leader_state(session.term, |leader| {
--- a/crates/wasabipoint_control/src/engines/change.rs
+++ b/crates/wasabipoint_control/src/engines/change.rs
@@ -9,6 +9,7 @@
 use wasabipoint_policy::EngineChange;
 use wasabipoint_rpc::EndpointView;
 
+use super::book::is_model;
 use super::{
     CommandAnswer, EngineCommand, EngineCommander, EngineLedger, EngineOperation, EngineState,
 };
@@ -216,7 +217,12 @@
         let answer = answer.unwrap_or_else(|_| Err("no answer in time".to_owned()));
         match answer {
             Ok(CommandAnswer::Accepted) => ledger.accept(operation, model),
-            // An immediate unload of an adapter counts as a command, one of an absent one does not.
+            // An adapter that no request uses is unloaded at once.
+            Ok(CommandAnswer::AlreadyHolds)
+                if operation == EngineOperation::Unload && is_held && !is_model(model) =>
+            {
+                ledger.accept(operation, model);
+            }
             _ => ledger.forget(),
         }
         info!(self.control.logger, "placement: command"; "endpoint" => %self.endpoint.endpoint,
--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -13,10 +13,10 @@
 
 /// Share of an engine's slots up to which a replica is not relieved by another one whose weights
 /// come from a disk. Above it the pauses between tokens grow noticeably.
-const RELIEF_SHARE: f64 = 0.5;
+const RELIEF_SHARE: f64 = 0.4;
 
 /// The same where the weights come from the store, which occupies the engine for seconds.
-const STORE_RELIEF_SHARE: f64 = 0.75;
+const STORE_RELIEF_SHARE: f64 = 0.6;
 
 /// Share of an engine's slots that the remaining replicas of a model may reach when one of them
 /// makes room for a model that no engine holds and nobody asks for yet.
@@ -203,10 +203,12 @@
         let replicas = self.replicas(model);
         let load = self.load(model);
         let gain = load / f64::from(replicas + 1);
-        let is_store_worthwhile = cause != Cause::Relief
-            || load / f64::from(replicas.max(1)) > self.slots * STORE_RELIEF_SHARE;
+        let is_pressing = load / f64::from(replicas.max(1)) > self.slots * STORE_RELIEF_SHARE;
+        let is_store_worthwhile = cause != Cause::Relief || is_pressing;
         let need = match cause {
             Cause::Cold => load + f64::from(self.models[model].waiting).max(UNUSED_LOAD),
+            // Only an engine near its slots is worth the last replica of an unused model.
+            Cause::Relief if is_pressing => UNUSED_LOAD,
             Cause::Relief | Cause::Spread => 0.0,
         };
         let mut best: Option<(f64, usize, Vec<ModelName>)> = None;
