--- a/crates/wasabipoint_control/src/engines/book.rs
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -18,11 +18,14 @@
 
 /// Time constant of the averaged rate of requests. A model that is asked for now and then stays in
 /// demand over it, also while every request for it is refused.
-const RATE_DECAY_S: f64 = 5.0;
+const RATE_DECAY_S: f64 = 8.0;
 
 /// Concurrent requests that one request per second stands for.
 const LOAD_PER_RATE: f64 = 0.3;
 
+/// Time for which a model stays after its load.
+const KEPT_AFTER_LOAD: Duration = Duration::from_secs(5);
+
 /// Time for which an engine is left alone after a change failed there.
 const FAILED_CHANGE_PAUSE: Duration = Duration::from_millis(2_000);
 
@@ -80,6 +83,7 @@
     store_loads: VecDeque<Instant>,
     failed: BTreeMap<EndpointId, Instant>,
     commands_from: Option<Instant>,
+    loaded: BTreeMap<(EndpointId, ModelName), Instant>,
     read_disks: BTreeSet<(EndpointId, Incarnation)>,
     loading: BTreeMap<(EndpointId, ModelName), Loading>,
 }
@@ -134,7 +138,17 @@
 
     /// Forgets a load that ended.
     pub(crate) fn end_load(&mut self, endpoint: &EndpointId, model: &ModelName) {
-        self.loading.remove(&(endpoint.clone(), model.clone()));
+        let key = (endpoint.clone(), model.clone());
+        self.loading.remove(&key);
+        self.loaded.insert(key, Instant::now());
+        self.loaded.retain(|_, at| at.elapsed() < KEPT_AFTER_LOAD);
+    }
+
+    /// Returns the models that an engine loaded a moment ago.
+    pub(crate) fn loaded_lately(&self, endpoint: &EndpointId) -> BTreeSet<ModelName> {
+        let loaded = self.loaded.iter().filter(|((at, _), _)| at == endpoint);
+        let lately = loaded.filter(|(_, at)| at.elapsed() < KEPT_AFTER_LOAD);
+        lately.map(|((_, model), _)| model.clone()).collect()
     }
 
     /// Returns how many loads from the store are running.
--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -68,6 +68,9 @@
     }
 }
 
+/// Time in which a new leader learns the demand before it unloads anything.
+const LEARNING_TIME: Duration = Duration::from_millis(2_000);
+
 /// Loads from the store at once that each have their full speed.
 const FULL_SPEED_LOADS: u32 = 4;
 
@@ -149,7 +152,7 @@
             .values()
             .map(|model| {
                 let sum = demand.get(&model.name).copied().unwrap_or_default();
-                let current = f64::from(sum.in_flight);
+                let current = concurrent(engine, sum);
                 ModelLoad {
                     name: model.name.clone(),
                     weights_mb: model.weights_mb,
@@ -159,10 +162,22 @@
                 }
             })
             .collect();
+        // A new leader knows no demand yet; what engines hold is its best knowledge of it.
+        let is_learning = leader.since.elapsed() < LEARNING_TIME;
         let reserve_mb = adapter_reserve_mb(engine);
         let holdings: Vec<EngineHolding> = endpoints
             .iter()
             .map(|endpoint| EngineHolding {
+                kept: if is_learning {
+                    leader.engines.models(endpoint).into_iter().collect()
+                } else {
+                    leader.engines.loaded_lately(&endpoint.endpoint)
+                },
+                serves_adapters: leader
+                    .engines
+                    .models(endpoint)
+                    .iter()
+                    .any(|model| demand.get(model).is_some_and(|demand| demand.adapters > 0)),
                 endpoint: endpoint.endpoint.clone(),
                 capacity_mb: engine.weights_mb.saturating_sub(reserve_mb),
                 models: leader
@@ -219,18 +234,37 @@
         .collect()
 }
 
+/// Demand for a model and its adapters.
+#[derive(Debug, Clone, Copy, Default)]
+struct BaseDemand {
+    in_flight: u32,
+    queued: u32,
+    /// Adapters that requests run with or wait for.
+    adapters: u32,
+}
+
 /// Adds the demand for adapters to that for their models.
-fn sum_by_model(demand: BTreeMap<ModelName, DemandSum>) -> BTreeMap<ModelName, DemandSum> {
-    let mut sums: BTreeMap<ModelName, DemandSum> = BTreeMap::new();
+fn sum_by_model(demand: BTreeMap<ModelName, DemandSum>) -> BTreeMap<ModelName, BaseDemand> {
+    let mut sums: BTreeMap<ModelName, BaseDemand> = BTreeMap::new();
     for (name, one) in demand {
         let base = name.as_str().split('/').next().unwrap_or_default();
         let sum = sums.entry(ModelName::new(base)).or_default();
         sum.in_flight += one.in_flight;
         sum.queued += one.queued;
+        if !is_model(&name) && one.in_flight + one.queued > 0 {
+            sum.adapters += 1;
+        }
     }
     sums
 }
 
+/// Returns the concurrent requests of a model. An adapter in use counts as its share of the places
+/// for adapters.
+fn concurrent(engine: &EngineSpec, demand: BaseDemand) -> f64 {
+    let per_adapter = f64::from(engine.slots) / f64::from(engine.adapter_slots.max(1));
+    f64::from(demand.in_flight).max(f64::from(demand.adapters) * per_adapter)
+}
+
 fn expected_load(engine: &EngineSpec, model: &ModelName, is_from_store: bool) -> Duration {
     let model = engine.models.get(model);
     let load_ms = model.map_or(0, |model| {
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -45,6 +45,15 @@
 /// Time that callers wait for the first event, as a multiple of the longest pause on time.
 const PATIENCE_GAPS: u64 = 8;
 
+/// Pause between requests to control for the same adapter.
+const ADAPTER_PAUSE: Duration = Duration::from_millis(200);
+
+/// Time for which a request waits while the engines with its model take no further adapter.
+const ADAPTER_PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// When a refused request for an adapter may come back. Changes of engines take about as long.
+const ADAPTER_RETRY: Duration = Duration::from_millis(1_500);
+
 /// Share of a caller's patience that an expected load may take. Loads often take longer than
 /// expected, and a refused caller comes back in time.
 const WAIT_SHARE: f64 = 0.7;
@@ -263,7 +272,7 @@
         let mut changed = forwarder.changed.subscribe();
         let model = self.facts.model.clone();
         let mut wait: Option<WaitGuard<'_>> = None;
-        let mut has_asked = false;
+        let mut asked: Option<Instant> = None;
         loop {
             changed.borrow_and_update();
             if let Some(choice) = self.choose() {
@@ -281,9 +290,12 @@
             if !self.progress.tried.is_empty() && self.has_tried_holders(model) {
                 return Err(self.refuse("every endpoint with the model was tried"));
             }
-            if !has_asked && self.ask_for_adapter(model).await {
-                has_asked = true;
-                continue;
+            let is_due = asked.is_none_or(|asked| asked.elapsed() >= ADAPTER_PAUSE);
+            if is_due && model.as_str().contains('/') {
+                asked = Some(Instant::now());
+                if self.ask_for_adapter(model).await {
+                    continue;
+                }
             }
             if wait.is_none() {
                 forwarder.lock().demand.begin_wait(model);
@@ -297,6 +309,15 @@
                 continue;
             }
             let patience = self.patience();
+            if ready.is_none() && asked.is_some() {
+                // The model is there; its engines may take the adapter in a moment.
+                let limit = self.arrived + ADAPTER_PATIENCE;
+                if Instant::now() >= limit.min(patience) {
+                    return Err(self.refuse_cold(Some(ADAPTER_RETRY)));
+                }
+                let _ = timeout_at(Instant::now() + ADAPTER_PAUSE, changed.changed()).await;
+                continue;
+            }
             let left = patience.saturating_duration_since(Instant::now());
             let Some(ready) = ready.filter(|ready| *ready < left.mul_f64(WAIT_SHARE)) else {
                 return Err(self.refuse_cold(ready));
--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -29,6 +29,23 @@
 /// kept for models that no engine holds.
 const RELIEF_STORE_LOADS: u32 = 2;
 
+/// Concurrent requests that one waiting request stands for. A single request for a rare model must
+/// not displace one that is asked for every few seconds.
+const WAITING_LOAD: f64 = 0.2;
+
+/// Waiting requests that count.
+const MAX_WAITING_COUNTED: u32 = 5;
+
+/// Cost of one concurrent request at the engine that changes, where the loss of the models that
+/// make room counts in concurrent requests per replica.
+const ENGINE_LOAD_COST: f64 = 0.1;
+
+/// Cost of a load from the store, which takes five times as long as one from a disk.
+const STORE_COST: f64 = 4.0;
+
+/// Cost of a load from the store at an engine that is asked for adapters.
+const ADAPTER_STORE_COST: f64 = 12.0;
+
 /// A model in use without another replica gives way only to one with this many times its demand.
 const DISPLACEMENT: f64 = 3.0;
 
@@ -66,6 +83,10 @@
         pub on_disk: BTreeSet<ModelName>,
         /// Whether it is live and no command is in progress there.
         pub is_changeable: bool,
+        /// Models that it keeps for now, because they were loaded a moment ago.
+        pub kept: BTreeSet<ModelName>,
+        /// Whether requests ask for adapters of its models. It loads none during a change.
+        pub serves_adapters: bool,
     }
 }
 
@@ -206,7 +227,10 @@
         let is_pressing = load / f64::from(replicas.max(1)) > self.slots * STORE_RELIEF_SHARE;
         let is_store_worthwhile = cause != Cause::Relief || is_pressing;
         let need = match cause {
-            Cause::Cold => load + f64::from(self.models[model].waiting).max(UNUSED_LOAD),
+            Cause::Cold => {
+                let waiting = f64::from(self.models[model].waiting.min(MAX_WAITING_COUNTED));
+                load + waiting * WAITING_LOAD
+            }
             // Only an engine near its slots is worth the last replica of an unused model.
             Cause::Relief if is_pressing => UNUSED_LOAD,
             Cause::Relief | Cause::Spread => 0.0,
@@ -231,8 +255,13 @@
             if is_too_dear {
                 continue;
             }
-            // A load from disk takes a fifth of the time and leaves the store to others.
-            let cost = loss + self.engine_load(engine) * 0.1 - if is_near { 4.0 } else { 0.0 };
+            let mut cost = loss + self.engine_load(engine) * ENGINE_LOAD_COST;
+            if !is_near {
+                cost += STORE_COST;
+                if engine.serves_adapters {
+                    cost += ADAPTER_STORE_COST;
+                }
+            }
             if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
                 best = Some((cost, index, victims));
             }
@@ -259,6 +288,7 @@
         let mut candidates: Vec<(f64, &ModelName)> = engine
             .models
             .iter()
+            .filter(|held| !engine.kept.contains(*held))
             .filter_map(|held| Some((self.loss(held, need)?, held)))
             .collect();
         // Of models without demand, one that another engine holds as well goes first.
@@ -285,8 +315,6 @@
     fn loss(&self, model: &ModelName, need: f64) -> Option<f64> {
         let load = self.load(model);
         match self.replicas(model) {
-            // The last replica of an unused model is kept from mere relief: demand comes back to it.
-            0 | 1 if load <= UNUSED_LOAD => (need > 0.0).then_some(0.0),
             0 | 1 => (load * DISPLACEMENT < need).then_some(load * DISPLACEMENT),
             replicas => Some(load / f64::from(replicas - 1)),
         }
