Let reports beyond their lag correct the ledger, and end waits for overdue loads

Cause: a ledger ahead of its engine kept a change, and with it every adapter of the engine, waiting for 30 s; adapters in use weighed as whole replicas.

--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -234,6 +234,10 @@
         .collect()
 }
 
+/// Largest share of an engine's slots that adapters in use stand for. It is worth a second replica,
+/// and no more.
+const MAX_ADAPTER_SHARE: f64 = 0.7;
+
 /// Demand for a model and its adapters.
 #[derive(Debug, Clone, Copy, Default)]
 struct BaseDemand {
@@ -251,7 +255,7 @@
         let sum = sums.entry(ModelName::new(base)).or_default();
         sum.in_flight += one.in_flight;
         sum.queued += one.queued;
-        if !is_model(&name) && one.in_flight + one.queued > 0 {
+        if !is_model(&name) && one.in_flight > 0 {
             sum.adapters += 1;
         }
     }
@@ -261,8 +265,10 @@
 /// Returns the concurrent requests of a model. An adapter in use counts as its share of the places
 /// for adapters.
 fn concurrent(engine: &EngineSpec, demand: BaseDemand) -> f64 {
-    let per_adapter = f64::from(engine.slots) / f64::from(engine.adapter_slots.max(1));
-    f64::from(demand.in_flight).max(f64::from(demand.adapters) * per_adapter)
+    let slots = f64::from(engine.slots);
+    let per_adapter = slots / f64::from(engine.adapter_slots.max(1));
+    let by_adapters = f64::from(demand.adapters) * per_adapter;
+    f64::from(demand.in_flight).max(by_adapters.min(slots * MAX_ADAPTER_SHARE))
 }
 
 fn expected_load(engine: &EngineSpec, model: &ModelName, is_from_store: bool) -> Duration {
--- a/crates/wasabipoint_control/src/engines/ledger.rs
+++ b/crates/wasabipoint_control/src/engines/ledger.rs
@@ -1,10 +1,16 @@
 //! What an engine holds by the commands that it accepted.
 
+use std::time::Duration;
+
+use tokio::time::Instant;
 use wasabipoint_kernel::{EngineSpec, Incarnation, ModelName};
 
 use super::book::is_model;
 use super::{EngineOperation, EngineState};
 
+/// Time by which an engine's report of itself lags at most.
+const REPORT_LAG: Duration = Duration::from_millis(400);
+
 /// The memory of one engine, counted from the acceptance of each load until the confirmed end of
 /// an unload. Reports lag, so the ledger goes before a report with an older sequence number.
 #[derive(Debug, Default)]
@@ -17,6 +23,8 @@
     incarnation: Incarnation,
     sequence: u64,
     models: Vec<ModelName>,
+    /// When the last command was accepted.
+    accepted: Option<Instant>,
 }
 
 impl EngineLedger {
@@ -24,13 +32,17 @@
     pub fn take_report(&mut self, incarnation: Incarnation, state: &EngineState) {
         let known = self.known.take().filter(|k| k.incarnation == incarnation);
         let mut models = state.models.clone();
+        let mut accepted = None;
         if let Some(known) = known {
-            if known.sequence > state.sequence {
+            // Beyond its lag, a report with an older number shows that a command did not count.
+            let is_late = known.accepted.is_some_and(|at| at.elapsed() < REPORT_LAG);
+            if known.sequence > state.sequence && is_late {
                 self.known = Some(known);
                 return;
             }
+            accepted = known.accepted;
             // A load in progress is not among the models of the report yet.
-            if known.sequence == state.sequence && state.is_busy {
+            if state.is_busy {
                 let missing = known
                     .models
                     .iter()
@@ -42,6 +54,7 @@
             incarnation,
             sequence: state.sequence,
             models,
+            accepted,
         });
     }
 
@@ -78,6 +91,7 @@
             return;
         };
         known.sequence += 1;
+        known.accepted = Some(Instant::now());
         match operation {
             EngineOperation::Load => {
                 if !known.models.contains(name) {
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -54,6 +54,9 @@
 /// When a refused request for an adapter may come back. Changes of engines take about as long.
 const ADAPTER_RETRY: Duration = Duration::from_millis(1_500);
 
+/// Time beyond twice its expected duration after which a load counts as overdue.
+const OVERDUE_MARGIN: Duration = Duration::from_millis(500);
+
 /// Share of a caller's patience that an expected load may take. Loads often take longer than
 /// expected, and a refused caller comes back in time.
 const WAIT_SHARE: f64 = 0.7;
@@ -273,6 +276,7 @@
         let model = self.facts.model.clone();
         let mut wait: Option<WaitGuard<'_>> = None;
         let mut asked: Option<Instant> = None;
+        let mut overdue: Option<Instant> = None;
         loop {
             changed.borrow_and_update();
             if let Some(choice) = self.choose() {
@@ -322,6 +326,11 @@
             let Some(ready) = ready.filter(|ready| *ready < left.mul_f64(WAIT_SHARE)) else {
                 return Err(self.refuse_cold(ready));
             };
+            // A load that takes much longer than first expected may never end.
+            let overdue = *overdue.get_or_insert(Instant::now() + ready * 2 + OVERDUE_MARGIN);
+            if Instant::now() >= overdue {
+                return Err(self.refuse_cold(Some(ready.max(OVERDUE_MARGIN))));
+            }
             let look = Duration::from_millis(500).max(ready / 2);
             let limit = patience.min(Instant::now() + look);
             // A timeout leads to another look: an endpoint may no longer be avoided.
