--- a/crates/wasabipoint_agent/tests/process.rs
+++ b/crates/wasabipoint_agent/tests/process.rs
@@ -76,6 +76,22 @@
             next_report_ms: 20,
         })
     }
+
+    async fn join(
+        self,
+        _: tarpc::context::Context,
+        _: wasabipoint_rpc::JoinRequest,
+    ) -> Result<wasabipoint_rpc::JoinReply, wasabipoint_rpc::ControlRefusal> {
+        Err(wasabipoint_rpc::ControlRefusal::Unavailable)
+    }
+
+    async fn load_adapter(
+        self,
+        _: tarpc::context::Context,
+        _: wasabipoint_rpc::AdapterRequest,
+    ) -> Result<wasabipoint_kernel::EndpointId, wasabipoint_rpc::ControlRefusal> {
+        Err(wasabipoint_rpc::ControlRefusal::Unavailable)
+    }
 }
 
 impl TestControl {
--- a/crates/wasabipoint_control/src/engines/adapters.rs
+++ b/crates/wasabipoint_control/src/engines/adapters.rs
@@ -18,7 +18,7 @@
 const REPORT_LAG: Duration = Duration::from_millis(150);
 
 /// Idle time before an adapter gives way, so that a request sent a moment ago still finds it.
-const MIN_IDLE: Duration = Duration::from_millis(1_000);
+const MIN_IDLE: Duration = Duration::from_secs(1);
 
 impl Control {
     /// Loads an adapter on the first of the candidates that can take it.
--- a/crates/wasabipoint_control/src/engines/book.rs
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -27,7 +27,7 @@
 const KEPT_AFTER_LOAD: Duration = Duration::from_secs(5);
 
 /// Time for which an engine is left alone after a change failed there.
-const FAILED_CHANGE_PAUSE: Duration = Duration::from_millis(2_000);
+const FAILED_CHANGE_PAUSE: Duration = Duration::from_secs(2);
 
 /// Models that the leader knows an engine to hold.
 #[derive(Debug, Clone)]
@@ -285,7 +285,7 @@
     /// Returns the time since an adapter was last used.
     pub(crate) fn adapter_idle(&self, endpoint: &EndpointId, adapter: &ModelName) -> Duration {
         let used = self.adapter_use.get(&(endpoint.clone(), adapter.clone()));
-        used.map_or(Duration::MAX, |used| used.elapsed())
+        used.map_or(Duration::MAX, Instant::elapsed)
     }
 
     /// Returns how many loads from the store may begin now.
--- a/crates/wasabipoint_control/src/engines/change.rs
+++ b/crates/wasabipoint_control/src/engines/change.rs
@@ -18,7 +18,7 @@
 use crate::state::EndpointChanges;
 
 /// Longest wait for an answer of an engine. Engines answer within milliseconds.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Pause between questions whether a command is complete.
 const CHECK_PAUSE: Duration = Duration::from_millis(250);
--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -69,7 +69,7 @@
 }
 
 /// Time in which a new leader learns the demand before it unloads anything.
-const LEARNING_TIME: Duration = Duration::from_millis(2_000);
+const LEARNING_TIME: Duration = Duration::from_secs(2);
 
 /// Loads from the store at once that each have their full speed.
 const FULL_SPEED_LOADS: u32 = 4;
--- a/crates/wasabipoint_entry/src/forward.rs
+++ b/crates/wasabipoint_entry/src/forward.rs
@@ -25,6 +25,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use slog::{Logger, info, warn};
+use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use wasabipoint_kernel::{
@@ -64,7 +65,7 @@
 const MIN_REPORT_GAP: Duration = Duration::from_millis(50);
 
 /// Pause between sweeps of idle connections.
-const PRUNE_INTERVAL: Duration = Duration::from_millis(1_000);
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Age up to which an expected load time is used without asking again.
 const LOAD_TIME_AGE: Duration = Duration::from_millis(700);
@@ -171,6 +172,17 @@
     pub async fn run(self: Arc<Self>, stop: impl Future<Output = ()>) -> std::io::Result<()> {
         let callers = listen(self.config.listen)?;
         let status = listen(self.config.status_listen)?;
+        self.run_on(callers, status, stop).await;
+        Ok(())
+    }
+
+    /// Serves on listeners that are bound already.
+    pub async fn run_on(
+        self: Arc<Self>,
+        callers: TcpListener,
+        status: TcpListener,
+        stop: impl Future<Output = ()>,
+    ) {
         info!(self.logger, "entry: started"; "entry" => %self.config.entry,
             "listen" => %self.config.listen, "failure_domain" => %self.config.failure_domain);
         let (closing, closed) = watch::channel(false);
@@ -190,12 +202,11 @@
         let mut serving = tokio::spawn(serve_callers(Arc::clone(&self), callers, closed));
         stop.await;
         let times = DrainTimes::new(self.config.grace);
-        let end = Instant::now() + times.end_after;
-        info!(self.logger, "entry: draining"; "end_after_ms" => times.end_after.as_millis() as u64);
+        let end = Instant::now() + times.end;
+        info!(self.logger, "entry: draining"; "end_after_ms" => times.end.as_millis() as u64);
         drain(&self, times, &closing).await;
         let is_drained = tokio::time::timeout_at(end, &mut serving).await.is_ok();
         info!(self.logger, "entry: stopped"; "is_drained" => is_drained);
-        Ok(())
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -225,12 +236,6 @@
         self.phase.store(REFUSING, Ordering::Relaxed);
     }
 
-    /// Tells whether a request that succeeds is logged.
-    fn is_sampled(&self, request_id: &str) -> bool {
-        let sum: u64 = request_id.bytes().map(u64::from).sum();
-        sum.is_multiple_of(LOG_SAMPLE)
-    }
-
     /// Serves one request of a caller.
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
         let arrived = Instant::now();
@@ -475,6 +480,12 @@
     }
 }
 
+/// Tells whether a request that succeeds is logged. All processes choose the same requests.
+fn is_sampled(request_id: &str) -> bool {
+    let sum: u64 = request_id.bytes().map(u64::from).sum();
+    sum.is_multiple_of(LOG_SAMPLE)
+}
+
 fn find_route(table: &RouteTable, head: &request::Parts) -> Result<Arc<ForwardRoute>, Refusal> {
     let host = head.headers.get(http::header::HOST);
     let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -15,12 +15,12 @@
 };
 use wasabipoint_rpc::{AdapterRequest, EndpointView};
 
-use super::Forwarder;
 use super::answer::{AnswerBody, strip_connection_headers};
 use super::dialect::{ForwardFacts, RequestFacts};
 use super::endpoints::{Choice, Need};
 use super::events::EventSplitter;
 use super::exchange::{Exchange, Outgoing, Started, begin_exchange};
+use super::{Forwarder, is_sampled};
 use crate::quota::Reservation;
 
 /// Endpoints that may refuse a request before it is refused to the caller.
@@ -49,7 +49,7 @@
 const ADAPTER_PAUSE: Duration = Duration::from_millis(200);
 
 /// Time for which a request waits while the engines with its model take no further adapter.
-const ADAPTER_PATIENCE: Duration = Duration::from_millis(1_000);
+const ADAPTER_PATIENCE: Duration = Duration::from_secs(1);
 
 /// When a refused request for an adapter may come back. Changes of engines take about as long.
 const ADAPTER_RETRY: Duration = Duration::from_millis(1_500);
@@ -177,7 +177,7 @@
                 }
                 Ok(Err(detail)) => {
                     if !self.may_run_again(&endpoint, &detail) {
-                        return Err(self.unknown(&detail));
+                        return Err(unknown(&detail));
                     }
                 }
                 Err(_) => return Err(self.late()),
@@ -223,7 +223,7 @@
                     self.set_may_have_run();
                     self.avoid(&endpoint);
                     if !self.may_run_again(&endpoint, &detail) {
-                        return Err(self.unknown(&detail));
+                        return Err(unknown(&detail));
                     }
                 }
                 Err(_) => {
@@ -576,7 +576,7 @@
     ) {
         let outcome = match exchange {
             Ok(Exchange::Started(started)) if started.head.status.is_success() => {
-                if !self.forwarder.is_sampled(&self.facts.request_id) {
+                if !is_sampled(&self.facts.request_id) {
                     return;
                 }
                 "started".to_owned()
@@ -600,7 +600,7 @@
     fn log_end(&self, endpoint: &EndpointView, status: StatusCode) {
         self.forwarder.meters.count("served");
         self.forwarder.meters.record_total(self.arrived.elapsed());
-        if status.is_success() && !self.forwarder.is_sampled(&self.facts.request_id) {
+        if status.is_success() && !is_sampled(&self.facts.request_id) {
             return;
         }
         info!(self.forwarder.logger, "routing: ended"; "request" => &self.facts.request_id,
@@ -625,15 +625,11 @@
     /// The answer when the request has not run and cannot be served now.
     fn refuse(&self, detail: &str) -> Refusal {
         if self.progress.runs > 0 {
-            return self.unknown(detail);
+            return unknown(detail);
         }
         Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after_ms(RETRY_AFTER_MS)
     }
 
-    fn unknown(&self, detail: &str) -> Refusal {
-        Refusal::new(ErrorKind::OutcomeUnknown, detail)
-    }
-
     /// The answer at the timeout.
     fn late(&self) -> Refusal {
         if self.progress.runs == 0 {
@@ -672,6 +668,11 @@
     Ok(false)
 }
 
+/// The answer when a request may have run and its result is lost.
+fn unknown(detail: &str) -> Refusal {
+    Refusal::new(ErrorKind::OutcomeUnknown, detail)
+}
+
 fn whole_answer(mut head: http::response::Parts, body: Bytes) -> Response<AnswerBody> {
     strip_connection_headers(&mut head.headers);
     Response::from_parts(head, AnswerBody::Whole(Some(body)))
--- a/crates/wasabipoint_entry/src/forward/endpoints.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints.rs
@@ -85,25 +85,22 @@
                 .is_some_and(|view| view.incarnation == known.view.incarnation)
         });
         for (id, view) in views {
-            match self.known.get_mut(id) {
-                Some(known) => {
-                    if known.view != *view {
-                        known.view = view.clone();
-                    }
-                }
-                None => {
-                    let known = Known {
-                        view: view.clone(),
-                        own: 0,
-                        others: 0,
-                        reported_ms: 0,
-                        avoid_until_ms: 0,
-                        missing: BTreeMap::new(),
-                        parts: HashMap::new(),
-                    };
-                    self.known.insert(id.clone(), known);
+            if let Some(known) = self.known.get_mut(id) {
+                if known.view != *view {
+                    known.view = view.clone();
                 }
+                continue;
             }
+            let known = Known {
+                view: view.clone(),
+                own: 0,
+                others: 0,
+                reported_ms: 0,
+                avoid_until_ms: 0,
+                missing: BTreeMap::new(),
+                parts: HashMap::new(),
+            };
+            self.known.insert(id.clone(), known);
         }
     }
 
--- a/crates/wasabipoint_entry/src/forward/server.rs
+++ b/crates/wasabipoint_entry/src/forward/server.rs
@@ -156,20 +156,20 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct DrainTimes {
     /// New requests on open connections are refused from then on.
-    pub(crate) refuse_after: Duration,
+    pub(crate) refusal: Duration,
     /// Idle connections are closed from then on.
-    pub(crate) close_after: Duration,
+    pub(crate) close: Duration,
     /// The process ends at the latest.
-    pub(crate) end_after: Duration,
+    pub(crate) end: Duration,
 }
 
 impl DrainTimes {
     /// Divides the time that the platform grants.
     pub(crate) fn new(grace: Duration) -> Self {
         Self {
-            refuse_after: grace.mul_f64(0.35),
-            close_after: grace.mul_f64(0.6),
-            end_after: grace.mul_f64(0.95),
+            refusal: grace.mul_f64(0.35),
+            close: grace.mul_f64(0.6),
+            end: grace.mul_f64(0.95),
         }
     }
 }
@@ -178,8 +178,8 @@
 pub(crate) async fn drain(forwarder: &Forwarder, times: DrainTimes, closing: &watch::Sender<bool>) {
     let began = Instant::now();
     forwarder.begin_drain();
-    tokio::time::sleep_until(began + times.refuse_after).await;
+    tokio::time::sleep_until(began + times.refusal).await;
     forwarder.refuse_new();
-    tokio::time::sleep_until(began + times.close_after).await;
+    tokio::time::sleep_until(began + times.close).await;
     closing.send_replace(true);
 }
--- a/crates/wasabipoint_entry/tests/sockets.rs
+++ b/crates/wasabipoint_entry/tests/sockets.rs
@@ -91,6 +91,22 @@
     ) -> Result<AgentDirective, ControlRefusal> {
         Err(ControlRefusal::Unavailable)
     }
+
+    async fn join(
+        self,
+        _: tarpc::context::Context,
+        _: wasabipoint_rpc::JoinRequest,
+    ) -> Result<wasabipoint_rpc::JoinReply, wasabipoint_rpc::ControlRefusal> {
+        Err(wasabipoint_rpc::ControlRefusal::Unavailable)
+    }
+
+    async fn load_adapter(
+        self,
+        _: tarpc::context::Context,
+        _: wasabipoint_rpc::AdapterRequest,
+    ) -> Result<wasabipoint_kernel::EndpointId, wasabipoint_rpc::ControlRefusal> {
+        Err(wasabipoint_rpc::ControlRefusal::Unavailable)
+    }
 }
 
 /// Answers dispatches with a short stream; one whose prompt asks for it never ends.
--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -241,7 +241,8 @@
                 continue;
             }
             let is_near = engine.on_disk.contains(model);
-            if !is_near && !(is_store_worthwhile && self.store.can_load(cause)) {
+            let may_fetch = is_store_worthwhile && self.store.can_load(cause);
+            if !(is_near || may_fetch) {
                 continue;
             }
             let Some((loss, victims)) = self.make_room(engine, weights_mb, need) else {
@@ -282,7 +283,17 @@
         weights_mb: u64,
         need: f64,
     ) -> Option<(f64, Vec<ModelName>)> {
-        let size = |model: &ModelName| self.models.get(model).map_or(0, |known| known.weights_mb);
+        // The size of a model that the configuration dropped is not known; the largest is safe.
+        let largest_mb = self
+            .models
+            .values()
+            .map(|m| m.weights_mb)
+            .max()
+            .unwrap_or(0);
+        let size = |model: &ModelName| {
+            let known = self.models.get(model);
+            known.map_or(largest_mb, |known| known.weights_mb)
+        };
         let used_mb: u64 = engine.models.iter().map(size).sum();
         let mut free_mb = engine.capacity_mb.saturating_sub(used_mb);
         let mut candidates: Vec<(f64, &ModelName)> = engine
@@ -299,15 +310,15 @@
                 .then_with(|| replicas(one.1).cmp(&replicas(other.1)))
         });
         let mut victims = Vec::new();
-        let mut loss: f64 = 0.0;
+        let mut largest: f64 = 0.0;
         let mut candidates = candidates.into_iter();
         while free_mb < weights_mb {
-            let (lost, victim) = candidates.next()?;
-            loss = loss.max(lost);
+            let (loss, victim) = candidates.next()?;
+            largest = largest.max(loss);
             free_mb += size(victim);
             victims.push(victim.clone());
         }
-        Some((loss, victims))
+        Some((largest, victims))
     }
 
     /// Returns the load per replica that an unload leaves, or `None` for the last replica of a
--- /dev/null
+++ b/crates/wasabipoint_policy/tests/engine_plan.rs
@@ -0,0 +1,156 @@
+//! Placement of models on commanded engines: cold models, bursts and rare models.
+
+use std::collections::BTreeSet;
+
+use wasabipoint_kernel::{EndpointId, ModelName};
+use wasabipoint_policy::{EngineHolding, ModelLoad, StoreBudget, plan_engine_changes};
+
+const SLOTS: u32 = 64;
+
+const STORE: StoreBudget = StoreBudget {
+    loads_left: 9,
+    loads_running: 0,
+    full_speed_loads: 4,
+};
+
+fn model(name: &str, load: f64, waiting: u32) -> ModelLoad {
+    ModelLoad {
+        name: ModelName::new(name),
+        weights_mb: 70,
+        load,
+        waiting,
+        is_loading: false,
+    }
+}
+
+fn engine(name: &str, models: &[&str]) -> EngineHolding {
+    EngineHolding {
+        endpoint: EndpointId::new(name),
+        capacity_mb: 150,
+        models: models.iter().map(|model| ModelName::new(*model)).collect(),
+        on_disk: models.iter().map(|model| ModelName::new(*model)).collect(),
+        is_changeable: true,
+        kept: BTreeSet::new(),
+        serves_adapters: false,
+    }
+}
+
+/// Pattern: requests for a model that no engine holds. Guards against a cold model that waits
+/// because every place is taken by replicas of a busy one.
+#[test]
+fn a_cold_model_takes_the_place_of_a_surplus_replica() {
+    let models = [
+        model("busy", 8.0, 0),
+        model("rare", 0.0, 0),
+        model("cold", 0.1, 3),
+    ];
+    let engines = [
+        engine("e1", &["busy", "rare"]),
+        engine("e2", &["busy", "other"]),
+    ];
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].load, ModelName::new("cold"));
+    assert!(changes[0].is_from_store);
+}
+
+/// Pattern: the busiest model has far more requests than one engine serves. Guards against several
+/// replicas begun at once, which occupied most engines for the time of a store load.
+#[test]
+fn a_burst_on_one_model_adds_one_replica_at_a_time() {
+    let models = [model("busy", 200.0, 0), model("idle", 0.0, 0)];
+    let mut engines = vec![engine("e0", &["busy"])];
+    for index in 1..8 {
+        engines.push(engine(&format!("e{index}"), &["idle"]));
+    }
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    assert_eq!(changes.len(), 1);
+    let mut loading = models.to_vec();
+    loading[0].is_loading = true;
+    assert!(plan_engine_changes(&loading, &engines, SLOTS, STORE).is_empty());
+}
+
+/// Pattern: single requests for rare models. Guards against models that displace each other back
+/// and forth, each for one request.
+#[test]
+fn a_single_request_does_not_displace_a_model_in_use() {
+    let models = [
+        model("used", 0.3, 0),
+        model("used2", 0.3, 0),
+        model("rare", 0.04, 1),
+    ];
+    let engines = [engine("e1", &["used", "used2"])];
+    assert!(plan_engine_changes(&models, &engines, SLOTS, STORE).is_empty());
+}
+
+/// Guards against the unload of a model whose load has just ended.
+#[test]
+fn a_model_loaded_a_moment_ago_is_kept() {
+    let models = [
+        model("fresh", 0.0, 0),
+        model("fresh2", 0.0, 0),
+        model("cold", 2.0, 5),
+    ];
+    let mut engines = [engine("e1", &["fresh", "fresh2"])];
+    engines[0].kept = engines[0].models.iter().cloned().collect();
+    assert!(plan_engine_changes(&models, &engines, SLOTS, STORE).is_empty());
+    engines[0].kept.clear();
+    assert_eq!(
+        plan_engine_changes(&models, &engines, SLOTS, STORE).len(),
+        1
+    );
+}
+
+/// Pattern: demand moves on to models that were idle. Guards against idle models without any
+/// replica while others have several.
+#[test]
+fn an_idle_model_without_a_replica_is_spread_from_a_near_disk() {
+    let models = [model("busy", 6.0, 0), model("idle", 0.0, 0)];
+    let mut engines = [engine("e1", &["busy", "a"]), engine("e2", &["busy", "b"])];
+    engines[1].on_disk.insert(ModelName::new("idle"));
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].endpoint, EndpointId::new("e2"));
+    assert_eq!(changes[0].unload, [ModelName::new("busy")]);
+    assert!(!changes[0].is_from_store);
+}
+
+/// Guards against loads beyond what the store serves at full speed, and beyond its rate.
+#[test]
+fn loads_from_the_store_keep_to_its_budget() {
+    let names: Vec<String> = (0..8).map(|index| format!("cold{index}")).collect();
+    let models: Vec<ModelLoad> = names.iter().map(|name| model(name, 1.0, 1)).collect();
+    let engines: Vec<EngineHolding> = (0..8)
+        .map(|index| engine(&format!("e{index}"), &[]))
+        .collect();
+    let begun = |store| plan_engine_changes(&models, &engines, SLOTS, store).len();
+    assert_eq!(begun(STORE), 4);
+    assert_eq!(
+        begun(StoreBudget {
+            loads_running: 3,
+            ..STORE
+        }),
+        1
+    );
+    assert_eq!(
+        begun(StoreBudget {
+            loads_left: 2,
+            ..STORE
+        }),
+        2
+    );
+}
+
+/// Guards against a load at an engine whose memory does not hold the model beside what stays.
+#[test]
+fn a_change_makes_room_for_its_load() {
+    let mut models = vec![
+        model("a", 0.0, 0),
+        model("b", 0.0, 0),
+        model("large", 3.0, 4),
+    ];
+    models[2].weights_mb = 150;
+    let changes = plan_engine_changes(&models, &[engine("e1", &["a", "b"])], SLOTS, STORE);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].unload.len(), 2);
+}
