--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -324,6 +324,11 @@
         let _ = status.wait_for(|status| status.is_stopped).await;
     }
 
+    /// Returns access to the complete configuration through this member.
+    pub fn deployments(&self) -> DeploymentStore {
+        DeploymentStore::new(Arc::clone(&self.control))
+    }
+
     /// Tells whether the other members refuse this one, so that it can only join anew.
     pub fn is_refused(&self) -> bool {
         let fault = self.control.member.replica().status().fault;
