--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -236,7 +236,7 @@
 
 /// Largest share of an engine's slots that adapters in use stand for. It is worth a second replica,
 /// and no more.
-const MAX_ADAPTER_SHARE: f64 = 0.7;
+const MAX_ADAPTER_SHARE: f64 = 0.3;
 
 /// Demand for a model and its adapters.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -232,7 +232,7 @@
                 load + waiting * WAITING_LOAD
             }
             // Only an engine near its slots is worth the last replica of an unused model.
-            Cause::Relief if is_pressing => UNUSED_LOAD,
+            Cause::Relief if is_pressing => UNUSED_LOAD * DISPLACEMENT,
             Cause::Relief | Cause::Spread => 0.0,
         };
         let mut best: Option<(f64, usize, Vec<ModelName>)> = None;
