--- a/crates/wasabipoint_control/src/engines/book.rs
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -23,6 +23,10 @@
 /// Concurrent requests that one request per second stands for.
 const LOAD_PER_RATE: f64 = 0.3;
 
+/// Time beyond its expected end after which a load no longer keeps the model from being loaded
+/// elsewhere.
+const OVERDUE: Duration = Duration::from_secs(2);
+
 /// Time for which a model stays after its load.
 const KEPT_AFTER_LOAD: Duration = Duration::from_secs(5);
 
@@ -271,9 +275,16 @@
         })
     }
 
-    /// Tells whether a model is being loaded anywhere.
+    /// Tells whether a model is being loaded anywhere and the load is not long overdue.
     pub(crate) fn is_loading(&self, model: &ModelName) -> bool {
-        self.loading.keys().any(|(_, loading)| loading == model)
+        let now = Instant::now();
+        let loads = self
+            .loading
+            .iter()
+            .filter(|((_, loading), _)| loading == model);
+        loads
+            .map(|(_, load)| load.ready + OVERDUE)
+            .any(|overdue| now < overdue)
     }
 
     /// Records the use of an adapter.
--- a/crates/wasabipoint_control/src/engines/change.rs
+++ b/crates/wasabipoint_control/src/engines/change.rs
@@ -27,7 +27,7 @@
 const UNLOAD_LIMIT: Duration = Duration::from_secs(30);
 
 /// Longest time for a load. A load takes longer while the store is busy.
-const LOAD_LIMIT: Duration = Duration::from_secs(30);
+const LOAD_LIMIT: Duration = Duration::from_secs(20);
 
 /// Sends commands to one engine on behalf of one term of the leader.
 pub(crate) struct EngineSession {
@@ -159,7 +159,11 @@
                 return Ok(());
             }
             let mut pause = CHECK_PAUSE;
-            if !state.is_busy && is_current && !is_sent {
+            let is_idle = !state.is_busy && is_current;
+            if is_idle && wants_held && !ledger.fits(&self.spec, model) {
+                return Err("the engine has no room".to_owned());
+            }
+            if is_idle && !is_sent {
                 match self.send(&mut ledger, operation, model).await {
                     Ok(CommandAnswer::Accepted) => {
                         is_sent = true;
@@ -174,7 +178,7 @@
                     }
                     Ok(CommandAnswer::Conflict) | Err(_) => {}
                 }
-            } else if !state.is_busy && is_current {
+            } else if is_idle {
                 // Accepted, not in progress and not complete: the engine gave it up.
                 is_sent = false;
             }
--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -68,6 +68,10 @@
     }
 }
 
+/// Time in which engines tell a new leader what their disks hold. Until then a load from the store
+/// may be one from a disk.
+const DISK_READ_TIME: Duration = Duration::from_millis(300);
+
 /// Time in which a new leader learns the demand before it unloads anything.
 const LEARNING_TIME: Duration = Duration::from_secs(2);
 
@@ -193,9 +197,13 @@
             })
             .collect();
         let store = StoreBudget {
-            loads_left: leader
-                .engines
-                .store_loads_left(engine.store_loads_per_1000_s),
+            loads_left: if leader.since.elapsed() < DISK_READ_TIME {
+                0
+            } else {
+                leader
+                    .engines
+                    .store_loads_left(engine.store_loads_per_1000_s)
+            },
             loads_running: leader.engines.store_loads_running(),
             full_speed_loads: FULL_SPEED_LOADS,
         };
