--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -274,7 +274,7 @@
 /// for adapters.
 fn concurrent(engine: &EngineSpec, demand: BaseDemand) -> f64 {
     let slots = f64::from(engine.slots);
-    let per_adapter = slots / f64::from(engine.adapter_slots.max(1));
+    let per_adapter = slots / f64::from(engine.max_adapters.max(1));
     let by_adapters = f64::from(demand.adapters) * per_adapter;
     f64::from(demand.in_flight).max(by_adapters.min(slots * MAX_ADAPTER_SHARE))
 }
--- a/crates/wasabipoint_control/src/engines/ledger.rs
+++ b/crates/wasabipoint_control/src/engines/ledger.rs
@@ -82,7 +82,7 @@
         }
         let adapters = self.models().iter().filter(|held| !is_model(held)).count();
         let used_mb: u64 = self.models().iter().map(|held| size_mb(spec, held)).sum();
-        adapters < spec.adapter_slots as usize && used_mb + size_mb(spec, name) <= spec.weights_mb
+        adapters < spec.max_adapters as usize && used_mb + size_mb(spec, name) <= spec.weights_mb
     }
 
     /// Counts a command that the engine accepted.
@@ -113,7 +113,7 @@
 /// Returns the memory that the places for adapters need.
 pub(crate) fn adapter_reserve_mb(spec: &EngineSpec) -> u64 {
     let largest = spec.models.values().map(|model| model.adapter_mb).max();
-    largest.unwrap_or(0) * u64::from(spec.adapter_slots)
+    largest.unwrap_or(0) * u64::from(spec.max_adapters)
 }
 
 fn size_mb(spec: &EngineSpec, name: &ModelName) -> u64 {
--- a/crates/wasabipoint_control/tests/engine_ledger.rs
+++ b/crates/wasabipoint_control/tests/engine_ledger.rs
@@ -28,7 +28,7 @@
         slots: 64,
         cache_tokens: 100_000,
         weights_mb: 150,
-        adapter_slots: 2,
+        max_adapters: 2,
         store_loads_per_1000_s: 1_800,
         models: BTreeMap::from(models),
     }
--- a/crates/wasabipoint_entry/src/forward/pool.rs
+++ b/crates/wasabipoint_entry/src/forward/pool.rs
@@ -51,8 +51,6 @@
     task: AbortHandle,
     used: Instant,
     max_idle: Duration,
-    /// Whether it has not carried a request yet.
-    is_new: bool,
 }
 
 impl Drop for Connection {
@@ -114,9 +112,8 @@
     fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
-        while let Some(mut connection) = connections.pop() {
+        while let Some(connection) = connections.pop() {
             if connection.is_usable() {
-                connection.is_new = false;
                 return Some(connection);
             }
         }
@@ -164,7 +161,6 @@
         task,
         used: Instant::now(),
         max_idle: MAX_IDLE,
-        is_new: true,
     })
 }
 
--- a/crates/wasabipoint_entry/tests/forward_sockets.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
 use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -187,7 +188,7 @@
 fn chunks(id: &str, events: &[&str], is_ended: bool) -> String {
     let mut text = format!("HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n");
     for event in events {
-        text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+        write!(text, "{:x}\r\n{event}\r\n", event.len()).unwrap();
     }
     if is_ended {
         text.push_str("0\r\n\r\n");
--- a/crates/wasabipoint_kernel/src/deployment.rs
+++ b/crates/wasabipoint_kernel/src/deployment.rs
@@ -94,7 +94,7 @@
         /// Memory for weights and adapters in MB.
         pub weights_mb: u64,
         /// Adapters that an engine holds at once.
-        pub adapter_slots: u32,
+        pub max_adapters: u32,
         /// Loads per second that the weight store allows over all engines, in thousandths.
         pub store_loads_per_1000_s: u64,
         /// The models.
