--- a/crates/wasabipoint_consensus/src/api.rs
+++ b/crates/wasabipoint_consensus/src/api.rs
@@ -128,6 +128,8 @@
         /// Why the replica stopped by itself: a failed disk, a refusal by the other members or a
         /// snapshot that cannot be restored.
         pub fault: Option<String>,
+        /// Whether the other members refuse this one, so that it can only join under a new id.
+        pub is_refused: bool,
     }
 }
 
--- a/crates/wasabipoint_consensus/src/core.rs
+++ b/crates/wasabipoint_consensus/src/core.rs
@@ -382,6 +382,7 @@
             remaining_redundancy: self.remaining_redundancy(),
             is_stopped: false,
             fault: None,
+            is_refused: self.refusal.is_some(),
         }
     }
 
--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -331,8 +331,7 @@
 
     /// Tells whether the other members refuse this one, so that it can only join anew.
     pub fn is_refused(&self) -> bool {
-        let fault = self.control.member.replica().status().fault;
-        fault.is_some_and(|fault| fault.starts_with("the other members refuse this one"))
+        self.control.member.replica().status().is_refused
     }
 
     /// Closes the ports and then the data folder.
--- /dev/null
+++ b/crates/wasabipoint_control/tests/engine_changes.rs
@@ -0,0 +1,305 @@
+//! Changes of engines by the leader, against engines that obey commands or have moved on.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use slog::{Discard, Logger, o};
+use tokio::net::TcpListener;
+use wasabipoint_control::{
+    CommandAnswer, ControlConfig, ControlServer, Deployed, EndpointDirectory, EngineCommand,
+    EngineCommander, EngineOperation, EngineState, RateAllowance,
+};
+use wasabipoint_kernel::{
+    CallerLimits, Deployment, EndpointId, EngineModel, EngineSpec, EntryId, FailureDomain,
+    ForwardService, Incarnation, MemberId, ModelName, ServiceName,
+};
+use wasabipoint_rpc::{
+    AdapterRequest, ControlClient, EndpointKind, EndpointView, EntryReport, ModelDemand,
+};
+
+/// Longest wait for a condition; a change of these engines takes well under a second.
+const LIMIT: Duration = Duration::from_secs(15);
+
+fn names(models: &[&str]) -> Vec<ModelName> {
+    models.iter().map(|model| ModelName::new(*model)).collect()
+}
+
+/// Engines that carry out commands at once, and a list that may be older than they are.
+struct Engines {
+    listed: Vec<EndpointView>,
+    held: Mutex<BTreeMap<EndpointId, EngineState>>,
+    commands: Mutex<Vec<EngineCommand>>,
+}
+
+impl Engines {
+    /// Takes for each engine what the list says and what it really holds.
+    fn new(engines: &[(&str, &[&str], &[&str])]) -> Arc<Self> {
+        let listed = engines.iter().map(|(id, listed, _)| EndpointView {
+            endpoint: EndpointId::new(*id),
+            incarnation: Incarnation(1),
+            address: "127.0.0.1:9".parse().unwrap(),
+            failure_domain: FailureDomain::new("here"),
+            kind: EndpointKind::Engine,
+            service: ServiceName::new("assistant"),
+            models: names(listed),
+            concurrency: 64,
+            is_leaving: false,
+        });
+        let held = engines.iter().map(|(id, _, held)| {
+            let state = EngineState {
+                models: names(held),
+                near: names(&["a", "b", "c"]),
+                is_busy: false,
+                sequence: 3,
+            };
+            (EndpointId::new(*id), state)
+        });
+        Arc::new(Self {
+            listed: listed.collect(),
+            held: Mutex::new(held.collect()),
+            commands: Mutex::default(),
+        })
+    }
+
+    fn holders(&self, model: &str) -> usize {
+        let held = self.held.lock().unwrap();
+        let model = ModelName::new(model);
+        held.values().filter(|s| s.models.contains(&model)).count()
+    }
+}
+
+impl EndpointDirectory for Engines {
+    fn list(&self) -> BoxFuture<'_, Result<Vec<EndpointView>, String>> {
+        Box::pin(async { Ok(self.listed.clone()) })
+    }
+}
+
+impl EngineCommander for Engines {
+    fn state(&self, endpoint: &EndpointView) -> BoxFuture<'_, Result<EngineState, String>> {
+        let state = self.held.lock().unwrap()[&endpoint.endpoint].clone();
+        Box::pin(async { Ok(state) })
+    }
+
+    fn command(
+        &self,
+        endpoint: &EndpointView,
+        command: &EngineCommand,
+    ) -> BoxFuture<'_, Result<CommandAnswer, String>> {
+        self.commands.lock().unwrap().push(command.clone());
+        let mut held = self.held.lock().unwrap();
+        let state = held.get_mut(&endpoint.endpoint).unwrap();
+        if command.expected_sequence != state.sequence {
+            return Box::pin(async { Ok(CommandAnswer::Conflict) });
+        }
+        state.sequence += 1;
+        match command.operation {
+            EngineOperation::Load => state.models.push(command.model.clone()),
+            EngineOperation::Unload => state.models.retain(|model| *model != command.model),
+        }
+        let models = state.models.iter().filter(|m| !m.as_str().contains('/'));
+        assert!(
+            models.count() <= 2,
+            "an engine was ordered to hold too much"
+        );
+        Box::pin(async { Ok(CommandAnswer::Accepted) })
+    }
+}
+
+fn deployment() -> Deployment {
+    let models = ["a", "b", "c"].map(|name| {
+        let model = EngineModel {
+            name: ModelName::new(name),
+            weights_mb: 70,
+            store_load_ms: 200,
+            disk_load_ms: 100,
+            adapter_count: 2,
+            adapter_mb: 1,
+        };
+        (model.name.clone(), model)
+    });
+    let service = ForwardService {
+        name: ServiceName::new("assistant"),
+        max_connections: 100,
+        engine: Some(EngineSpec {
+            slots: 64,
+            cache_tokens: 100_000,
+            weights_mb: 150,
+            max_adapters: 2,
+            store_loads_per_1000_s: 2_000,
+            models: BTreeMap::from(models),
+        }),
+    };
+    Deployment {
+        version: 1,
+        routes: Vec::new(),
+        services: BTreeMap::from([(service.name.clone(), service)]),
+        customers: BTreeMap::new(),
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1_024,
+            head_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+    }
+}
+
+struct Fixture {
+    server: ControlServer,
+    client: ControlClient,
+    folder: std::path::PathBuf,
+}
+
+impl Drop for Fixture {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Fixture {
+    async fn start(test: &str, engines: &Arc<Engines>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let name = format!("wasabipoint-changes-{test}-{}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        let http: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let config = ControlConfig {
+            cluster: "test".to_owned(),
+            member: MemberId(1),
+            members: BTreeMap::from([(MemberId(1), address)]),
+            is_joining: false,
+            rpc_listen: address,
+            http_listen: http,
+            data_folder: folder.clone(),
+            failure_domain: "here".to_owned(),
+            key_secret: String::new(),
+            operator_token: "token".to_owned(),
+            platform_list: None,
+            tick_ms: 20,
+            snapshot_entries: 64,
+            slice_lifetime_ms: 5_000,
+            agent_silence: Duration::from_secs(5),
+            replace_after: Duration::from_secs(10),
+        };
+        let deployed = Deployed {
+            directory: Arc::clone(engines) as _,
+            commander: Arc::clone(engines) as _,
+            command_lease: Duration::ZERO,
+            rate_allowance: RateAllowance::default(),
+            operator_api: |_, product| product,
+        };
+        let logger = Logger::root(Discard, o!());
+        let server = ControlServer::start_deployed(config, listener, logger, Some(deployed));
+        let server = server.await.unwrap();
+        let store = server.deployments();
+        let applied = async {
+            while store.apply(b"{}".to_vec(), deployment()).await.is_err() {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, applied).await.unwrap();
+        Self {
+            client: ControlClient::new(&[address]),
+            server,
+            folder,
+        }
+    }
+
+    /// Reports that requests wait for a model until the condition holds.
+    async fn demand_until(&self, model: &str, is_reached: impl Fn() -> bool) {
+        let reported = async {
+            let mut sequence = 0;
+            while !is_reached() {
+                sequence += 1;
+                let report = EntryReport {
+                    entry: EntryId::new("entry-1"),
+                    incarnation: Incarnation(1),
+                    sequence,
+                    address: "127.0.0.1:9".parse().unwrap(),
+                    demand: vec![ModelDemand {
+                        model: ModelName::new(model),
+                        arrived: 5,
+                        queued: 5,
+                        in_flight: 0,
+                        oldest_wait_ms: 100,
+                        earliest_deadline_ms: None,
+                    }],
+                    draining_endpoints: Vec::new(),
+                };
+                let sent = self.client.call(Duration::ZERO, LIMIT, |client, context| {
+                    let report = report.clone();
+                    async move { client.report_entry(context, report).await }
+                });
+                sent.await.unwrap();
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, reported).await.unwrap();
+    }
+}
+
+/// Guards against a model that requests wait for and that no engine loads, and against orders for
+/// more than an engine holds.
+#[tokio::test]
+async fn a_cold_model_is_loaded_where_an_unused_one_makes_room() {
+    let engines = Engines::new(&[("e1", &["a", "b"], &["a", "b"])]);
+    let fixture = Fixture::start("cold", &engines).await;
+    fixture
+        .demand_until("c", || engines.holders("c") == 1)
+        .await;
+    let commands = engines.commands.lock().unwrap().clone();
+    assert_eq!(commands[0].operation, EngineOperation::Unload);
+    assert_eq!(commands[1].operation, EngineOperation::Load);
+    assert!(commands.iter().all(|command| command.fencing_token.0 > 0));
+    drop(commands);
+    let Fixture { ref server, .. } = fixture;
+    assert!(!server.is_refused());
+}
+
+/// Guards against a change that waits half a minute for room on an engine which a predecessor has
+/// filled meanwhile, and keeps the model from all engines for that time.
+#[tokio::test]
+async fn a_change_without_room_gives_way_to_another_plan() {
+    let engines = Engines::new(&[("e1", &[], &["a", "b"])]);
+    let fixture = Fixture::start("room", &engines).await;
+    fixture
+        .demand_until("c", || engines.holders("c") == 1)
+        .await;
+}
+
+/// Guards against adapters beyond the places of an engine, and against a second load of one that
+/// is there.
+#[tokio::test]
+async fn adapters_are_loaded_once_and_within_their_places() {
+    let engines = Engines::new(&[("e1", &["a", "b"], &["a", "b"])]);
+    let fixture = Fixture::start("adapters", &engines).await;
+    let ask = async |adapter: &str| {
+        let request = AdapterRequest {
+            adapter: ModelName::new(adapter),
+            candidates: vec![EndpointId::new("e1")],
+        };
+        let asked = fixture
+            .client
+            .call(Duration::ZERO, LIMIT, |client, context| {
+                let request = request.clone();
+                async move { client.load_adapter(context, request).await }
+            });
+        asked.await
+    };
+    // The list has to be known first.
+    let loaded = async {
+        while ask("a/a1").await.is_err() {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, loaded).await.unwrap();
+    ask("a/a1").await.unwrap();
+    ask("a/a2").await.unwrap();
+    // Both were asked for a moment ago, so neither makes room.
+    assert!(ask("a/a3").await.is_err());
+    assert_eq!(engines.commands.lock().unwrap().len(), 2);
+}
