Record when a stream ends late, with its first event, longest pause and load

Change: a complete stream leaves a record where an event came later than the route aims at, and for the sampled share otherwise; a histogram holds the longest pauses.

--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -94,6 +94,9 @@
 struct PlaceGuard {
     forwarder: Arc<Forwarder>,
     endpoint: EndpointView,
+    /// Estimated requests there when it was chosen.
+    load: u32,
+    sent: Instant,
 }
 
 impl Drop for PlaceGuard {
@@ -149,7 +152,7 @@
             let choice = self.find_endpoint().await?;
             let endpoint = choice.endpoint.clone();
             self.progress.tried.insert(endpoint.endpoint.clone());
-            let place = self.take_place(&endpoint);
+            let place = self.take_place(&choice);
             let exchange = self.exchange(&endpoint).await;
             self.log_attempt(&choice, &exchange);
             match exchange {
@@ -238,13 +241,17 @@
         }
     }
 
-    fn take_place(&self, endpoint: &EndpointView) -> PlaceGuard {
+    fn take_place(&self, choice: &Choice) -> PlaceGuard {
         let now_ms = self.forwarder.clock.now_ms();
         let mut state = self.forwarder.lock();
-        state.endpoints.begin(endpoint, &self.need(), now_ms);
+        state
+            .endpoints
+            .begin(&choice.endpoint, &self.need(), now_ms);
         PlaceGuard {
             forwarder: Arc::clone(&self.forwarder),
-            endpoint: endpoint.clone(),
+            endpoint: choice.endpoint.clone(),
+            load: choice.load,
+            sent: Instant::now(),
         }
     }
 
--- a/crates/wasabipoint_entry/src/forward/call/relay.rs
+++ b/crates/wasabipoint_entry/src/forward/call/relay.rs
@@ -4,8 +4,10 @@
 use http::{Response, StatusCode};
 use slog::warn;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use wasabipoint_kernel::RunPolicy;
 
+use super::records::StreamPace;
 use super::{Call, Running};
 use crate::forward::answer::{AnswerBody, strip_connection_headers};
 use crate::forward::events::EventSplitter;
@@ -27,6 +29,7 @@
 
     async fn relay_events(mut self, mut running: Running, sender: mpsc::Sender<Option<Bytes>>) {
         let mut events = EventSplitter::default();
+        let mut pace = StreamPace::default();
         loop {
             let detail = tokio::select! {
                 biased;
@@ -35,10 +38,14 @@
                     return;
                 }
                 relayed = relay_one(&mut running.started, &mut events, &sender) => match relayed {
-                    Ok(false) => continue,
-                    Ok(true) => {
+                    Ok(Relayed::Part) => continue,
+                    Ok(Relayed::Events) => {
+                        pace.note_event(Instant::now());
+                        continue;
+                    }
+                    Ok(Relayed::End) => {
                         running.started.finish(&self.forwarder.pool);
-                        self.log_end(&running.place.endpoint, StatusCode::OK);
+                        self.log_stream_end(&running.place, &pace);
                         return;
                     }
                     Err(detail) => detail,
@@ -81,26 +88,37 @@
     }
 }
 
-/// Relays the next piece; `true` at the end of a complete stream.
+/// What a piece of a stream brought.
+enum Relayed {
+    /// Part of an event.
+    Part,
+    /// One or more whole events.
+    Events,
+    /// The end of a complete stream.
+    End,
+}
+
+/// Relays the next piece.
 async fn relay_one(
     started: &mut Started,
     events: &mut EventSplitter,
     sender: &mpsc::Sender<Option<Bytes>>,
-) -> Result<bool, String> {
+) -> Result<Relayed, String> {
     let Some(piece) = started.next_piece().await? else {
         if events.has_partial() {
             return Err("the stream ended inside an event".to_owned());
         }
         // A closed channel means that the caller left, which the next look notices.
         let _ = sender.send(None).await;
-        return Ok(true);
+        return Ok(Relayed::End);
     };
     let whole = events.push(piece);
     if events.is_overfull() {
         return Err("an event is too large".to_owned());
     }
-    if !whole.is_empty() {
-        let _ = sender.send(Some(whole)).await;
+    if whole.is_empty() {
+        return Ok(Relayed::Part);
     }
-    Ok(false)
+    let _ = sender.send(Some(whole)).await;
+    Ok(Relayed::Events)
 }
--- a/crates/wasabipoint_entry/src/forward/meters.rs
+++ b/crates/wasabipoint_entry/src/forward/meters.rs
@@ -17,6 +17,7 @@
     requests: Counter<u64>,
     total: Histogram<f64>,
     first_byte: Histogram<f64>,
+    longest_pause: Histogram<f64>,
 }
 
 impl Meters {
@@ -44,6 +45,10 @@
                 "wasabipoint_forward_first_byte",
                 "Time from the request to the first byte of its response.",
             ),
+            longest_pause: histogram(
+                "wasabipoint_forward_longest_pause",
+                "Longest time between two events of a complete stream.",
+            ),
             metrics,
         }
     }
@@ -60,6 +65,10 @@
         self.first_byte.record(elapsed.as_secs_f64(), &[]);
     }
 
+    pub(crate) fn record_pause(&self, longest: Duration) {
+        self.longest_pause.record(longest.as_secs_f64(), &[]);
+    }
+
     pub(crate) fn render(&self) -> String {
         self.metrics.render()
     }
