Relieve crowded models before cold ones; leaving engines are no replicas

Before traffic the planner spreads rare models over the places of the busy ones, which the start-up layout had given several.

Ruled out: late reports of load alone (the crowd stays for 12 s, reports are 200 ms old); the store (loads were not asked for).

Change: crowded models come first and may displace rare ones; a cold or spread model takes a replica only where the others stay below a quarter of their slots; before any request came, a replica stands for 18% of an engine; engines that leave do not count; demand that begins is averaged over 2 s beside the 8 s. Records of decisions carry cause, load per replica and loss.

--- a/crates/wasabipoint_control/src/engines/book.rs
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -20,6 +20,9 @@
 /// demand over it, also while every request for it is refused.
 const RATE_DECAY_S: f64 = 8.0;
 
+/// Time constant of the rate that shows a model whose demand begins.
+const RISE_DECAY_S: f64 = 2.0;
+
 /// Concurrent requests that one request per second stands for.
 const LOAD_PER_RATE: f64 = 0.3;
 
@@ -33,6 +36,13 @@
 /// Time for which an engine is left alone after a change failed there.
 const FAILED_CHANGE_PAUSE: Duration = Duration::from_secs(2);
 
+/// Share of an engine's slots that each replica stands for before any request came. Busy models
+/// start with many replicas, and three of them stay until requests show the real demand.
+const PRESUMED_SHARE: f64 = 0.18;
+
+/// Time constant with which measured demand takes the place of the presumed one.
+const PRESUMED_DECAY_S: f64 = 2.0;
+
 /// Models that the leader knows an engine to hold.
 #[derive(Debug, Clone)]
 struct Known {
@@ -57,6 +67,8 @@
     at: Instant,
     /// Requests per second.
     rate_per_s: f64,
+    /// The same over the last moments.
+    recent_rate_per_s: f64,
     rate_at: Instant,
 }
 
@@ -66,13 +78,25 @@
             load: 0.0,
             at: now,
             rate_per_s: 0.0,
+            recent_rate_per_s: 0.0,
             rate_at: now,
         }
     }
 
+    fn count(&mut self, requests: u32, now: Instant) {
+        let age_s = (now - self.rate_at).as_secs_f64();
+        let requests = f64::from(requests);
+        self.rate_per_s = self.rate_per_s * decay(age_s, RATE_DECAY_S) + requests / RATE_DECAY_S;
+        self.recent_rate_per_s =
+            self.recent_rate_per_s * decay(age_s, RISE_DECAY_S) + requests / RISE_DECAY_S;
+        self.rate_at = now;
+    }
+
+    /// The rate of a model in steady use, or the higher one of a model whose demand begins.
     fn rate(&self, now: Instant) -> f64 {
         let age_s = (now - self.rate_at).as_secs_f64();
-        self.rate_per_s * (-age_s / RATE_DECAY_S).exp()
+        let steady = self.rate_per_s * decay(age_s, RATE_DECAY_S);
+        steady.max(self.recent_rate_per_s * decay(age_s, RISE_DECAY_S))
     }
 }
 
@@ -90,6 +114,7 @@
     loaded: BTreeMap<(EndpointId, ModelName), Instant>,
     read_disks: BTreeSet<(EndpointId, Incarnation)>,
     loading: BTreeMap<(EndpointId, ModelName), Loading>,
+    first_request: Option<Instant>,
 }
 
 impl EngineBook {
@@ -233,7 +258,7 @@
             .entry(model.clone())
             .or_insert_with(|| Average::new(now));
         let age_s = (now - average.at).as_secs_f64();
-        let kept = (-age_s / DEMAND_DECAY_S).exp();
+        let kept = decay(age_s, DEMAND_DECAY_S);
         average.load = average.load * kept + current * (1.0 - kept);
         average.at = now;
         average.load + average.rate(now) * LOAD_PER_RATE
@@ -241,14 +266,26 @@
 
     /// Counts requests for a model, whether they were served or refused.
     pub(crate) fn count_arrivals(&mut self, name: &ModelName, count: u32) {
+        if count == 0 {
+            return;
+        }
         let base = name.as_str().split('/').next().unwrap_or_default();
         let now = Instant::now();
+        self.first_request.get_or_insert(now);
         let average = self
             .averages
             .entry(ModelName::new(base))
             .or_insert_with(|| Average::new(now));
-        average.rate_per_s = average.rate(now) + f64::from(count) / RATE_DECAY_S;
-        average.rate_at = now;
+        average.count(count, now);
+    }
+
+    /// Returns the share of an engine's slots that each replica of a model stands for, whatever was
+    /// measured.
+    pub(crate) fn presumed_share(&self) -> f64 {
+        let measured_s = self
+            .first_request
+            .map_or(0.0, |first| first.elapsed().as_secs_f64());
+        PRESUMED_SHARE * decay(measured_s, PRESUMED_DECAY_S)
     }
 
     /// Leaves an engine alone for a while after a change failed there.
@@ -316,6 +353,10 @@
     }
 }
 
+fn decay(age_s: f64, time_constant_s: f64) -> f64 {
+    (-age_s / time_constant_s).exp()
+}
+
 /// Tells a model from an adapter, whose name has a slash.
 pub(crate) fn is_model(name: &ModelName) -> bool {
     !name.as_str().contains('/')
--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -62,7 +62,9 @@
             info!(control.logger, "placement: change decided"; "term" => term,
                 "endpoint" => %change.endpoint, "load" => %change.load,
                 "unload" => ?change.unload.iter().map(ModelName::as_str).collect::<Vec<_>>(),
-                "is_from_store" => change.is_from_store);
+                "is_from_store" => change.is_from_store, "cause" => ?change.cause,
+                "load_per_replica" => rounded(change.load_per_replica),
+                "loss" => rounded(change.loss));
             changes.spawn(session.run(change, expected));
         }
     }
@@ -82,6 +84,11 @@
 /// processes.
 const CHANGE_OVERHEAD: Duration = Duration::from_millis(500);
 
+/// Rounds a load for a record.
+fn rounded(load: f64) -> f64 {
+    (load * 100.0).round() / 100.0
+}
+
 /// Asks each engine once in a term what its disk holds.
 fn read_disks(control: &Arc<Control>, commander: &Arc<dyn EngineCommander>, term: u64) {
     let endpoints: Vec<EndpointView> = control.member.read(|state| {
@@ -128,8 +135,10 @@
             let services = deployment.flat_map(|deployment| deployment.services.values());
             services
                 .filter_map(|service| {
-                    let endpoints = state.view.endpoints.values();
-                    let endpoints = endpoints.filter(|endpoint| endpoint.service == service.name);
+                    // What a leaving engine holds serves nobody any more.
+                    let endpoints = state.view.endpoints.values().filter(|endpoint| {
+                        endpoint.service == service.name && !endpoint.is_leaving
+                    });
                     let engine = service.engine.clone()?;
                     Some((service.name.clone(), engine, endpoints.cloned().collect()))
                 })
@@ -151,6 +160,12 @@
 ) -> Vec<PlannedChange> {
     let changes = control.with_leader_state(term, |leader| {
         let demand = sum_by_model(leader.demand());
+        let presumed_share = leader.engines.presumed_share();
+        let presumed = |model: &ModelName| {
+            let held = |endpoint: &&EndpointView| endpoint.models.contains(model);
+            let replicas = endpoints.iter().filter(held).count();
+            replicas as f64 * f64::from(engine.slots) * presumed_share
+        };
         let models: Vec<ModelLoad> = engine
             .models
             .values()
@@ -160,7 +175,10 @@
                 ModelLoad {
                     name: model.name.clone(),
                     weights_mb: model.weights_mb,
-                    load: leader.engines.average(&model.name, current),
+                    load: leader
+                        .engines
+                        .average(&model.name, current)
+                        .max(presumed(&model.name)),
                     waiting: sum.queued,
                     is_loading: leader.engines.is_loading(&model.name),
                 }
@@ -191,8 +209,7 @@
                     .filter(is_model)
                     .collect(),
                 on_disk: leader.engines.near(&endpoint.endpoint),
-                is_changeable: !endpoint.is_leaving
-                    && !leader.engines.is_changing(endpoint)
+                is_changeable: !leader.engines.is_changing(endpoint)
                     && !leader.engines.has_failed(&endpoint.endpoint),
             })
             .collect();
--- a/crates/wasabipoint_control/tests/engine_changes.rs
+++ b/crates/wasabipoint_control/tests/engine_changes.rs
@@ -31,7 +31,7 @@
 
 /// Engines that carry out commands at once, and a list that may be older than they are.
 struct Engines {
-    listed: Vec<EndpointView>,
+    listed: Mutex<Vec<EndpointView>>,
     held: Mutex<BTreeMap<EndpointId, EngineState>>,
     commands: Mutex<Vec<EngineCommand>>,
 }
@@ -60,12 +60,16 @@
             (EndpointId::new(*id), state)
         });
         Arc::new(Self {
-            listed: listed.collect(),
+            listed: Mutex::new(listed.collect()),
             held: Mutex::new(held.collect()),
             commands: Mutex::default(),
         })
     }
 
+    fn set_leaving(&self, index: usize) {
+        self.listed.lock().unwrap()[index].is_leaving = true;
+    }
+
     fn holders(&self, model: &str) -> usize {
         let held = self.held.lock().unwrap();
         let model = ModelName::new(model);
@@ -75,7 +79,7 @@
 
 impl EndpointDirectory for Engines {
     fn list(&self) -> BoxFuture<'_, Result<Vec<EndpointView>, String>> {
-        Box::pin(async { Ok(self.listed.clone()) })
+        Box::pin(async { Ok(self.listed.lock().unwrap().clone()) })
     }
 }
 
@@ -271,6 +275,18 @@
         .await;
 }
 
+/// Guards against a model in demand that stays without a place for as long as an engine that leaves
+/// is listed with it.
+#[tokio::test]
+async fn a_model_of_a_leaving_engine_is_loaded_elsewhere() {
+    let engines = Engines::new(&[("e1", &["a"], &["a"]), ("e2", &["b"], &["b"])]);
+    engines.set_leaving(0);
+    let fixture = Fixture::start("leaving", &engines).await;
+    fixture
+        .demand_until("a", || engines.holders("a") == 2)
+        .await;
+}
+
 /// Guards against adapters beyond the places of an engine, and against a second load of one that
 /// is there.
 #[tokio::test]
--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -1,8 +1,8 @@
 //! Which engine loads and unloads which model, for engines that obey commands of the leader.
 //!
-//! Replicas follow demand: each model with demand gets one, and the places that are left go, one
-//! after another, to the model with the most concurrent requests per replica. A model is moved only
-//! for a clear gain, because a load from the store takes seconds.
+//! Replicas follow demand. A model whose replicas are crowded gets a further one, also in place of
+//! rare models, since it is late for many more requests than they have. A model that requests wait
+//! for gets one in place of a model that is used less, or of a replica that the others can spare.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -11,23 +11,23 @@
 /// Concurrent requests below which a model counts as unused.
 const UNUSED_LOAD: f64 = 0.05;
 
-/// Share of an engine's slots up to which a replica is not relieved by another one whose weights
-/// come from a disk. Above it the pauses between tokens grow noticeably.
-const RELIEF_SHARE: f64 = 0.4;
+/// Share of an engine's slots up to which a replica is not relieved by another one. Above it the
+/// prompts of new requests begin to delay the tokens of running ones.
+const RELIEF_SHARE: f64 = 0.3;
 
-/// The same where the weights come from the store, which occupies the engine for seconds.
-const STORE_RELIEF_SHARE: f64 = 0.6;
+/// Share of an engine's slots above which a further replica may displace rare models.
+const CROWDED_SHARE: f64 = 0.4;
 
 /// Share of an engine's slots that the remaining replicas of a model may reach when one of them
-/// makes room for a model that no engine holds and nobody asks for yet.
-const SPREAD_SHARE: f64 = 0.25;
+/// makes room for a model that no engine holds.
+const SPARE_SHARE: f64 = 0.25;
 
 /// Loads from the store at once for models that nobody asks for yet.
 const SPREAD_STORE_LOADS: u32 = 1;
 
 /// Loads from the store that further replicas may occupy at once. The rest of the store's speed is
 /// kept for models that no engine holds.
-const RELIEF_STORE_LOADS: u32 = 2;
+const RELIEF_STORE_LOADS: u32 = 3;
 
 /// Concurrent requests that one waiting request stands for. A single request for a rare model must
 /// not displace one that is asked for every few seconds.
@@ -52,6 +52,10 @@
 /// A further replica has to lower the load per replica to this part of the victim's new load.
 const GAIN: f64 = 1.5;
 
+/// Demand of a model in use that gives way, per concurrent request that a further replica takes
+/// from each of the others. A crowded replica is late for a part of its requests only.
+const RELIEF_WORTH: f64 = 0.2;
+
 plain_data! {
     data
     /// A model and its demand.
@@ -102,6 +106,12 @@
         pub load: ModelName,
         /// Whether the weights come from the store.
         pub is_from_store: bool,
+        /// Why the model gets a replica.
+        pub cause: ChangeCause,
+        /// Concurrent requests per replica before the change.
+        pub load_per_replica: f64,
+        /// Largest load per replica of the models that make room, after the change.
+        pub loss: f64,
     }
 }
 
@@ -118,23 +128,25 @@
     }
 }
 
-/// Why a model gets a replica.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Cause {
-    /// Requests ask for a model that no engine holds.
-    Cold,
-    /// The replicas of a model have too many requests.
-    Relief,
-    /// No engine holds the model, and nobody asks for it yet.
-    Spread,
+plain_data! {
+    copy
+    /// Why a model gets a replica.
+    pub enum ChangeCause {
+        /// Requests ask for a model that no engine holds.
+        Cold,
+        /// The replicas of a model have too many requests.
+        Relief,
+        /// No engine holds the model, and nobody asks for it yet.
+        Spread,
+    }
 }
 
 impl StoreBudget {
-    fn can_load(&self, cause: Cause) -> bool {
+    fn can_load(&self, cause: ChangeCause) -> bool {
         let at_once = match cause {
-            Cause::Cold => self.full_speed_loads,
-            Cause::Relief => RELIEF_STORE_LOADS.min(self.full_speed_loads),
-            Cause::Spread => SPREAD_STORE_LOADS,
+            ChangeCause::Cold => self.full_speed_loads,
+            ChangeCause::Relief => RELIEF_STORE_LOADS.min(self.full_speed_loads),
+            ChangeCause::Spread => SPREAD_STORE_LOADS,
         };
         self.loads_left > 0 && self.loads_running < at_once
     }
@@ -197,7 +209,7 @@
     }
 
     /// Returns the model that gains most from a further replica, and why.
-    fn neediest(&self) -> Option<(ModelName, Cause)> {
+    fn neediest(&self) -> Option<(ModelName, ChangeCause)> {
         let needs = self.models.values().filter_map(|model| {
             // The load in progress may be enough.
             if model.is_loading || self.given_up.contains(&model.name) {
@@ -206,9 +218,9 @@
             let replicas = self.replicas(&model.name);
             let per_replica = model.load / f64::from(replicas.max(1));
             let (rank, cause) = match replicas {
-                0 if model.waiting > 0 || model.load > UNUSED_LOAD => (2, Cause::Cold),
-                0 => (0, Cause::Spread),
-                _ if per_replica > self.slots * RELIEF_SHARE => (1, Cause::Relief),
+                0 if model.waiting > 0 || model.load > UNUSED_LOAD => (1, ChangeCause::Cold),
+                0 => (0, ChangeCause::Spread),
+                _ if per_replica > self.slots * RELIEF_SHARE => (2, ChangeCause::Relief),
                 _ => return None,
             };
             let need = per_replica + f64::from(model.waiting);
@@ -219,29 +231,29 @@
             .map(|(_, _, cause, name)| (name.clone(), cause))
     }
 
-    fn add_replica(&mut self, model: &ModelName, cause: Cause) -> bool {
+    fn add_replica(&mut self, model: &ModelName, cause: ChangeCause) -> bool {
         let weights_mb = self.models[model].weights_mb;
         let replicas = self.replicas(model);
         let load = self.load(model);
         let gain = load / f64::from(replicas + 1);
-        let is_pressing = load / f64::from(replicas.max(1)) > self.slots * STORE_RELIEF_SHARE;
-        let is_store_worthwhile = cause != Cause::Relief || is_pressing;
+        let per_replica = load / f64::from(replicas.max(1));
         let need = match cause {
-            Cause::Cold => {
+            ChangeCause::Cold => {
                 let waiting = f64::from(self.models[model].waiting.min(MAX_WAITING_COUNTED));
                 load + waiting * WAITING_LOAD
             }
-            // Only an engine near its slots is worth the last replica of an unused model.
-            Cause::Relief if is_pressing => UNUSED_LOAD * DISPLACEMENT,
-            Cause::Relief | Cause::Spread => 0.0,
+            ChangeCause::Relief if per_replica > self.slots * CROWDED_SHARE => {
+                (per_replica - gain) * RELIEF_WORTH
+            }
+            ChangeCause::Relief | ChangeCause::Spread => 0.0,
         };
-        let mut best: Option<(f64, usize, Vec<ModelName>)> = None;
+        let mut best: Option<(f64, usize, f64, Vec<ModelName>)> = None;
         for (index, engine) in self.engines.iter().enumerate() {
             if !engine.is_changeable || engine.models.contains(model) {
                 continue;
             }
             let is_near = engine.on_disk.contains(model);
-            let may_fetch = is_store_worthwhile && self.store.can_load(cause);
+            let may_fetch = self.store.can_load(cause);
             if !(is_near || may_fetch) {
                 continue;
             }
@@ -249,9 +261,8 @@
                 continue;
             };
             let is_too_dear = match cause {
-                Cause::Cold => false,
-                Cause::Relief => loss * GAIN >= gain,
-                Cause::Spread => loss > self.slots * SPREAD_SHARE,
+                ChangeCause::Relief => loss * GAIN >= gain,
+                ChangeCause::Cold | ChangeCause::Spread => loss > self.slots * SPARE_SHARE,
             };
             if is_too_dear {
                 continue;
@@ -263,14 +274,23 @@
                     cost += ADAPTER_STORE_COST;
                 }
             }
-            if best.as_ref().is_none_or(|(least, _, _)| cost < *least) {
-                best = Some((cost, index, victims));
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, index, loss, victims));
             }
         }
-        let Some((_, index, unload)) = best else {
+        let Some((_, index, loss, unload)) = best else {
             return false;
         };
-        self.apply(index, unload, model);
+        let is_from_store = self.apply(index, &unload, model);
+        self.changes.push(EngineChange {
+            endpoint: self.engines[index].endpoint.clone(),
+            unload,
+            load: model.clone(),
+            is_from_store,
+            cause,
+            load_per_replica: per_replica,
+            loss,
+        });
         // The next plan sees what this replica changes.
         self.given_up.insert(model.clone());
         true
@@ -339,14 +359,14 @@
         shares.sum()
     }
 
-    fn apply(&mut self, index: usize, unload: Vec<ModelName>, load: &ModelName) {
+    /// Records a change for the rest of this plan; tells whether it loads from the store.
+    fn apply(&mut self, index: usize, unload: &[ModelName], load: &ModelName) -> bool {
         let engine = &mut self.engines[index];
         let is_from_store = !engine.on_disk.contains(load);
         engine.is_changeable = false;
         engine.models.retain(|held| !unload.contains(held));
         engine.models.push(load.clone());
-        let endpoint = engine.endpoint.clone();
-        for victim in &unload {
+        for victim in unload {
             if let Some(replicas) = self.replicas.get_mut(victim) {
                 *replicas -= 1;
             }
@@ -356,11 +376,6 @@
             self.store.loads_left -= 1;
             self.store.loads_running += 1;
         }
-        self.changes.push(EngineChange {
-            endpoint,
-            unload,
-            load: load.clone(),
-            is_from_store,
-        });
+        is_from_store
     }
 }
--- a/crates/wasabipoint_policy/src/lib.rs
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -10,7 +10,9 @@
 mod placement;
 mod routing;
 
-pub use engine_plan::{EngineChange, EngineHolding, ModelLoad, StoreBudget, plan_engine_changes};
+pub use engine_plan::{
+    ChangeCause, EngineChange, EngineHolding, ModelLoad, StoreBudget, plan_engine_changes,
+};
 pub use placement::{
     DemandSample, EndpointCapacity, GrantState, GrantView, LoadOption, ModelView,
     PLACEMENT_POLICIES, PlacementDecision, PlacementPlan, PlacementPlugin, PlacementPolicy,
--- a/crates/wasabipoint_policy/tests/engine_plan.rs
+++ b/crates/wasabipoint_policy/tests/engine_plan.rs
@@ -1,9 +1,11 @@
 //! Placement of models on commanded engines: cold models, bursts and rare models.
 
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use std::collections::BTreeSet;
 
 use wasabipoint_kernel::{EndpointId, ModelName};
-use wasabipoint_policy::{EngineHolding, ModelLoad, StoreBudget, plan_engine_changes};
+use wasabipoint_policy::{ChangeCause, EngineHolding, ModelLoad, StoreBudget, plan_engine_changes};
 
 const SLOTS: u32 = 64;
 
@@ -83,6 +85,65 @@
     assert!(plan_engine_changes(&models, &engines, SLOTS, STORE).is_empty());
 }
 
+/// Pattern: demand moves to one model while every place holds a rare model in use. Guards against
+/// a queue of a hundred requests at one engine, all late, beside models with one request a second.
+#[test]
+fn a_crowded_model_displaces_a_rare_one() {
+    let models = [
+        model("crowded", 45.0, 0),
+        model("rare1", 0.5, 0),
+        model("rare2", 0.4, 0),
+        model("rare3", 0.6, 0),
+    ];
+    let engines = [
+        engine("e1", &["crowded", "rare1"]),
+        engine("e2", &["rare2", "rare3"]),
+    ];
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].load, ModelName::new("crowded"));
+    assert_eq!(changes[0].unload, [ModelName::new("rare2")]);
+    assert_eq!(changes[0].cause, ChangeCause::Relief);
+    // Pauses at a busy engine do not yet cost what a rare model loses.
+    let mut busy = models;
+    busy[0].load = 22.0;
+    assert!(plan_engine_changes(&busy, &engines, SLOTS, STORE).is_empty());
+}
+
+/// Pattern: the same, while requests wait for another rare model. Guards against an engine that
+/// goes to the rare model and leaves the crowd waiting for seconds more.
+#[test]
+fn a_crowded_model_comes_before_a_cold_one() {
+    let models = [
+        model("crowded", 60.0, 0),
+        model("cold", 0.3, 2),
+        model("idle", 0.0, 0),
+    ];
+    let engines = [
+        engine("e1", &["crowded", "other"]),
+        engine("e2", &["idle", "other"]),
+    ];
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    let at_e2 = changes.iter().find(|c| c.endpoint == EndpointId::new("e2"));
+    assert_eq!(at_e2.unwrap().load, ModelName::new("crowded"));
+}
+
+/// Pattern: single requests for rare models beside a busy one. Guards against cold models that take
+/// the replicas of a busy model one after the other until it is crowded.
+#[test]
+fn a_cold_model_does_not_take_a_replica_that_is_needed() {
+    let models = [model("busy", 30.0, 0), model("cold", 0.1, 3)];
+    let engines = [engine("e1", &["busy"]), engine("e2", &["busy"])];
+    let engines = engines.map(|engine| EngineHolding {
+        capacity_mb: 100,
+        ..engine
+    });
+    assert!(plan_engine_changes(&models, &engines, SLOTS, STORE).is_empty());
+    let mut calm = models;
+    calm[0].load = 12.0;
+    assert_eq!(plan_engine_changes(&calm, &engines, SLOTS, STORE).len(), 1);
+}
+
 /// Guards against the unload of a model whose load has just ended.
 #[test]
 fn a_model_loaded_a_moment_ago_is_kept() {
