--- a/crates/wasabipoint_entry/src/forward/call/records.rs
+++ b/crates/wasabipoint_entry/src/forward/call/records.rs
@@ -71,14 +71,14 @@
     }
 
     /// Records the end of a stream, always where an event came later than the route aims at.
-    pub(super) fn log_stream_end(&self, place: &PlaceGuard, pace: &StreamPace) {
+    pub(super) fn log_stream_end(&self, place: &PlaceGuard, events: &StreamPace) {
         self.forwarder.meters.count("served");
         self.forwarder.meters.record_total(self.arrived.elapsed());
-        self.forwarder.meters.record_pause(pace.longest_pause);
-        let first_ms = pace
+        self.forwarder.meters.record_pause(events.longest_pause);
+        let first_ms = events
             .first
             .map(|first| (first - self.arrived).as_millis() as u64);
-        let pause_ms = pace.longest_pause.as_millis() as u64;
+        let pause_ms = events.longest_pause.as_millis() as u64;
         let is_late = first_ms.is_some_and(|first_ms| first_ms > self.route.objective_ms)
             || (self.route.max_gap_ms > 0 && pause_ms > self.route.max_gap_ms);
         if !is_late && !is_sampled(&self.facts.request_id) {
