Count demand for models that no engine holds as it grows

Replayed: a model asked for every few seconds was refused 8 times from 20 to 40 s, since one request never counted as much as the models in use; and a model whose demand began at 10 requests/s waited 3.3 s for its load to be decided, counted like a rare one because every request was refused at once.

Ruled out: the store (one of four loads ran); engines under change (places were free of changes).

--- a/crates/wasabipoint_control/src/engines.rs
+++ b/crates/wasabipoint_control/src/engines.rs
@@ -5,6 +5,7 @@
 mod change;
 mod driver;
 mod ledger;
+mod view;
 
 use futures::future::BoxFuture;
 use wasabipoint_kernel::{FencingToken, ModelName, plain_data};
--- a/crates/wasabipoint_control/src/engines/adapters.rs
+++ b/crates/wasabipoint_control/src/engines/adapters.rs
@@ -6,7 +6,7 @@
 use wasabipoint_kernel::{EndpointId, EngineSpec, ErrorKind, ModelName};
 use wasabipoint_rpc::{AdapterRequest, ControlRefusal, EndpointView};
 
-use super::book::is_model;
+use super::book::{base_of, is_model};
 use super::change::EngineSession;
 use super::{CommandAnswer, EngineLedger, EngineOperation};
 use crate::control::Control;
@@ -79,8 +79,7 @@
             self.note_use(session, adapter);
             return Ok(());
         }
-        let base = adapter.as_str().split('/').next().unwrap_or_default();
-        if !ledger.models().iter().any(|held| held.as_str() == base) {
+        if !ledger.models().contains(&base_of(adapter)) {
             return Err("the model is not there".to_owned());
         }
         if !ledger.fits(&session.spec, adapter) {
--- a/crates/wasabipoint_control/src/engines/book.rs
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -6,6 +6,7 @@
 
 use tokio::time::Instant;
 use wasabipoint_kernel::{EndpointId, Incarnation, ModelName};
+use wasabipoint_policy::EngineDemand;
 use wasabipoint_rpc::EndpointView;
 
 use super::ledger::EngineLedger;
@@ -13,19 +14,6 @@
 /// Time for which the leader's own knowledge outlasts a change, longer than the lag of the list.
 const LIST_LAG: Duration = Duration::from_secs(2);
 
-/// Time constant of the averaged demand. Demand moves within a few seconds.
-const DEMAND_DECAY_S: f64 = 1.5;
-
-/// Time constant of the averaged rate of requests. A model that is asked for now and then stays in
-/// demand over it, also while every request for it is refused.
-const RATE_DECAY_S: f64 = 8.0;
-
-/// Time constant of the rate that shows a model whose demand begins.
-const RISE_DECAY_S: f64 = 2.0;
-
-/// Concurrent requests that one request per second stands for.
-const LOAD_PER_RATE: f64 = 0.3;
-
 /// Time beyond its expected end after which a load no longer keeps the model from being loaded
 /// elsewhere.
 const OVERDUE: Duration = Duration::from_secs(2);
@@ -36,13 +24,6 @@
 /// Time for which an engine is left alone after a change failed there.
 const FAILED_CHANGE_PAUSE: Duration = Duration::from_secs(2);
 
-/// Share of an engine's slots that each replica stands for before any request came. Busy models
-/// start with many replicas, and three of them stay until requests show the real demand.
-const PRESUMED_SHARE: f64 = 0.18;
-
-/// Time constant with which measured demand takes the place of the presumed one.
-const PRESUMED_DECAY_S: f64 = 2.0;
-
 /// Models that the leader knows an engine to hold.
 #[derive(Debug, Clone)]
 struct Known {
@@ -59,54 +40,14 @@
     is_from_store: bool,
 }
 
-/// Averaged demand for a model.
-#[derive(Debug, Clone, Copy)]
-struct Average {
-    /// Concurrent requests.
-    load: f64,
-    at: Instant,
-    /// Requests per second.
-    rate_per_s: f64,
-    /// The same over the last moments.
-    recent_rate_per_s: f64,
-    rate_at: Instant,
-}
-
-impl Average {
-    fn new(now: Instant) -> Self {
-        Self {
-            load: 0.0,
-            at: now,
-            rate_per_s: 0.0,
-            recent_rate_per_s: 0.0,
-            rate_at: now,
-        }
-    }
-
-    fn count(&mut self, requests: u32, now: Instant) {
-        let age_s = (now - self.rate_at).as_secs_f64();
-        let requests = f64::from(requests);
-        self.rate_per_s = self.rate_per_s * decay(age_s, RATE_DECAY_S) + requests / RATE_DECAY_S;
-        self.recent_rate_per_s =
-            self.recent_rate_per_s * decay(age_s, RISE_DECAY_S) + requests / RISE_DECAY_S;
-        self.rate_at = now;
-    }
-
-    /// The rate of a model in steady use, or the higher one of a model whose demand begins.
-    fn rate(&self, now: Instant) -> f64 {
-        let age_s = (now - self.rate_at).as_secs_f64();
-        let steady = self.rate_per_s * decay(age_s, RATE_DECAY_S);
-        steady.max(self.recent_rate_per_s * decay(age_s, RISE_DECAY_S))
-    }
-}
-
 /// The leader's knowledge of engines for its term.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct EngineBook {
     known: BTreeMap<EndpointId, Known>,
     near: BTreeMap<EndpointId, BTreeSet<ModelName>>,
     ledgers: BTreeMap<EndpointId, Arc<tokio::sync::Mutex<EngineLedger>>>,
-    averages: BTreeMap<ModelName, Average>,
+    demand: EngineDemand,
+    began: Instant,
     adapter_use: BTreeMap<(EndpointId, ModelName), Instant>,
     store_loads: VecDeque<Instant>,
     failed: BTreeMap<EndpointId, Instant>,
@@ -114,10 +55,27 @@
     loaded: BTreeMap<(EndpointId, ModelName), Instant>,
     read_disks: BTreeSet<(EndpointId, Incarnation)>,
     loading: BTreeMap<(EndpointId, ModelName), Loading>,
-    first_request: Option<Instant>,
 }
 
 impl EngineBook {
+    /// Creates the knowledge of a leader whose term begins now.
+    pub(crate) fn new() -> Self {
+        Self {
+            known: BTreeMap::new(),
+            near: BTreeMap::new(),
+            ledgers: BTreeMap::new(),
+            demand: EngineDemand::default(),
+            began: Instant::now(),
+            adapter_use: BTreeMap::new(),
+            store_loads: VecDeque::new(),
+            failed: BTreeMap::new(),
+            commands_from: None,
+            loaded: BTreeMap::new(),
+            read_disks: BTreeSet::new(),
+            loading: BTreeMap::new(),
+        }
+    }
+
     /// Replaces what the list says of engines under change by what the leader knows.
     pub(crate) fn correct(&mut self, mut listed: Vec<EndpointView>) -> Vec<EndpointView> {
         let now = Instant::now();
@@ -251,41 +209,21 @@
     }
 
     /// Averages the concurrent requests of a model and returns its demand.
-    pub(crate) fn average(&mut self, model: &ModelName, current: f64) -> f64 {
-        let now = Instant::now();
-        let average = self
-            .averages
-            .entry(model.clone())
-            .or_insert_with(|| Average::new(now));
-        let age_s = (now - average.at).as_secs_f64();
-        let kept = decay(age_s, DEMAND_DECAY_S);
-        average.load = average.load * kept + current * (1.0 - kept);
-        average.at = now;
-        average.load + average.rate(now) * LOAD_PER_RATE
+    pub(crate) fn take_load(&mut self, model: &ModelName, current: f64, is_held: bool) -> f64 {
+        let now = self.began.elapsed();
+        self.demand.take_load(model, current, is_held, now)
     }
 
-    /// Counts requests for a model, whether they were served or refused.
+    /// Counts requests for a model or an adapter of it, whether they were served or refused.
     pub(crate) fn count_arrivals(&mut self, name: &ModelName, count: u32) {
-        if count == 0 {
-            return;
-        }
-        let base = name.as_str().split('/').next().unwrap_or_default();
-        let now = Instant::now();
-        self.first_request.get_or_insert(now);
-        let average = self
-            .averages
-            .entry(ModelName::new(base))
-            .or_insert_with(|| Average::new(now));
-        average.count(count, now);
+        let now = self.began.elapsed();
+        self.demand.count_arrivals(&base_of(name), count, now);
     }
 
     /// Returns the share of an engine's slots that each replica of a model stands for, whatever was
     /// measured.
     pub(crate) fn presumed_share(&self) -> f64 {
-        let measured_s = self
-            .first_request
-            .map_or(0.0, |first| first.elapsed().as_secs_f64());
-        PRESUMED_SHARE * decay(measured_s, PRESUMED_DECAY_S)
+        self.demand.presumed_share(self.began.elapsed())
     }
 
     /// Leaves an engine alone for a while after a change failed there.
@@ -353,11 +291,12 @@
     }
 }
 
-fn decay(age_s: f64, time_constant_s: f64) -> f64 {
-    (-age_s / time_constant_s).exp()
-}
-
 /// Tells a model from an adapter, whose name has a slash.
 pub(crate) fn is_model(name: &ModelName) -> bool {
     !name.as_str().contains('/')
 }
+
+/// Returns the model of an adapter, or the model itself.
+pub(crate) fn base_of(name: &ModelName) -> ModelName {
+    ModelName::new(name.as_str().split('/').next().unwrap_or_default())
+}
--- a/crates/wasabipoint_control/src/engines/change.rs
+++ b/crates/wasabipoint_control/src/engines/change.rs
@@ -9,7 +9,7 @@
 use wasabipoint_policy::EngineChange;
 use wasabipoint_rpc::EndpointView;
 
-use super::book::is_model;
+use super::book::{base_of, is_model};
 use super::{
     CommandAnswer, EngineCommand, EngineCommander, EngineLedger, EngineOperation, EngineState,
 };
@@ -256,6 +256,5 @@
 
 /// Tells whether a name is one of the models or an adapter of one.
 fn is_part_of(name: &ModelName, models: &[ModelName]) -> bool {
-    let base = name.as_str().split('/').next().unwrap_or_default();
-    models.iter().any(|model| model.as_str() == base)
+    models.contains(&base_of(name))
 }
--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -1,6 +1,5 @@
 //! The task of the leader that plans changes of engines.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,15 +7,14 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use wasabipoint_kernel::{EngineSpec, ModelName, ServiceName};
-use wasabipoint_policy::{EngineHolding, ModelLoad, StoreBudget, plan_engine_changes};
+use wasabipoint_policy::plan_engine_changes;
 use wasabipoint_rpc::EndpointView;
 
 use super::EngineCommander;
-use super::book::is_model;
+use super::book::base_of;
 use super::change::EngineSession;
-use super::ledger::adapter_reserve_mb;
+use super::view::{holdings, model_loads, store_budget, sum_by_model};
 use crate::control::Control;
-use crate::leader_state::DemandSum;
 
 /// Pause between plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(250);
@@ -70,16 +68,6 @@
     }
 }
 
-/// Time in which engines tell a new leader what their disks hold. Until then a load from the store
-/// may be one from a disk.
-const DISK_READ_TIME: Duration = Duration::from_millis(300);
-
-/// Time in which a new leader learns the demand before it unloads anything.
-const LEARNING_TIME: Duration = Duration::from_secs(2);
-
-/// Loads from the store at once that each have their full speed.
-const FULL_SPEED_LOADS: u32 = 4;
-
 /// Time that a change takes beside its load: commands, the unload before it, the news to the entry
 /// processes.
 const CHANGE_OVERHEAD: Duration = Duration::from_millis(500);
@@ -160,70 +148,9 @@
 ) -> Vec<PlannedChange> {
     let changes = control.with_leader_state(term, |leader| {
         let demand = sum_by_model(leader.demand());
-        let presumed_share = leader.engines.presumed_share();
-        let presumed = |model: &ModelName| {
-            let held = |endpoint: &&EndpointView| endpoint.models.contains(model);
-            let replicas = endpoints.iter().filter(held).count();
-            replicas as f64 * f64::from(engine.slots) * presumed_share
-        };
-        let models: Vec<ModelLoad> = engine
-            .models
-            .values()
-            .map(|model| {
-                let sum = demand.get(&model.name).copied().unwrap_or_default();
-                let current = concurrent(engine, sum);
-                ModelLoad {
-                    name: model.name.clone(),
-                    weights_mb: model.weights_mb,
-                    load: leader
-                        .engines
-                        .average(&model.name, current)
-                        .max(presumed(&model.name)),
-                    waiting: sum.queued,
-                    is_loading: leader.engines.is_loading(&model.name),
-                }
-            })
-            .collect();
-        // A new leader knows no demand yet; what engines hold is its best knowledge of it.
-        let is_learning = leader.since.elapsed() < LEARNING_TIME;
-        let reserve_mb = adapter_reserve_mb(engine);
-        let holdings: Vec<EngineHolding> = endpoints
-            .iter()
-            .map(|endpoint| EngineHolding {
-                kept: if is_learning {
-                    leader.engines.models(endpoint).into_iter().collect()
-                } else {
-                    leader.engines.loaded_lately(&endpoint.endpoint)
-                },
-                serves_adapters: leader
-                    .engines
-                    .models(endpoint)
-                    .iter()
-                    .any(|model| demand.get(model).is_some_and(|demand| demand.adapters > 0)),
-                endpoint: endpoint.endpoint.clone(),
-                capacity_mb: engine.weights_mb.saturating_sub(reserve_mb),
-                models: leader
-                    .engines
-                    .models(endpoint)
-                    .into_iter()
-                    .filter(is_model)
-                    .collect(),
-                on_disk: leader.engines.near(&endpoint.endpoint),
-                is_changeable: !leader.engines.is_changing(endpoint)
-                    && !leader.engines.has_failed(&endpoint.endpoint),
-            })
-            .collect();
-        let store = StoreBudget {
-            loads_left: if leader.since.elapsed() < DISK_READ_TIME {
-                0
-            } else {
-                leader
-                    .engines
-                    .store_loads_left(engine.store_loads_per_1000_s)
-            },
-            loads_running: leader.engines.store_loads_running(),
-            full_speed_loads: FULL_SPEED_LOADS,
-        };
+        let models = model_loads(leader, engine, endpoints, &demand);
+        let holdings = holdings(leader, engine, endpoints, &demand);
+        let store = store_budget(leader, engine);
         let changes = plan_engine_changes(&models, &holdings, engine.slots, store);
         for change in &changes {
             let expected = expected_load(engine, &change.load, change.is_from_store);
@@ -259,43 +186,6 @@
         .collect()
 }
 
-/// Largest share of an engine's slots that adapters in use stand for. It is worth a second replica,
-/// and no more.
-const MAX_ADAPTER_SHARE: f64 = 0.3;
-
-/// Demand for a model and its adapters.
-#[derive(Debug, Clone, Copy, Default)]
-struct BaseDemand {
-    in_flight: u32,
-    queued: u32,
-    /// Adapters that requests run with or wait for.
-    adapters: u32,
-}
-
-/// Adds the demand for adapters to that for their models.
-fn sum_by_model(demand: BTreeMap<ModelName, DemandSum>) -> BTreeMap<ModelName, BaseDemand> {
-    let mut sums: BTreeMap<ModelName, BaseDemand> = BTreeMap::new();
-    for (name, one) in demand {
-        let base = name.as_str().split('/').next().unwrap_or_default();
-        let sum = sums.entry(ModelName::new(base)).or_default();
-        sum.in_flight += one.in_flight;
-        sum.queued += one.queued;
-        if !is_model(&name) && one.in_flight > 0 {
-            sum.adapters += 1;
-        }
-    }
-    sums
-}
-
-/// Returns the concurrent requests of a model. An adapter in use counts as its share of the places
-/// for adapters.
-fn concurrent(engine: &EngineSpec, demand: BaseDemand) -> f64 {
-    let slots = f64::from(engine.slots);
-    let per_adapter = slots / f64::from(engine.max_adapters.max(1));
-    let by_adapters = f64::from(demand.adapters) * per_adapter;
-    f64::from(demand.in_flight).max(by_adapters.min(slots * MAX_ADAPTER_SHARE))
-}
-
 fn expected_load(engine: &EngineSpec, model: &ModelName, is_from_store: bool) -> Duration {
     let model = engine.models.get(model);
     let load_ms = model.map_or(0, |model| {
@@ -311,8 +201,7 @@
 impl Control {
     /// Estimates when a model that no engine holds can be ready.
     pub(crate) fn estimate_load(&self, term: u64, name: &ModelName) -> Option<Duration> {
-        let base = name.as_str().split('/').next().unwrap_or_default();
-        let base = ModelName::new(base);
+        let base = base_of(name);
         let engine = self.member.read(|state| {
             let is_held = state
                 .view
--- a/crates/wasabipoint_control/src/engines/ledger.rs
+++ b/crates/wasabipoint_control/src/engines/ledger.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 use wasabipoint_kernel::{EngineSpec, Incarnation, ModelName};
 
-use super::book::is_model;
+use super::book::{base_of, is_model};
 use super::{EngineOperation, EngineState};
 
 /// Time by which an engine's report of itself lags at most.
@@ -117,8 +117,7 @@
 }
 
 fn size_mb(spec: &EngineSpec, name: &ModelName) -> u64 {
-    let base = name.as_str().split('/').next().unwrap_or_default();
-    let model = spec.models.get(&ModelName::new(base));
+    let model = spec.models.get(&base_of(name));
     match model {
         Some(model) if is_model(name) => model.weights_mb,
         Some(model) => model.adapter_mb,
--- a/crates/wasabipoint_control/src/leader_state.rs
+++ b/crates/wasabipoint_control/src/leader_state.rs
@@ -83,7 +83,7 @@
             tiers: BTreeMap::new(),
             load_times: LoadTimes::default(),
             pacer: StorePacer::new(now),
-            engines: EngineBook::default(),
+            engines: EngineBook::new(),
             bounds,
             near: BTreeMap::new(),
             failed: BTreeMap::new(),
--- a/crates/wasabipoint_policy/src/lib.rs
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -6,10 +6,12 @@
     reason = "distributed slices place their elements in a link section"
 )]
 
+mod engine_demand;
 mod engine_plan;
 mod placement;
 mod routing;
 
+pub use engine_demand::EngineDemand;
 pub use engine_plan::{
     ChangeCause, EngineChange, EngineHolding, ModelLoad, StoreBudget, plan_engine_changes,
 };
