Tell control of endpoints that cannot be connected to

Cause: a crashed engine stays on the platform's list for 3 s and more, and counts as a replica of its models.

Ruled out: polling each engine's state (12 calls a second, priced, and later than a refused connection at an entry process).

Change: reports of entry processes name endpoints that they could not connect to in the last 1.5 s, at once for a new one. Two witnesses (or the only entry process) make the planner leave the engine out; a request whose holders are all unreachable waits for the load like any other.

--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -1,12 +1,13 @@
 //! The task of the leader that plans changes of engines.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use slog::info;
+use slog::{info, warn};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
-use wasabipoint_kernel::{EngineSpec, ModelName, ServiceName};
+use wasabipoint_kernel::{EndpointId, EngineSpec, Incarnation, ModelName, ServiceName};
 use wasabipoint_policy::plan_engine_changes;
 use wasabipoint_rpc::EndpointView;
 
@@ -33,6 +34,7 @@
 ) {
     let mut changes = JoinSet::new();
     let mut leading: Option<(u64, Instant)> = None;
+    let mut unreachable = BTreeMap::new();
     loop {
         tokio::select! {
             () = tokio::time::sleep(PLAN_INTERVAL) => {}
@@ -56,6 +58,7 @@
         if since.elapsed() < lease {
             continue;
         }
+        log_unreachable(&control, term, &mut unreachable);
         for (session, change, expected) in plan(&control, &commander, term) {
             info!(control.logger, "placement: change decided"; "term" => term,
                 "endpoint" => %change.endpoint, "load" => %change.load,
@@ -72,6 +75,29 @@
 /// processes.
 const CHANGE_OVERHEAD: Duration = Duration::from_millis(500);
 
+/// Records which engines became unreachable or reachable again.
+fn log_unreachable(
+    control: &Control,
+    term: u64,
+    known: &mut BTreeMap<(EndpointId, Incarnation), usize>,
+) {
+    let now = control.with_leader_state(term, |leader| leader.unreachable());
+    for ((endpoint, incarnation), entries) in &now {
+        if !known.contains_key(&(endpoint.clone(), *incarnation)) {
+            warn!(control.logger, "placement: an engine cannot be reached";
+                "endpoint" => %endpoint, "incarnation" => incarnation.0,
+                "entries" => entries, "term" => term);
+        }
+    }
+    for (endpoint, incarnation) in known.keys() {
+        if !now.contains_key(&(endpoint.clone(), *incarnation)) {
+            info!(control.logger, "placement: an engine is no longer reported unreachable";
+                "endpoint" => %endpoint, "incarnation" => incarnation.0, "term" => term);
+        }
+    }
+    *known = now;
+}
+
 /// Rounds a load for a record.
 fn rounded(load: f64) -> f64 {
     (load * 100.0).round() / 100.0
@@ -147,6 +173,12 @@
     endpoints: &[EndpointView],
 ) -> Vec<PlannedChange> {
     let changes = control.with_leader_state(term, |leader| {
+        let unreachable = leader.unreachable();
+        let is_reachable = |endpoint: &&EndpointView| {
+            !unreachable.contains_key(&(endpoint.endpoint.clone(), endpoint.incarnation))
+        };
+        let endpoints: Vec<EndpointView> = endpoints.iter().filter(is_reachable).cloned().collect();
+        let endpoints = endpoints.as_slice();
         let demand = sum_by_model(leader.demand());
         let models = model_loads(leader, engine, endpoints, &demand);
         let holdings = holdings(leader, engine, endpoints, &demand);
@@ -202,12 +234,16 @@
     /// Estimates when a model that no engine holds can be ready.
     pub(crate) fn estimate_load(&self, term: u64, name: &ModelName) -> Option<Duration> {
         let base = base_of(name);
+        let unreachable = self.with_leader_state(term, |leader| leader.unreachable());
         let engine = self.member.read(|state| {
             let is_held = state
                 .view
                 .endpoints
                 .values()
-                .any(|endpoint| !endpoint.is_leaving && endpoint.models.contains(&base));
+                .filter(|endpoint| !endpoint.is_leaving && endpoint.models.contains(&base))
+                .any(|endpoint| {
+                    !unreachable.contains_key(&(endpoint.endpoint.clone(), endpoint.incarnation))
+                });
             let deployment = state.view.deployment.iter();
             let mut services = deployment.flat_map(|deployment| deployment.services.values());
             let engine = services.find_map(|service| {
--- a/crates/wasabipoint_control/src/leader_state.rs
+++ b/crates/wasabipoint_control/src/leader_state.rs
@@ -19,6 +19,12 @@
 /// Decisions kept per model for `explain model`.
 const KEPT_DECISIONS: usize = 20;
 
+/// Age up to which an entry's report tells which endpoints it cannot connect to.
+const UNREACHABLE_AGE: Duration = Duration::from_secs(2);
+
+/// Entry processes that have to find an endpoint unreachable.
+const UNREACHABLE_WITNESSES: usize = 2;
+
 /// When a silent agent's grants are in doubt and when they may be replaced.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct SilenceBounds {
@@ -184,6 +190,20 @@
         sums
     }
 
+    /// Returns the endpoints that entry processes cannot connect to, with how many of them say so.
+    /// One alone may be cut off itself, unless it is the only one.
+    pub(crate) fn unreachable(&self) -> BTreeMap<(EndpointId, Incarnation), usize> {
+        let is_fresh = |entry: &&EntryMemory| entry.received.elapsed() < UNREACHABLE_AGE;
+        let fresh: Vec<&EntryMemory> = self.entries.values().filter(is_fresh).collect();
+        let mut counts: BTreeMap<(EndpointId, Incarnation), usize> = BTreeMap::new();
+        for endpoint in fresh.iter().flat_map(|e| &e.report.unreachable_endpoints) {
+            *counts.entry(endpoint.clone()).or_default() += 1;
+        }
+        let needed = UNREACHABLE_WITNESSES.min(fresh.len());
+        counts.retain(|_, count| *count >= needed);
+        counts
+    }
+
     /// Tells for how long an agent has been silent in this term.
     fn silence(&self, endpoint: &EndpointId, incarnation: Incarnation) -> Duration {
         self.agents
--- a/crates/wasabipoint_control/tests/cluster/fixture.rs
+++ b/crates/wasabipoint_control/tests/cluster/fixture.rs
@@ -195,6 +195,7 @@
             earliest_deadline_ms: Some(20_000),
         }],
         draining_endpoints: Vec::new(),
+        unreachable_endpoints: Vec::new(),
     }
 }
 
--- a/crates/wasabipoint_control/tests/engine_changes.rs
+++ b/crates/wasabipoint_control/tests/engine_changes.rs
@@ -215,35 +215,59 @@
 
     /// Reports that requests wait for a model until the condition holds.
     async fn demand_until(&self, model: &str, is_reached: impl Fn() -> bool) {
+        self.report_until(model, &[("entry-1", &[])], is_reached)
+            .await;
+    }
+
+    /// The same from several entry processes, each with the endpoints that it cannot connect to.
+    async fn report_until(
+        &self,
+        model: &str,
+        entries: &[(&str, &[&str])],
+        is_reached: impl Fn() -> bool,
+    ) {
         let reported = async {
-            let mut sequence = 0;
-            while !is_reached() {
-                sequence += 1;
-                let report = EntryReport {
-                    entry: EntryId::new("entry-1"),
-                    incarnation: Incarnation(1),
-                    sequence,
-                    address: "127.0.0.1:9".parse().unwrap(),
-                    demand: vec![ModelDemand {
-                        model: ModelName::new(model),
-                        arrived: 5,
-                        queued: 5,
-                        in_flight: 0,
-                        oldest_wait_ms: 100,
-                        earliest_deadline_ms: None,
-                    }],
-                    draining_endpoints: Vec::new(),
-                };
-                let sent = self.client.call(Duration::ZERO, LIMIT, |client, context| {
-                    let report = report.clone();
-                    async move { client.report_entry(context, report).await }
-                });
-                sent.await.unwrap();
+            for sequence in 1.. {
+                if is_reached() {
+                    return;
+                }
+                for (entry, unreachable) in entries {
+                    self.report(report_of(model, entry, unreachable, sequence))
+                        .await;
+                }
                 tokio::time::sleep(Duration::from_millis(100)).await;
             }
         };
         tokio::time::timeout(LIMIT, reported).await.unwrap();
     }
+
+    async fn report(&self, report: EntryReport) {
+        let sent = self.client.call(Duration::ZERO, LIMIT, |client, context| {
+            let report = report.clone();
+            async move { client.report_entry(context, report).await }
+        });
+        sent.await.unwrap();
+    }
+}
+
+fn report_of(model: &str, entry: &str, unreachable: &[&str], sequence: u64) -> EntryReport {
+    let unreachable = unreachable.iter().map(|id| EndpointId::new(*id));
+    EntryReport {
+        entry: EntryId::new(entry),
+        incarnation: Incarnation(1),
+        sequence,
+        address: "127.0.0.1:9".parse().unwrap(),
+        demand: vec![ModelDemand {
+            model: ModelName::new(model),
+            arrived: 5,
+            queued: 5,
+            in_flight: 0,
+            oldest_wait_ms: 100,
+            earliest_deadline_ms: None,
+        }],
+        draining_endpoints: Vec::new(),
+        unreachable_endpoints: unreachable.map(|id| (id, Incarnation(1))).collect(),
+    }
 }
 
 /// Guards against a model that requests wait for and that no engine loads, and against orders for
@@ -287,6 +311,24 @@
         .await;
 }
 
+/// Guards against a model in demand that stays without a place for as long as the list names an
+/// engine that is dead, and against engines given up because one entry process is cut off.
+#[tokio::test]
+async fn a_model_of_an_engine_that_entries_cannot_reach_is_loaded_elsewhere() {
+    let engines = Engines::new(&[("e1", &["a"], &["a"]), ("e2", &["b"], &["b"])]);
+    let fixture = Fixture::start("unreachable", &engines).await;
+    let end = tokio::time::Instant::now() + Duration::from_secs(2);
+    let one_alone: [(&str, &[&str]); 2] = [("entry-1", &["e1"]), ("entry-2", &[])];
+    fixture
+        .report_until("a", &one_alone, || tokio::time::Instant::now() > end)
+        .await;
+    assert_eq!(engines.holders("a"), 1);
+    let both: [(&str, &[&str]); 2] = [("entry-1", &["e1"]), ("entry-2", &["e1"])];
+    fixture
+        .report_until("a", &both, || engines.holders("a") == 2)
+        .await;
+}
+
 /// Guards against adapters beyond the places of an engine, and against a second load of one that
 /// is there.
 #[tokio::test]
--- a/crates/wasabipoint_entry/src/forward.rs
+++ b/crates/wasabipoint_entry/src/forward.rs
@@ -443,7 +443,11 @@
 
     async fn send_report(&self, was_idle: bool) -> bool {
         let mut sequence = self.report_sequence.lock().await;
-        let demand = self.lock().demand.take_report();
+        let (demand, unreachable) = {
+            let mut state = self.lock();
+            let unreachable = state.endpoints.unreachable(self.clock.now_ms());
+            (state.demand.take_report(), unreachable)
+        };
         let is_idle = demand.is_empty();
         if is_idle && was_idle {
             return true;
@@ -456,6 +460,7 @@
             address: self.config.listen,
             demand,
             draining_endpoints: Vec::new(),
+            unreachable_endpoints: unreachable,
         };
         drop(sequence);
         // A lost report is followed by the next one.
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -163,7 +163,7 @@
                     return Ok(Running { started, place });
                 }
                 Ok(Exchange::NotSent(_)) => {
-                    self.avoid(&endpoint);
+                    self.note_unreachable(&endpoint);
                     self.progress.connect_failures += 1;
                     if self.progress.connect_failures >= MAX_CONNECT_FAILURES {
                         return Err(self.refuse("no endpoint can be reached"));
@@ -294,6 +294,16 @@
             .avoid(&endpoint.endpoint, endpoint.incarnation, now_ms);
     }
 
+    /// Avoids an endpoint that could not be connected to, and tells control at once.
+    fn note_unreachable(&self, endpoint: &EndpointView) {
+        let now_ms = self.forwarder.clock.now_ms();
+        let (id, incarnation) = (&endpoint.endpoint, endpoint.incarnation);
+        let mut state = self.forwarder.lock();
+        if state.endpoints.note_unreachable(id, incarnation, now_ms) {
+            self.forwarder.wake_report.notify_one();
+        }
+    }
+
     /// Tells whether a request that may have run can run again, and counts the repeat.
     fn may_run_again(&mut self, endpoint: &EndpointView, detail: &str) -> bool {
         let may = self.route.run_policy.may_repeat()
--- a/crates/wasabipoint_entry/src/forward/call/wait.rs
+++ b/crates/wasabipoint_entry/src/forward/call/wait.rs
@@ -76,7 +76,12 @@
                 return Err(self.refuse("shutting down, and the model is not loaded"));
             }
             if !self.progress.tried.is_empty() && self.has_tried_holders(model) {
-                return Err(self.refuse("every endpoint with the model was tried"));
+                // Holders that cannot be reached may be dead, and the model on its way elsewhere.
+                let is_coming =
+                    self.progress.runs == 0 && forwarder.ask_load_time(model).await.is_some();
+                if !is_coming {
+                    return Err(self.refuse("every endpoint with the model was tried"));
+                }
             }
             let is_due = asked.is_none_or(|asked| asked.elapsed() >= ADAPTER_PAUSE);
             if is_due && model.as_str().contains('/') {
--- a/crates/wasabipoint_entry/src/forward/endpoints.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints.rs
@@ -14,6 +14,9 @@
 /// milliseconds. The list catches up within it.
 const MISSING_MS: u64 = 1_500;
 
+/// Time for which an endpoint that could not be connected to is reported, in milliseconds.
+const UNREACHABLE_MS: u64 = 1_500;
+
 /// Time after which a reported load says nothing any more, in milliseconds.
 const LOAD_AGE_MS: u64 = 3_000;
 
@@ -33,6 +36,7 @@
     others: u32,
     reported_ms: u64,
     avoid_until_ms: u64,
+    unreachable_until_ms: u64,
     missing: BTreeMap<ModelName, u64>,
     parts: HashMap<(ModelName, u64), u64>,
 }
@@ -97,6 +101,7 @@
                 others: 0,
                 reported_ms: 0,
                 avoid_until_ms: 0,
+                unreachable_until_ms: 0,
                 missing: BTreeMap::new(),
                 parts: HashMap::new(),
             };
@@ -223,6 +228,7 @@
             known.others = (load.running + load.waiting).saturating_sub(known.own);
             known.reported_ms = now_ms;
             known.avoid_until_ms = 0;
+            known.unreachable_until_ms = 0;
         }
     }
 
@@ -233,6 +239,31 @@
         }
     }
 
+    /// Records that an endpoint could not be connected to; tells whether that is news.
+    pub fn note_unreachable(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        now_ms: u64,
+    ) -> bool {
+        let Some(known) = self.same(endpoint, incarnation) else {
+            return false;
+        };
+        let was_reachable = known.unreachable_until_ms <= now_ms;
+        known.unreachable_until_ms = now_ms + UNREACHABLE_MS;
+        known.avoid_until_ms = now_ms + AVOID_MS;
+        was_reachable
+    }
+
+    /// Returns the endpoints that could not be connected to a moment ago.
+    pub fn unreachable(&self, now_ms: u64) -> Vec<(EndpointId, Incarnation)> {
+        let known = self.known.values();
+        known
+            .filter(|known| known.unreachable_until_ms > now_ms)
+            .map(|known| (known.view.endpoint.clone(), known.view.incarnation))
+            .collect()
+    }
+
     /// Records that an endpoint lacks a model.
     pub fn note_missing(&mut self, endpoint: &EndpointId, model: &ModelName, now_ms: u64) {
         if let Some(known) = self.known.get_mut(endpoint) {
--- a/crates/wasabipoint_entry/src/report.rs
+++ b/crates/wasabipoint_entry/src/report.rs
@@ -41,6 +41,7 @@
                 address: config.address,
                 demand,
                 draining_endpoints,
+                unreachable_endpoints: Vec::new(),
             };
             let interval_ms = match control.report(report).await {
                 Ok(directive) => {
--- a/crates/wasabipoint_entry/tests/forward_policies.rs
+++ b/crates/wasabipoint_entry/tests/forward_policies.rs
@@ -101,6 +101,28 @@
     assert_eq!(asking.choose(&endpoints, 1_100).as_deref(), Some("b"));
 }
 
+/// Pattern: a crashed endpoint that stays listed. Guards against a failure that control is not told
+/// of, and against one that is told after the endpoint answers again or starts anew.
+#[test]
+fn an_endpoint_is_reported_unreachable_until_it_answers() {
+    let views = [endpoint("a", "here", &["m"]), endpoint("b", "here", &["m"])];
+    let mut endpoints = endpoints(&views);
+    let (id, run) = (EndpointId::new("a"), Incarnation(1));
+    assert!(endpoints.note_unreachable(&id, run, 1_000));
+    assert!(!endpoints.note_unreachable(&id, run, 1_100), "not news");
+    assert!(!endpoints.note_unreachable(&id, Incarnation(2), 1_100));
+    assert_eq!(endpoints.unreachable(2_000), [(id.clone(), run)]);
+    assert!(endpoints.unreachable(4_000).is_empty());
+    endpoints.note_unreachable(&id, run, 4_000);
+    let load = ReportedLoad {
+        running: 1,
+        waiting: 0,
+        slots: 64,
+    };
+    endpoints.report(&id, run, load, 4_100);
+    assert!(endpoints.unreachable(4_100).is_empty());
+}
+
 /// Pattern: callers of one prompt. Guards against prompts that are read anew at each endpoint, and
 /// against a locality that outweighs a real difference in load.
 #[test]
--- a/crates/wasabipoint_rpc/src/entry.rs
+++ b/crates/wasabipoint_rpc/src/entry.rs
@@ -41,6 +41,8 @@
         pub demand: Vec<ModelDemand>,
         /// Endpoints that refused work because they drain.
         pub draining_endpoints: Vec<(EndpointId, Incarnation)>,
+        /// Endpoints that could not be connected to a moment ago.
+        pub unreachable_endpoints: Vec<(EndpointId, Incarnation)>,
     }
 }
 
--- a/crates/wasabipoint_testbed/src/swarm.rs
+++ b/crates/wasabipoint_testbed/src/swarm.rs
@@ -182,6 +182,7 @@
                 address: self.address,
                 demand: demand.collect(),
                 draining_endpoints: Vec::new(),
+                unreachable_endpoints: Vec::new(),
             };
             let answer = self
                 .client
