--- a/crates/wasabipoint_control/src/engines/view.rs
+++ b/crates/wasabipoint_control/src/engines/view.rs
@@ -23,7 +23,7 @@
 
 /// Largest share of an engine's slots that adapters in use stand for. It is worth a second replica,
 /// and no more.
-const MAX_ADAPTER_SHARE: f64 = 0.3;
+const MAX_ADAPTER_SHARE: f64 = 0.45;
 
 /// Demand for a model and its adapters.
 #[derive(Debug, Clone, Copy, Default)]
