Learn how many loads the weight store serves at full speed

Cause: on the grown sites the store serves two loads at once at full speed and four were begun, so that each took twice its time and kept its engine from adapters and other changes for 16 s.

Ruled out: a setting (the configuration does not tell the number, and stores differ).

Change: a load that took more than 1.3 times its configured time among as many as are allowed lowers the number to what the time shows; one at full speed raises it again, to four at most.

--- a/crates/wasabipoint_control/src/engines/book.rs
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::Instant;
 use wasabipoint_kernel::{EndpointId, Incarnation, ModelName};
-use wasabipoint_policy::EngineDemand;
+use wasabipoint_policy::{EngineDemand, StoreConcurrency};
 use wasabipoint_rpc::EndpointView;
 
 use super::ledger::EngineLedger;
@@ -38,6 +38,8 @@
 struct Loading {
     ready: Instant,
     is_from_store: bool,
+    /// Loads from the store that ran when it began, itself included.
+    store_loads: u32,
 }
 
 /// The leader's knowledge of engines for its term.
@@ -50,6 +52,7 @@
     began: Instant,
     adapter_use: BTreeMap<(EndpointId, ModelName), Instant>,
     store_loads: VecDeque<Instant>,
+    store: StoreConcurrency,
     failed: BTreeMap<EndpointId, Instant>,
     commands_from: Option<Instant>,
     loaded: BTreeMap<(EndpointId, ModelName), Instant>,
@@ -68,6 +71,7 @@
             began: Instant::now(),
             adapter_use: BTreeMap::new(),
             store_loads: VecDeque::new(),
+            store: StoreConcurrency::default(),
             failed: BTreeMap::new(),
             commands_from: None,
             loaded: BTreeMap::new(),
@@ -118,15 +122,27 @@
         let loading = Loading {
             ready: Instant::now() + expected,
             is_from_store,
+            store_loads: self.store_loads_running() + 1,
         };
         self.loading
             .insert((endpoint.clone(), model.clone()), loading);
     }
 
-    /// Forgets a load that ended.
-    pub(crate) fn end_load(&mut self, endpoint: &EndpointId, model: &ModelName) {
+    /// Forgets a load that ended, and learns from one that is complete. `times` are its measured
+    /// and its configured duration.
+    pub(crate) fn end_load(
+        &mut self,
+        endpoint: &EndpointId,
+        model: &ModelName,
+        times: Option<(Duration, Duration)>,
+    ) {
         let key = (endpoint.clone(), model.clone());
-        self.loading.remove(&key);
+        let running = self.store_loads_running();
+        let ended = self.loading.remove(&key).filter(|load| load.is_from_store);
+        if let (Some(load), Some((measured, configured))) = (ended, times) {
+            let running = running.max(load.store_loads);
+            self.store.take_load(measured, configured, running);
+        }
         self.loaded.insert(key, Instant::now());
         self.loaded.retain(|_, at| at.elapsed() < KEPT_AFTER_LOAD);
     }
@@ -138,6 +154,11 @@
         lately.map(|((_, model), _)| model.clone()).collect()
     }
 
+    /// Returns how many loads from the store at once have their full speed.
+    pub(crate) fn store_loads_at_once(&self) -> u32 {
+        self.store.loads_at_once()
+    }
+
     /// Returns how many loads from the store are running.
     pub(crate) fn store_loads_running(&self) -> u32 {
         let running = self.loading.values().filter(|load| load.is_from_store);
--- a/crates/wasabipoint_control/src/engines/change.rs
+++ b/crates/wasabipoint_control/src/engines/change.rs
@@ -51,13 +51,16 @@
                 result = self.unload(model).await;
             }
         }
+        let load_began = Instant::now();
         if result.is_ok() {
             result = self.load(&change.load, expected_load).await;
         }
+        let times = (load_began.elapsed(), expected_load);
+        let times = result.is_ok().then_some(times);
         self.control.with_leader_state(self.term, |leader| {
             leader
                 .engines
-                .end_load(&self.endpoint.endpoint, &change.load);
+                .end_load(&self.endpoint.endpoint, &change.load, times);
             if result.is_err() {
                 leader.engines.note_failed_change(&self.endpoint.endpoint);
             }
--- a/crates/wasabipoint_control/src/engines/view.rs
+++ b/crates/wasabipoint_control/src/engines/view.rs
@@ -18,9 +18,6 @@
 /// Time in which a new leader learns the demand before it unloads anything.
 const LEARNING_TIME: Duration = Duration::from_secs(2);
 
-/// Loads from the store at once that each have their full speed.
-const FULL_SPEED_LOADS: u32 = 4;
-
 /// Largest share of an engine's slots that adapters in use stand for. It is worth a second replica,
 /// and no more.
 const MAX_ADAPTER_SHARE: f64 = 0.45;
@@ -130,6 +127,6 @@
             0
         },
         loads_running: leader.engines.store_loads_running(),
-        full_speed_loads: FULL_SPEED_LOADS,
+        full_speed_loads: leader.engines.store_loads_at_once(),
     }
 }
--- a/crates/wasabipoint_policy/src/lib.rs
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -10,6 +10,7 @@
 mod engine_plan;
 mod placement;
 mod routing;
+mod store_concurrency;
 
 pub use engine_demand::EngineDemand;
 pub use engine_plan::{
@@ -24,3 +25,4 @@
     ROUTING_POLICIES, RoutingCandidate, RoutingChoice, RoutingPlugin, RoutingPolicy,
     RoutingRequest, build_routing_policy, routing_policy_names,
 };
+pub use store_concurrency::StoreConcurrency;
