Measure crowding in requests where engines have few slots

Cause: engines of the grown sites have 32 slots and the speed of those with 64; 40% of the slots are 13 requests there, which an engine serves in time, so that further replicas displaced rare models.

Change: a model is relieved from 14 and crowded from 18 concurrent requests per replica on, or from 30 and 40% of the slots where that is more.

--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -25,6 +25,13 @@
 /// Loads from the store at once for models that nobody asks for yet.
 const SPREAD_STORE_LOADS: u32 = 1;
 
+/// Concurrent requests that stand for the relief share on an engine with few slots. Pauses come from
+/// the prompts that an engine reads, and few slots do not make it slower.
+const MIN_RELIEF_LOAD: f64 = 14.0;
+
+/// The same for the crowded share.
+const MIN_CROWDED_LOAD: f64 = 18.0;
+
 /// Loads from the store that further replicas may occupy at once. The rest of the store's speed is
 /// kept for models that no engine holds.
 const RELIEF_STORE_LOADS: u32 = 3;
@@ -168,11 +175,29 @@
     plan.changes
 }
 
+/// Concurrent requests per replica from which on it counts as busy, by what follows from it.
+struct LoadBounds {
+    relief: f64,
+    crowded: f64,
+    spare: f64,
+}
+
+impl LoadBounds {
+    fn new(slots: u32) -> Self {
+        let slots = f64::from(slots);
+        Self {
+            relief: (slots * RELIEF_SHARE).max(MIN_RELIEF_LOAD),
+            crowded: (slots * CROWDED_SHARE).max(MIN_CROWDED_LOAD),
+            spare: slots * SPARE_SHARE,
+        }
+    }
+}
+
 struct Plan<'p> {
     models: BTreeMap<&'p ModelName, &'p ModelLoad>,
     engines: Vec<EngineHolding>,
     replicas: BTreeMap<ModelName, u32>,
-    slots: f64,
+    bounds: LoadBounds,
     store: StoreBudget,
     given_up: BTreeSet<ModelName>,
     changes: Vec<EngineChange>,
@@ -193,7 +218,7 @@
             models: models.iter().map(|model| (&model.name, model)).collect(),
             engines: engines.to_vec(),
             replicas,
-            slots: f64::from(slots),
+            bounds: LoadBounds::new(slots),
             store,
             given_up: BTreeSet::new(),
             changes: Vec::new(),
@@ -220,7 +245,7 @@
             let (rank, cause) = match replicas {
                 0 if model.waiting > 0 || model.load > UNUSED_LOAD => (1, ChangeCause::Cold),
                 0 => (0, ChangeCause::Spread),
-                _ if per_replica > self.slots * RELIEF_SHARE => (2, ChangeCause::Relief),
+                _ if per_replica > self.bounds.relief => (2, ChangeCause::Relief),
                 _ => return None,
             };
             let need = per_replica + f64::from(model.waiting);
@@ -242,7 +267,7 @@
                 let waiting = f64::from(self.models[model].waiting.min(MAX_WAITING_COUNTED));
                 load + waiting * WAITING_LOAD
             }
-            ChangeCause::Relief if per_replica > self.slots * CROWDED_SHARE => {
+            ChangeCause::Relief if per_replica > self.bounds.crowded => {
                 (per_replica - gain) * RELIEF_WORTH
             }
             ChangeCause::Relief | ChangeCause::Spread => 0.0,
@@ -262,7 +287,7 @@
             };
             let is_too_dear = match cause {
                 ChangeCause::Relief => loss * GAIN >= gain,
-                ChangeCause::Cold | ChangeCause::Spread => loss > self.slots * SPARE_SHARE,
+                ChangeCause::Cold | ChangeCause::Spread => loss > self.bounds.spare,
             };
             if is_too_dear {
                 continue;
--- a/crates/wasabipoint_policy/tests/engine_plan.rs
+++ b/crates/wasabipoint_policy/tests/engine_plan.rs
@@ -110,6 +110,25 @@
     assert!(plan_engine_changes(&busy, &engines, SLOTS, STORE).is_empty());
 }
 
+/// Pattern: engines with few slots. Guards against further replicas for models that their engine
+/// serves in time, in place of rare ones.
+#[test]
+fn few_slots_do_not_make_a_model_crowded() {
+    let models = [
+        model("busy", 17.0, 0),
+        model("rare1", 0.5, 0),
+        model("rare2", 0.4, 0),
+    ];
+    let engines = [
+        engine("e1", &["busy", "rare1"]),
+        engine("e2", &["rare2", "rare3"]),
+    ];
+    assert!(plan_engine_changes(&models, &engines, 32, STORE).is_empty());
+    let mut crowded = models;
+    crowded[0].load = 30.0;
+    assert_eq!(plan_engine_changes(&crowded, &engines, 32, STORE).len(), 1);
+}
+
 /// Pattern: the same, while requests wait for another rare model. Guards against an engine that
 /// goes to the rare model and leaves the crowd waiting for seconds more.
 #[test]
