Test what records tell of failed requests, and that a blocked output delays none

Four tests bring about a refusal without a quota slice, a lost answer, a late stream and a standard output that nobody reads, with the stand-ins on loopback, and find the cause in the records alone. The fixture of the forwarding tests has a file of its own.

--- /dev/null
+++ b/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
@@ -0,0 +1,370 @@
+//! A forwarding entry process between callers and endpoints that follow a script.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::{HeaderMap, Request, request, response};
+use slog::{Discard, Logger, o};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use wasabipoint_entry::{
+    ControlLink, ForwardConfig, ForwardDialect, ForwardFacts, Forwarder, RequestFacts,
+    ResponseFacts,
+};
+use wasabipoint_http::{ClientError, HttpClient};
+use wasabipoint_kernel::{
+    CallerLimits, CustomerId, Deployment, EndpointId, EntryId, FailureDomain, ForwardCustomer,
+    ForwardRoute, ForwardService, Incarnation, KeyDigester, RateUnit, RouteName, RunPolicy,
+    ServiceName,
+};
+use wasabipoint_rpc::{
+    ClaimOutcome, ClaimRequest, ControlError, EndpointKind, EndpointView, EntryDirective,
+    EntryReport, FleetUpdate, FleetView, QuotaExchange, QuotaGrants, WatchReply, WatchRequest,
+};
+
+const SECRET: &str = "test";
+
+/// Names on the wire as the tests use them.
+struct TestDialect;
+
+impl ForwardDialect for TestDialect {
+    fn read_request(&self, head: &request::Parts) -> Option<RequestFacts> {
+        let text = |name: &str| Some(head.headers.get(name)?.to_str().ok()?.to_owned());
+        Some(RequestFacts {
+            request_id: text("id")?,
+            key: text("key"),
+            ..RequestFacts::default()
+        })
+    }
+
+    fn write_request(&self, headers: &mut HeaderMap, facts: &ForwardFacts<'_>) {
+        headers.remove("key");
+        if let Some(id) = facts.last_event_id {
+            headers.insert("last-event-id", id.into());
+        }
+    }
+
+    fn read_response(&self, head: &response::Parts, _: &EndpointId) -> ResponseFacts {
+        let text = |name: &str| Some(head.headers.get(name)?.to_str().ok()?.to_owned());
+        ResponseFacts {
+            request_id: text("id"),
+            is_not_run: text("not-run").is_some(),
+            is_signed: true,
+            ..ResponseFacts::default()
+        }
+    }
+}
+
+/// Control that holds one view.
+pub(crate) struct StillControl {
+    view: Option<FleetView>,
+}
+
+impl ControlLink for StillControl {
+    fn watch(&self, request: WatchRequest) -> BoxFuture<'_, Result<WatchReply, ControlError>> {
+        Box::pin(async move {
+            let Some(view) = &self.view else {
+                return Err(ControlError::Unavailable);
+            };
+            if request.known_revision == view.revision {
+                tokio::time::sleep(Duration::from_millis(request.wait_ms)).await;
+                return Ok(WatchReply {
+                    revision: view.revision,
+                    update: FleetUpdate::Delta(Vec::new()),
+                });
+            }
+            Ok(WatchReply {
+                revision: view.revision,
+                update: FleetUpdate::Snapshot(Box::new(view.clone())),
+            })
+        })
+    }
+
+    fn report(&self, _: EntryReport) -> BoxFuture<'_, Result<EntryDirective, ControlError>> {
+        Box::pin(async { Err(ControlError::Unavailable) })
+    }
+
+    fn exchange_quota(&self, _: QuotaExchange) -> BoxFuture<'_, Result<QuotaGrants, ControlError>> {
+        Box::pin(async { Err(ControlError::Unavailable) })
+    }
+
+    fn claim(&self, _: ClaimRequest) -> BoxFuture<'_, Result<ClaimOutcome, ControlError>> {
+        Box::pin(async { Err(ControlError::Unavailable) })
+    }
+}
+
+/// What an endpoint does with the next request that it has read.
+pub(crate) enum Step {
+    /// Sends these bytes and keeps the connection.
+    Send(String),
+    /// Sends these bytes and closes the connection.
+    SendAndClose(String),
+    /// Sends the first bytes, and the rest after a pause.
+    SendWithPause(String, Duration, String),
+    /// Closes the connection.
+    Close,
+    /// Says nothing, and tells when the connection is closed by the other side.
+    Silence(oneshot::Sender<()>),
+}
+
+/// An endpoint that follows a script and records the requests that it read.
+pub(crate) struct Endpoint {
+    address: SocketAddr,
+    pub(crate) heads: Arc<Mutex<Vec<String>>>,
+}
+
+impl Endpoint {
+    pub(crate) async fn start(steps: Vec<Step>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let heads = Arc::new(Mutex::new(Vec::new()));
+        let steps = Arc::new(Mutex::new(VecDeque::from(steps)));
+        let seen = Arc::clone(&heads);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve_steps(stream, Arc::clone(&steps), Arc::clone(&seen)));
+            }
+        });
+        Self { address, heads }
+    }
+
+    pub(crate) fn arrivals(&self) -> usize {
+        self.heads.lock().unwrap().len()
+    }
+}
+
+async fn serve_steps(
+    mut stream: TcpStream,
+    steps: Arc<Mutex<VecDeque<Step>>>,
+    heads: Arc<Mutex<Vec<String>>>,
+) {
+    let mut read = Vec::new();
+    loop {
+        while !read.windows(4).any(|end| end == b"\r\n\r\n") {
+            let mut buffer = [0; 4_096];
+            match stream.read(&mut buffer).await {
+                Ok(count) if count > 0 => read.extend_from_slice(&buffer[..count]),
+                _ => return,
+            }
+        }
+        heads
+            .lock()
+            .unwrap()
+            .push(String::from_utf8_lossy(&read).into_owned());
+        read.clear();
+        let step = steps.lock().unwrap().pop_front().unwrap();
+        match step {
+            Step::Send(text) => stream.write_all(text.as_bytes()).await.unwrap(),
+            Step::SendWithPause(first, pause, rest) => {
+                stream.write_all(first.as_bytes()).await.unwrap();
+                tokio::time::sleep(pause).await;
+                stream.write_all(rest.as_bytes()).await.unwrap();
+            }
+            Step::SendAndClose(text) => {
+                stream.write_all(text.as_bytes()).await.unwrap();
+                return;
+            }
+            Step::Close => return,
+            Step::Silence(closed) => {
+                let mut buffer = [0; 16];
+                let _ = stream.read(&mut buffer).await;
+                let _ = closed.send(());
+                return;
+            }
+        }
+    }
+}
+
+pub(crate) fn whole(id: &str, body: &str) -> String {
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\nid: {id}\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+pub(crate) fn not_run(id: &str) -> String {
+    format!("HTTP/1.1 503 Busy\r\nid: {id}\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n")
+}
+
+pub(crate) fn chunks(id: &str, events: &[&str], is_ended: bool) -> String {
+    let mut text = format!("HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n");
+    for event in events {
+        write!(text, "{:x}\r\n{event}\r\n", event.len()).unwrap();
+    }
+    if is_ended {
+        text.push_str("0\r\n\r\n");
+    }
+    text
+}
+
+fn route(name: &str, run_policy: RunPolicy) -> ForwardRoute {
+    ForwardRoute {
+        name: RouteName::new(name),
+        host: "app.example".to_owned(),
+        path_prefix: format!("/{name}/"),
+        run_policy,
+        timeout_ms: 5_000,
+        objective_ms: 300,
+        max_gap_ms: 100,
+        priority: 0,
+        services: vec![(ServiceName::new("app"), 1)],
+        max_attempts: 2,
+        is_open: true,
+        is_cacheable: false,
+    }
+}
+
+fn deployment() -> Deployment {
+    let mut keyed = route("keyed", RunPolicy::Idempotent);
+    keyed.is_open = false;
+    let service = ForwardService {
+        name: ServiceName::new("app"),
+        max_connections: 10,
+        engine: None,
+    };
+    let unlimited = ForwardCustomer {
+        id: CustomerId::new("harbour"),
+        keys: vec![KeyDigester::new(SECRET).digest("right")],
+        priority: None,
+        unit: RateUnit::Requests,
+        rate_per_s: None,
+        burst: 0,
+        default_cost: 1,
+    };
+    let limited = ForwardCustomer {
+        id: CustomerId::new("quarry"),
+        keys: vec![KeyDigester::new(SECRET).digest("limited")],
+        rate_per_s: Some(100),
+        burst: 100,
+        ..unlimited.clone()
+    };
+    Deployment {
+        version: 3,
+        routes: vec![
+            route("once", RunPolicy::AtMostOnce),
+            route("safe", RunPolicy::Idempotent),
+            route("stream", RunPolicy::Stream),
+            route("resumable", RunPolicy::ResumableStream),
+            keyed,
+        ],
+        services: BTreeMap::from([(service.name.clone(), service)]),
+        customers: [unlimited, limited]
+            .map(|customer| (customer.id.clone(), customer))
+            .into(),
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1_024,
+            head_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+    }
+}
+
+pub(crate) fn view(endpoints: &[&Endpoint]) -> FleetView {
+    let mut view = FleetView::new();
+    view.revision = 1;
+    view.deployment = Some(Box::new(deployment()));
+    for (index, endpoint) in endpoints.iter().enumerate() {
+        let id = EndpointId::new(format!("endpoint-{index}"));
+        let listed = EndpointView {
+            endpoint: id.clone(),
+            incarnation: Incarnation(1),
+            address: endpoint.address,
+            // The first endpoint is nearer, so it is asked first.
+            failure_domain: FailureDomain::new(if index == 0 { "here" } else { "far" }),
+            kind: EndpointKind::Service,
+            service: ServiceName::new("app"),
+            models: Vec::new(),
+            concurrency: 8,
+            is_leaving: false,
+        };
+        view.endpoints.insert(id, listed);
+    }
+    view
+}
+
+/// A forwarding entry process and a client of it.
+pub(crate) struct Fixture {
+    pub(crate) address: SocketAddr,
+    pub(crate) status: SocketAddr,
+    pub(crate) client: HttpClient,
+    pub(crate) stop: Option<oneshot::Sender<()>>,
+}
+
+impl Fixture {
+    pub(crate) async fn start(view: Option<FleetView>) -> Self {
+        Self::start_logged(view, Logger::root(Discard, o!())).await
+    }
+
+    pub(crate) async fn start_logged(view: Option<FleetView>, logger: Logger) -> Self {
+        let is_ready = view.is_some();
+        let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let status = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let config = ForwardConfig {
+            entry: EntryId::new("entry-1"),
+            listen: callers.local_addr().unwrap(),
+            status_listen: status.local_addr().unwrap(),
+            ready_path: "/ready",
+            failure_domain: FailureDomain::new("here"),
+            key_secret: SECRET.to_owned(),
+            grace: Duration::from_secs(2),
+        };
+        let (address, status_address) = (config.listen, config.status_listen);
+        let forwarder = Arc::new(Forwarder::new(
+            config,
+            Incarnation(1),
+            Arc::new(TestDialect),
+            Arc::new(StillControl { view }),
+            logger,
+        ));
+        let (stop, stopped) = oneshot::channel::<()>();
+        tokio::spawn(async move {
+            let stopped = async {
+                let _ = stopped.await;
+            };
+            forwarder.run_on(callers, status, stopped).await;
+        });
+        let fixture = Self {
+            address,
+            status: status_address,
+            client: HttpClient::new(Duration::from_secs(1)),
+            stop: Some(stop),
+        };
+        if is_ready {
+            while fixture.ready_status().await != 200 {
+                tokio::task::yield_now().await;
+            }
+        }
+        fixture
+    }
+
+    pub(crate) async fn ready_status(&self) -> u16 {
+        let uri = format!("http://{}/ready", self.status);
+        let request = Request::get(uri).body(Bytes::new()).unwrap();
+        let limit = Duration::from_secs(5);
+        let answered = self.client.fetch(request, 1_024, limit).await;
+        answered.unwrap().status().as_u16()
+    }
+
+    pub(crate) fn request(&self, route: &str, id: &str) -> Request<Bytes> {
+        Request::post(format!("http://{}/{route}/x", self.address))
+            .header("host", "app.example")
+            .header("id", id)
+            .body(Bytes::from_static(b"body"))
+            .unwrap()
+    }
+
+    pub(crate) async fn call(
+        &self,
+        route: &str,
+        id: &str,
+    ) -> Result<http::Response<Bytes>, ClientError> {
+        let request = self.request(route, id);
+        let limit = Duration::from_secs(10);
+        self.client.fetch(request, 1_024 * 1_024, limit).await
+    }
+}
--- a/crates/wasabipoint_kernel/src/lib.rs
+++ b/crates/wasabipoint_kernel/src/lib.rs
@@ -30,7 +30,7 @@
 pub use ini_document::{IniDocument, IniEntry, IniSection, SettingError, SettingErrors};
 pub use inventory::{Adapter, Customer, Inventory, InventoryChange, Model};
 pub use key::{KeyDigest, KeyDigester};
-pub use log::{build_logger, build_stdout_logger};
+pub use log::{build_logger, build_logger_to, build_stdout_logger};
 pub use metrics::Metrics;
 pub use rules::{
     AdmissionRules, PlacementRules, RouteAccess, RouteRule, RoutingRules, Rules, StoreRules,
--- a/crates/wasabipoint_kernel/src/log.rs
+++ b/crates/wasabipoint_kernel/src/log.rs
@@ -12,7 +12,7 @@
     program: &'static str,
     settings: &Settings,
 ) -> (Logger, slog_async::AsyncGuard) {
-    build_logger_to(program, settings, std::io::stderr)
+    build_logger_to(program, settings, std::io::stderr())
 }
 
 /// Builds the logger of a program whose records go to standard output.
@@ -22,13 +22,14 @@
     program: &'static str,
     settings: &Settings,
 ) -> (Logger, slog_async::AsyncGuard) {
-    build_logger_to(program, settings, std::io::stdout)
+    build_logger_to(program, settings, std::io::stdout())
 }
 
-fn build_logger_to<W: Write + Send + 'static>(
+/// Builds the logger of a program whose records go to `output`, written by a thread of its own.
+pub fn build_logger_to<W: Write + Send + 'static>(
     program: &'static str,
     settings: &Settings,
-    output: fn() -> W,
+    output: W,
 ) -> (Logger, slog_async::AsyncGuard) {
     let level = match settings.text("log_level") {
         "error" => Level::Error,
@@ -38,9 +39,9 @@
     };
     let drain: Box<dyn Drain<Ok = (), Err = slog::Never> + Send> =
         if settings.text("log_format") == "json" {
-            Box::new(slog_json::Json::default(output()).fuse())
+            Box::new(slog_json::Json::default(output).fuse())
         } else {
-            let decorator = slog_term::PlainDecorator::new(output());
+            let decorator = slog_term::PlainDecorator::new(output);
             Box::new(slog_term::FullFormat::new(decorator).build().fuse())
         };
     // Records beyond the buffer are dropped and counted, so that a burst cannot block requests.
