--- a/crates/wasabipoint_testbed/src/demo.rs
+++ b/crates/wasabipoint_testbed/src/demo.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bpaf::{OptionParser, Parser};
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
 use tokio::time::Instant;
@@ -56,11 +57,91 @@
 
 impl std::error::Error for DemoError {}
 
-/// Runs the demo and prints what happens.
-pub async fn run_demo() -> Result<(), DemoError> {
-    let started = Instant::now();
+/// Options of the demo.
+#[derive(Debug, Clone)]
+pub struct DemoOptions {
+    /// Leaves the fleet up until a signal arrives.
+    pub is_kept: bool,
+}
+
+/// How the demo ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DemoEnd {
+    /// All that was to be shown was shown.
+    Complete,
+    /// It was stopped before.
+    Stopped,
+}
+
+/// Returns the command line of the demo.
+pub fn demo_options() -> OptionParser<DemoOptions> {
+    let is_kept = bpaf::long("keep")
+        .help("Leave the fleet up until Ctrl-C, with a key and a request to try")
+        .switch();
+    bpaf::construct!(DemoOptions { is_kept })
+        .to_options()
+        .descr(
+            "Starts a fleet of the Delta example on loopback, sends requests, checks the answers.",
+        )
+}
+
+/// Runs the demo and prints what happens. `stop` ends it early, and ends a fleet that is kept; every
+/// process that was started has ended when this returns.
+///
+/// # Errors
+///
+/// Fails when the fleet cannot be operated or an answer is not the expected one.
+pub async fn run_demo(
+    options: &DemoOptions,
+    stop: impl Future<Output = ()>,
+) -> Result<DemoEnd, DemoError> {
+    tokio::pin!(stop);
     let plan = FleetPlan::delta().with_endpoints(ENGINES, BOOKING_ENDPOINTS);
-    let fleet = Fleet::start(plan).await?;
+    let started = Instant::now();
+    let fleet = tokio::select! {
+        fleet = Fleet::start(plan) => fleet?,
+        () = &mut stop => return Ok(DemoEnd::Stopped),
+    };
+    let shown = tokio::select! {
+        shown = show(&fleet, started) => Some(shown),
+        () = &mut stop => None,
+    };
+    let end = match shown {
+        None => Ok(DemoEnd::Stopped),
+        Some(Err(error)) => Err(error),
+        Some(Ok(())) if options.is_kept => match offer(&fleet).await {
+            Ok(()) => {
+                stop.await;
+                Ok(DemoEnd::Complete)
+            }
+            Err(error) => Err(error),
+        },
+        Some(Ok(())) => Ok(DemoEnd::Complete),
+    };
+    fleet.stop().await?;
+    println!("stopped every process by id");
+    end
+}
+
+/// Prints a key and a request to try.
+async fn offer(fleet: &Fleet) -> Result<(), DemoError> {
+    let key = fleet.add_key("bucket-traders").await?;
+    fleet.wait_for_key(0, &key.key).await?;
+    let body = json!({
+        "model": "rounds-small",
+        "max_tokens": 16,
+        "messages": [{"role": "user", "content": "draft a round note"}],
+    });
+    println!("the fleet stays up until Ctrl-C; to try it:");
+    println!(
+        "curl -H 'authorization: Bearer {}' -H 'content-type: application/json' \\\n  -d '{body}' http://{}/v1/chat/completions",
+        key.key,
+        fleet.entries[0].http_address()
+    );
+    Ok(())
+}
+
+async fn show(fleet: &Fleet, started: Instant) -> Result<(), DemoError> {
     println!(
         "started {} in {:.1} s",
         fleet.describe(),
@@ -72,12 +153,9 @@
     println!("applied the Delta inventory and rules, added a key");
     show_completion(&fleet.caller(0).with_key(&key.key)).await?;
     show_booking(&fleet.caller(1).with_key(&key.key)).await?;
-    show_over_rate(&fleet).await?;
-    show_withdrawal(&fleet, &key).await?;
-    show_placement(&fleet).await?;
-    fleet.stop().await?;
-    println!("stopped every process by id");
-    Ok(())
+    show_over_rate(fleet).await?;
+    show_withdrawal(fleet, &key).await?;
+    show_placement(fleet).await
 }
 
 async fn show_completion(caller: &Caller) -> Result<(), DemoError> {
--- a/crates/wasabipoint_testbed/src/fleet.rs
+++ b/crates/wasabipoint_testbed/src/fleet.rs
@@ -187,7 +187,7 @@
         )
     }
 
-    /// Terminates the daemons, waits for them, and kills the stand-ins.
+    /// Terminates the daemons, kills the stand-ins, and waits for all of them.
     pub async fn stop(mut self) -> Result<(), FleetError> {
         let controls = self.controls.iter_mut().flatten();
         let daemons = self
@@ -202,6 +202,10 @@
                 return Err(FleetError::Condition(what));
             }
         }
+        let stand_ins = [&mut self.store, &mut self.platform];
+        for process in stand_ins.into_iter().chain(&mut self.endpoints) {
+            process.kill().await?;
+        }
         Ok(())
     }
 
--- a/crates/wasabipoint_testbed/src/lib.rs
+++ b/crates/wasabipoint_testbed/src/lib.rs
@@ -13,7 +13,7 @@
 
 pub use caller::{Answer, Caller};
 pub use capacity::{CapacityOptions, capacity_options, run_capacity};
-pub use demo::{DemoError, run_demo};
+pub use demo::{DemoEnd, DemoError, DemoOptions, demo_options, run_demo};
 pub use fleet::{CallerKey, Fleet, FleetError};
 pub use link::{Link, LinkState};
 pub use plan::{EngineFencing, FleetPlan};
