Require two witnesses for an unreachable engine, also of a new leader

A plan between the two reports loaded the model.

Ruled out: stale reports (both entry processes report every 100 ms there).

Change: two witnesses always; with a single entry process an engine leaves with the list. The test reports from one entry process alone first, which failed every time before the change.

--- a/crates/wasabipoint_control/src/leader_state.rs
+++ b/crates/wasabipoint_control/src/leader_state.rs
@@ -191,16 +191,15 @@
     }
 
     /// Returns the endpoints that entry processes cannot connect to, with how many of them say so.
-    /// One alone may be cut off itself, unless it is the only one.
+    /// One alone may be cut off itself, also where a new leader knows no other yet.
     pub(crate) fn unreachable(&self) -> BTreeMap<(EndpointId, Incarnation), usize> {
         let is_fresh = |entry: &&EntryMemory| entry.received.elapsed() < UNREACHABLE_AGE;
-        let fresh: Vec<&EntryMemory> = self.entries.values().filter(is_fresh).collect();
+        let fresh = self.entries.values().filter(is_fresh);
         let mut counts: BTreeMap<(EndpointId, Incarnation), usize> = BTreeMap::new();
-        for endpoint in fresh.iter().flat_map(|e| &e.report.unreachable_endpoints) {
+        for endpoint in fresh.flat_map(|entry| &entry.report.unreachable_endpoints) {
             *counts.entry(endpoint.clone()).or_default() += 1;
         }
-        let needed = UNREACHABLE_WITNESSES.min(fresh.len());
-        counts.retain(|_, count| *count >= needed);
+        counts.retain(|_, count| *count >= UNREACHABLE_WITNESSES);
         counts
     }
 
--- a/crates/wasabipoint_control/tests/engine_changes.rs
+++ b/crates/wasabipoint_control/tests/engine_changes.rs
@@ -317,12 +317,15 @@
 async fn a_model_of_an_engine_that_entries_cannot_reach_is_loaded_elsewhere() {
     let engines = Engines::new(&[("e1", &["a"], &["a"]), ("e2", &["b"], &["b"])]);
     let fixture = Fixture::start("unreachable", &engines).await;
-    let end = tokio::time::Instant::now() + Duration::from_secs(2);
-    let one_alone: [(&str, &[&str]); 2] = [("entry-1", &["e1"]), ("entry-2", &[])];
-    fixture
-        .report_until("a", &one_alone, || tokio::time::Instant::now() > end)
-        .await;
-    assert_eq!(engines.holders("a"), 1);
+    let one_alone: [(&str, &[&str]); 1] = [("entry-1", &["e1"])];
+    let one_of_two: [(&str, &[&str]); 2] = [("entry-1", &["e1"]), ("entry-2", &[])];
+    for entries in [&one_alone[..], &one_of_two[..]] {
+        let end = tokio::time::Instant::now() + Duration::from_secs(1);
+        fixture
+            .report_until("a", entries, || tokio::time::Instant::now() > end)
+            .await;
+        assert_eq!(engines.holders("a"), 1);
+    }
     let both: [(&str, &[&str]); 2] = [("entry-1", &["e1"]), ("entry-2", &["e1"])];
     fixture
         .report_until("a", &both, || engines.holders("a") == 2)
