--- a/crates/wasabipoint_control/tests/engine_changes.rs
+++ b/crates/wasabipoint_control/tests/engine_changes.rs
@@ -2,8 +2,10 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+#[path = "fixtures/member.rs"]
+mod member;
+
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -11,8 +13,8 @@
 use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
 use wasabipoint_control::{
-    CommandAnswer, ControlConfig, ControlServer, Deployed, EndpointDirectory, EngineCommand,
-    EngineCommander, EngineOperation, EngineState, RateAllowance,
+    CommandAnswer, ControlServer, EndpointDirectory, EngineCommand, EngineCommander,
+    EngineOperation, EngineState, MemberIdentity,
 };
 use wasabipoint_kernel::{
     CallerLimits, Deployment, EndpointId, EngineModel, EngineSpec, EntryId, FailureDomain,
@@ -22,6 +24,8 @@
     AdapterRequest, ControlClient, EndpointKind, EndpointView, EntryReport, ModelDemand,
 };
 
+use member::{deployed, member_config};
+
 /// Longest wait for a condition; a change of these engines takes well under a second.
 const LIMIT: Duration = Duration::from_secs(15);
 
@@ -170,32 +174,13 @@
         let address = listener.local_addr().unwrap();
         let name = format!("wasabipoint-changes-{test}-{}", std::process::id());
         let folder = std::env::temp_dir().join(name);
-        let http: SocketAddr = "127.0.0.1:0".parse().unwrap();
-        let config = ControlConfig {
-            cluster: "test".to_owned(),
+        let identity = MemberIdentity {
             member: MemberId(1),
-            members: BTreeMap::from([(MemberId(1), address)]),
             is_joining: false,
-            rpc_listen: address,
-            http_listen: http,
-            data_folder: folder.clone(),
-            failure_domain: "here".to_owned(),
-            key_secret: String::new(),
-            operator_token: "token".to_owned(),
-            platform_list: None,
-            tick_ms: 20,
-            snapshot_entries: 64,
-            slice_lifetime_ms: 5_000,
-            agent_silence: Duration::from_secs(5),
-            replace_after: Duration::from_secs(10),
-        };
-        let deployed = Deployed {
-            directory: Arc::clone(engines) as _,
-            commander: Arc::clone(engines) as _,
-            command_lease: Duration::ZERO,
-            rate_allowance: RateAllowance::default(),
-            operator_api: |_, product| product,
+            members: BTreeMap::from([(MemberId(1), address)]),
         };
+        let config = member_config(identity, address, &folder);
+        let deployed = deployed(Arc::clone(engines) as _, Arc::clone(engines) as _);
         let logger = Logger::root(Discard, o!());
         let server = ControlServer::start_deployed(config, listener, logger, Some(deployed));
         let server = server.await.unwrap();
--- a/crates/wasabipoint_control/tests/membership.rs
+++ b/crates/wasabipoint_control/tests/membership.rs
@@ -3,6 +3,9 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+#[path = "fixtures/member.rs"]
+mod member;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -15,12 +18,14 @@
 use tokio::net::TcpListener;
 use wasabipoint_consensus::Role;
 use wasabipoint_control::{
-    CommandAnswer, ControlConfig, ControlServer, Deployed, EndpointDirectory, EngineCommand,
-    EngineCommander, EngineState, RateAllowance, find_identity,
+    CommandAnswer, ControlServer, EndpointDirectory, EngineCommand, EngineCommander, EngineState,
+    find_identity,
 };
 use wasabipoint_kernel::{CallerLimits, Deployment};
 use wasabipoint_rpc::EndpointView;
 
+use member::{deployed, member_config};
+
 /// Longest wait for a condition. Elections and joins take a second or two.
 const LIMIT: Duration = Duration::from_secs(30);
 
@@ -71,31 +76,8 @@
         let http: SocketAddr = "127.0.0.1:0".parse().unwrap();
         let identity = find_identity(&self.folder, self.address, http, seeds, is_first_start);
         let identity = identity.await.unwrap();
-        let config = ControlConfig {
-            cluster: "test".to_owned(),
-            member: identity.member,
-            members: identity.members,
-            is_joining: identity.is_joining,
-            rpc_listen: self.address,
-            http_listen: http,
-            data_folder: self.folder.clone(),
-            failure_domain: "here".to_owned(),
-            key_secret: String::new(),
-            operator_token: "token".to_owned(),
-            platform_list: None,
-            tick_ms: 20,
-            snapshot_entries: 64,
-            slice_lifetime_ms: 5_000,
-            agent_silence: Duration::from_secs(5),
-            replace_after: Duration::from_secs(10),
-        };
-        let deployed = Deployed {
-            directory: Arc::new(NoEndpoints),
-            commander: Arc::new(NoEndpoints),
-            command_lease: Duration::ZERO,
-            rate_allowance: RateAllowance::default(),
-            operator_api: |_, product| product,
-        };
+        let config = member_config(identity, self.address, &self.folder);
+        let deployed = deployed(Arc::new(NoEndpoints), Arc::new(NoEndpoints));
         let logger = Logger::root(Discard, o!());
         let started = ControlServer::start_deployed(config, listener, logger, Some(deployed));
         self.server = Some(started.await.unwrap());
