Record the steps of elections, addresses of members and lost connections

No logic is changed.

Evidence: a_first_start_without_all_members_tells_who_is_missing fails without the record.

--- a/crates/wasabipoint_consensus/src/core/admission.rs
+++ b/crates/wasabipoint_consensus/src/core/admission.rs
@@ -39,6 +39,18 @@
         }
     }
 
+    /// Returns the first members that have not recorded this member's disk, while it waits for
+    /// them.
+    pub fn awaited_members(&self) -> Vec<MemberId> {
+        if self.is_admitted() {
+            return Vec::new();
+        }
+        let first = self.config.initial_members.iter().copied();
+        first
+            .filter(|m| *m != self.config.member && !self.welcomed_by.contains(m))
+            .collect()
+    }
+
     pub(super) fn send_hellos(&mut self) {
         if self.refusal.is_some() || !self.now.is_multiple_of(HEARTBEAT_TICKS) {
             return;
--- a/crates/wasabipoint_consensus/src/message.rs
+++ b/crates/wasabipoint_consensus/src/message.rs
@@ -141,6 +141,22 @@
     }
 }
 
+impl Body {
+    /// Names the step of an election or of a refusal, for records.
+    pub(crate) fn election_step(&self) -> Option<&'static str> {
+        Some(match self {
+            Self::PreVote { .. } => "pre-vote asked",
+            Self::PreVoteReply { is_granted: true } => "pre-vote granted",
+            Self::PreVoteReply { is_granted: false } => "pre-vote refused",
+            Self::Vote { .. } => "vote asked",
+            Self::VoteReply { is_granted: true } => "vote granted",
+            Self::VoteReply { is_granted: false } => "vote refused",
+            Self::Refuse { .. } => "member refused",
+            _ => return None,
+        })
+    }
+}
+
 /// Version of the message encoding.
 const WIRE_VERSION: u8 = 1;
 
--- a/crates/wasabipoint_consensus/src/replica/driver.rs
+++ b/crates/wasabipoint_consensus/src/replica/driver.rs
@@ -7,7 +7,7 @@
 use slog::{Logger, crit, info, warn};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, MissedTickBehavior};
 use wasabipoint_kernel::MemberId;
 
 use crate::api::{
@@ -15,12 +15,15 @@
 };
 use crate::core::{Core, Effect};
 use crate::entry::{Payload, SharedBytes};
-use crate::message;
+use crate::message::{self, Message};
 use crate::storage::{DiskError, Storage};
 
 /// Requests and messages handled before writes and messages are issued for all of them.
 const GROUP_SIZE: usize = 1_024;
 
+/// Time without a known leader before each record of it. An election takes less than a second.
+const NO_LEADER_PAUSE: Duration = Duration::from_secs(2);
+
 type Answer = oneshot::Sender<Result<Vec<u8>, ProposeError>>;
 
 /// A call of a handle.
@@ -67,6 +70,7 @@
     proposals: BTreeMap<u64, Waiter>,
     reads: HashMap<u64, oneshot::Sender<Result<u64, ProposeError>>>,
     next_read: u64,
+    next_leader_record: Instant,
     is_stopping: bool,
     /// Why the replica stops by itself.
     fault: Option<String>,
@@ -100,6 +104,7 @@
             proposals: BTreeMap::new(),
             reads: HashMap::new(),
             next_read: 0,
+            next_leader_record: Instant::now() + NO_LEADER_PAUSE,
             is_stopping: false,
             fault: None,
         }
@@ -120,7 +125,10 @@
                 break;
             }
             tokio::select! {
-                _ = ticks.tick() => self.core.tick(),
+                _ = ticks.tick() => {
+                    self.core.tick();
+                    self.report_missing_leader();
+                }
                 request = requests.recv() => {
                     self.take_request(request.unwrap_or(Request::Stop));
                     for _ in 1..GROUP_SIZE {
@@ -141,6 +149,33 @@
         self.shut_down(requests).await;
     }
 
+    /// Records that no leader is known, with what an election waits for: the voters that are asked,
+    /// the first members that have not recorded this disk, and a disk that is busy.
+    fn report_missing_leader(&mut self) {
+        let has_leader = self.status.borrow().leader.is_some();
+        if has_leader {
+            self.next_leader_record = Instant::now() + NO_LEADER_PAUSE;
+        }
+        if Instant::now() < self.next_leader_record {
+            return;
+        }
+        self.next_leader_record = Instant::now() + NO_LEADER_PAUSE;
+        let ids = |members: Vec<MemberId>| members.into_iter().map(|m| m.0).collect::<Vec<_>>();
+        let voters = self.core.configuration().voters.keys().copied().collect();
+        warn!(self.logger, "consensus: no leader is known";
+            "role" => ?self.status.borrow().role, "term" => self.core.term(),
+            "voters" => ?ids(voters), "awaited" => ?ids(self.core.awaited_members()),
+            "is_disk_busy" => matches!(self.disk, Disk::Busy(_)));
+    }
+
+    /// Records a step of an election: who asks whom, and the answer.
+    fn record_election_step(&self, message: &Message) {
+        if let Some(step) = message.body.election_step() {
+            info!(self.logger, "consensus: election"; "step" => step, "term" => message.term,
+                "from" => message.from.0, "to" => message.to.0);
+        }
+    }
+
     fn take_request(&mut self, request: Request) {
         match request {
             Request::Propose { command, answer } => {
@@ -176,7 +211,10 @@
 
     fn take_message(&mut self, from: MemberId, bytes: &[u8]) {
         match message::decode(&self.config.cluster, bytes) {
-            Some(message) if message.from == from => self.core.receive(message),
+            Some(message) if message.from == from => {
+                self.record_election_step(&message);
+                self.core.receive(message);
+            }
             _ => warn!(self.logger, "consensus: dropped a message that is malformed or not of \
                 this cluster"; "from" => from.0),
         }
@@ -207,6 +245,7 @@
         self.compact_if_due();
         self.start_write();
         for message in self.core.take_messages() {
+            self.record_election_step(&message);
             let bytes = message::encode(&self.config.cluster, &message);
             self.transport.send(message.to, bytes);
         }
--- a/crates/wasabipoint_consensus/tests/driver.rs
+++ b/crates/wasabipoint_consensus/tests/driver.rs
@@ -30,6 +30,25 @@
     cluster.stop_all().await;
 }
 
+/// Guards against a first start that waits for one member and tells nobody, and against records that
+/// go on when all members are there.
+#[tokio::test(start_paused = true)]
+async fn a_first_start_without_all_members_tells_who_is_missing() {
+    const AWAITED: &str = "consensus: no leader is known";
+    let mut cluster = Cluster::new(3);
+    cluster.restart(1).await.unwrap();
+    cluster.restart(2).await.unwrap();
+    sleep(Duration::from_secs(5)).await;
+    let told = cluster.count_records(AWAITED);
+    assert!((2..=4).contains(&told), "{told} records of two members");
+    cluster.restart(3).await.unwrap();
+    cluster.leader().await;
+    let told = cluster.count_records(AWAITED);
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(cluster.count_records(AWAITED), told);
+    cluster.stop_all().await;
+}
+
 /// Guards against a cluster that stays without a leader, or loses entries, when its leader dies.
 #[tokio::test(start_paused = true)]
 async fn elects_a_leader_after_the_leader_is_killed() {
--- a/crates/wasabipoint_consensus/tests/driver/cluster.rs
+++ b/crates/wasabipoint_consensus/tests/driver/cluster.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use slog::{Discard, Logger, o};
+use slog::{Drain, Logger, OwnedKVList, Record, o};
 use tokio::time::{sleep, timeout};
 use wasabipoint_consensus::{
     ChangeRefusal, DiskHook, MembershipChange, ProposeError, Replica, ReplicaConfig, ReplicaHandle,
@@ -63,7 +63,22 @@
     }
 }
 
+/// Messages of the records of all members.
+#[derive(Clone, Default)]
+struct Records(Arc<Mutex<Vec<String>>>);
+
+impl Drain for Records {
+    type Ok = ();
+    type Err = slog::Never;
+
+    fn log(&self, record: &Record<'_>, _: &OwnedKVList) -> Result<(), slog::Never> {
+        self.0.lock().unwrap().push(record.msg().to_string());
+        Ok(())
+    }
+}
+
 pub(crate) struct Cluster {
+    records: Records,
     folder: PathBuf,
     size: u64,
     network: Arc<Mutex<Network>>,
@@ -82,6 +97,7 @@
     pub(crate) fn new(size: u64) -> Self {
         let name = format!("wasabipoint-driver-{:016x}", rand::random::<u64>());
         Self {
+            records: Records::default(),
             folder: std::env::temp_dir().join(name),
             size,
             network: Arc::default(),
@@ -91,6 +107,12 @@
         }
     }
 
+    /// Returns how many records begin with a text.
+    pub(crate) fn count_records(&self, start: &str) -> usize {
+        let records = self.records.0.lock().unwrap();
+        records.iter().filter(|r| r.starts_with(start)).count()
+    }
+
     pub(crate) async fn start(size: u64) -> Self {
         let mut cluster = Self::new(size);
         for id in 1..=size {
@@ -120,7 +142,7 @@
             from: id,
             network: Arc::clone(&self.network),
         });
-        let logger = Logger::root(Discard, o!());
+        let logger = Logger::root(self.records.clone(), o!());
         let hook = Some(self.disk_hook(id));
         let handle =
             Replica::start_with_disk_hook(config, machine.clone(), link, logger, hook).await?;
--- a/crates/wasabipoint_control/src/peer.rs
+++ b/crates/wasabipoint_control/src/peer.rs
@@ -1,11 +1,12 @@
 //! Messages between control members.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{PoisonError, RwLock};
+use std::sync::{Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 
+use slog::{Logger, info, warn};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tokio::io::AsyncWriteExt;
@@ -49,14 +50,19 @@
     cluster: String,
     from: MemberId,
     peers: RwLock<BTreeMap<MemberId, Peer>>,
+    /// Members without an address for which that is recorded.
+    unaddressed: Mutex<BTreeSet<MemberId>>,
+    logger: Logger,
 }
 
 impl PeerTransport {
-    pub(crate) fn new(cluster: &str, from: MemberId) -> Self {
+    pub(crate) fn new(cluster: &str, from: MemberId, logger: Logger) -> Self {
         Self {
             cluster: cluster.to_owned(),
             from,
             peers: RwLock::default(),
+            unaddressed: Mutex::default(),
+            logger,
         }
     }
 
@@ -64,13 +70,22 @@
     pub(crate) fn set_addresses(&self, addresses: &BTreeMap<MemberId, SocketAddr>) {
         let mut peers = self.peers.write().unwrap_or_else(PoisonError::into_inner);
         peers.retain(|member, peer| addresses.get(member) == Some(&peer.address));
+        let mut unaddressed = self.lock_unaddressed();
+        unaddressed.retain(|member| !addresses.contains_key(member));
         for (member, address) in addresses {
             if *member != self.from && !peers.contains_key(member) {
+                info!(self.logger, "control: address of a member"; "member" => member.0,
+                    "rpc" => %address);
                 peers.insert(*member, self.start_peer(*member, *address));
             }
         }
     }
 
+    fn lock_unaddressed(&self) -> MutexGuard<'_, BTreeSet<MemberId>> {
+        let locked = self.unaddressed.lock();
+        locked.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn start_peer(&self, to: MemberId, address: SocketAddr) -> Peer {
         let (sender, receiver) = mpsc::channel(QUEUED_MESSAGES);
         let sender_loop = SenderLoop {
@@ -79,6 +94,8 @@
             to,
             address,
             receiver,
+            logger: self.logger.clone(),
+            is_reached: None,
         };
         Peer {
             address,
@@ -94,6 +111,9 @@
         if let Some(peer) = peers.get(&to) {
             // A full queue means that the member is slow or gone; consensus repeats lost messages.
             let _ = peer.sender.try_send(message);
+        } else if self.lock_unaddressed().insert(to) {
+            warn!(self.logger, "control: a member has no address, its messages are lost";
+                "member" => to.0);
         }
     }
 }
@@ -104,6 +124,9 @@
     to: MemberId,
     address: SocketAddr,
     receiver: mpsc::Receiver<Vec<u8>>,
+    logger: Logger,
+    /// Whether the last batch was delivered; `None` before the first.
+    is_reached: Option<bool>,
 }
 
 impl SenderLoop {
@@ -116,17 +139,29 @@
                 connection = attempt.await.ok().and_then(Result::ok);
             }
             let Some(client) = &connection else {
+                self.note_reached(false);
                 tokio::time::sleep(CONNECT_PAUSE).await;
                 continue;
             };
             let delivery = client.deliver(context_with_timeout(DELIVER_TIMEOUT), batch);
             let delivered = tokio::time::timeout(DELIVER_TIMEOUT, delivery).await;
-            if !matches!(delivered, Ok(Ok(()))) {
+            let is_delivered = matches!(delivered, Ok(Ok(())));
+            self.note_reached(is_delivered);
+            if !is_delivered {
                 connection = None;
             }
         }
     }
 
+    /// Records when the member is lost or reached again.
+    fn note_reached(&mut self, is_reached: bool) {
+        if self.is_reached.replace(is_reached) == Some(is_reached) {
+            return;
+        }
+        info!(self.logger, "control: connection to a member"; "is_reached" => is_reached,
+            "member" => self.to.0, "rpc" => %self.address);
+    }
+
     fn collect_batch(&mut self, first: Vec<u8>) -> PeerBatch {
         let mut bytes = first.len();
         let mut messages = vec![first];
--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -224,7 +224,11 @@
         };
 
         let machine = Arc::new(Mutex::new(ControlMachine::new()));
-        let transport = Arc::new(PeerTransport::new(&config.cluster, config.member));
+        let transport = Arc::new(PeerTransport::new(
+            &config.cluster,
+            config.member,
+            logger.clone(),
+        ));
         transport.set_addresses(&config.members);
         let replica = Replica::start(
             ReplicaConfig {
