Replicate the addresses of joined members with the membership

What callers saw: after a loss of power of all VMs and one disk, no configuration could be read back (CONFIG) and no request was served (RECOVER). Two of three voters were up with whole logs.

Cause: a membership is in force as soon as its entry is in the log, but the address of a voter that joined was part of the applied state. The survivor that was there first could not send to the voter that joined later.

Change: the entry that adds a member has its address, and the membership in force names it, whether committed or not. Messages also carry the address of their sender, so that a member that does not know of a join yet, or that refuses a removed member, can answer. The log has format 2; one of format 1 is refused and left as it is.

The test members now keep their port bound, since a connection of another test took one once (AddrInUse).

--- a/crates/wasabipoint_consensus/src/api.rs
+++ b/crates/wasabipoint_consensus/src/api.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use wasabipoint_kernel::{MemberId, plain_data};
@@ -97,6 +98,8 @@
         pub match_index: u64,
         /// Whether the leader heard from the member within an election timeout.
         pub is_responding: bool,
+        /// Its address, if it joined. First members are known by the settings.
+        pub address: Option<SocketAddr>,
     }
 }
 
@@ -137,8 +140,8 @@
     copy
     /// A change by one member. The next change is accepted once the previous one is committed.
     pub enum MembershipChange {
-        /// Adds a member that receives entries without a vote.
-        AddLearner(MemberId),
+        /// Adds a member at an address, which receives entries without a vote.
+        AddLearner(MemberId, SocketAddr),
         /// Turns a learner that holds every committed entry durably into a voter.
         Promote(MemberId),
         /// Removes a voter or learner.
@@ -249,6 +252,15 @@
         /// What is wrong.
         detail: String,
     },
+    /// A file was written by a release with another format. It is left as it is.
+    OtherFormat {
+        /// The file.
+        file: PathBuf,
+        /// Its format.
+        version: u8,
+        /// The format of this release.
+        expected: u8,
+    },
     /// The disk refused an operation, for example because it is full or read-only.
     Disk {
         /// The file or folder.
@@ -277,6 +289,16 @@
             Self::Corrupt { file, detail } => {
                 write!(f, "file {} is corrupt: {detail}", file.display())
             }
+            Self::OtherFormat {
+                file,
+                version,
+                expected,
+            } => write!(
+                f,
+                "file {} has format {version}, expected format {expected}; \
+                 start the release that wrote it, or empty the data folder and join anew",
+                file.display()
+            ),
             Self::Disk { path, error } => write!(f, "{}: {error}", path.display()),
             Self::Restore(error) => error.fmt(f),
         }
--- a/crates/wasabipoint_consensus/src/core.rs
+++ b/crates/wasabipoint_consensus/src/core.rs
@@ -367,6 +367,7 @@
                 is_voter: configuration.voters.contains_key(&member),
                 match_index,
                 is_responding,
+                address: configuration.addresses.get(&member).copied(),
             }
         });
         let mut members: Vec<_> = members.collect();
--- a/crates/wasabipoint_consensus/src/core/membership.rs
+++ b/crates/wasabipoint_consensus/src/core/membership.rs
@@ -38,7 +38,7 @@
         }
         let mut next = self.configuration().clone();
         match change {
-            MembershipChange::AddLearner(member) => {
+            MembershipChange::AddLearner(member, address) => {
                 if next.retired.contains(&member) {
                     return Err(ChangeRefusal::RetiredMember);
                 }
@@ -46,6 +46,7 @@
                     return Err(ChangeRefusal::AlreadyMember);
                 }
                 next.learners.insert(member);
+                next.addresses.insert(member, address);
             }
             MembershipChange::Promote(member) => {
                 if !next.learners.remove(&member) {
@@ -67,6 +68,7 @@
                 }
                 next.learners.remove(&member);
                 next.voters.remove(&member);
+                next.addresses.remove(&member);
                 next.retired.insert(member);
                 if next.voters.is_empty() {
                     return Err(ChangeRefusal::LastVoter);
--- a/crates/wasabipoint_consensus/src/entry.rs
+++ b/crates/wasabipoint_consensus/src/entry.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::de::{Error, Visitor};
@@ -78,6 +79,9 @@
         pub learners: BTreeSet<MemberId>,
         /// Removed members. Their ids are never used again.
         pub retired: BTreeSet<MemberId>,
+        /// Addresses of members that joined. They are in force together with the membership,
+        /// because an election has to reach a voter before any entry is applied.
+        pub addresses: BTreeMap<MemberId, SocketAddr>,
     }
 }
 
--- a/crates/wasabipoint_consensus/src/message.rs
+++ b/crates/wasabipoint_consensus/src/message.rs
@@ -158,7 +158,7 @@
 }
 
 /// Version of the message encoding.
-const WIRE_VERSION: u8 = 1;
+const WIRE_VERSION: u8 = 2;
 
 /// Encodes a message for members of the cluster.
 pub(crate) fn encode(cluster: &str, message: &Message) -> Vec<u8> {
--- a/crates/wasabipoint_consensus/src/storage.rs
+++ b/crates/wasabipoint_consensus/src/storage.rs
@@ -344,6 +344,14 @@
 }
 
 fn scan_log<'a>(path: &Path, bytes: &'a [u8]) -> Result<(u64, frame::Scan<'a>), StartError> {
+    if let Some(version) = frame::other_version(bytes) {
+        let expected = frame::FORMAT_VERSION;
+        return Err(StartError::OtherFormat {
+            file: path.to_owned(),
+            version,
+            expected,
+        });
+    }
     let salt = frame::read_file_header(bytes)
         .ok_or_else(|| corrupt(path, "the file header is damaged"))?;
     let scan = frame::scan(salt, bytes);
--- a/crates/wasabipoint_consensus/src/storage/frame.rs
+++ b/crates/wasabipoint_consensus/src/storage/frame.rs
@@ -6,9 +6,11 @@
 //! cannot be the remains of a crash: it is corrupt. Damage to the last frame cannot be told from a
 //! torn write; that frame is cut.
 
-const FILE_MAGIC: [u8; 8] = *b"WPLOG\0\0\x01";
+const FILE_MAGIC: [u8; 7] = *b"WPLOG\0\0";
+/// Version of the records in the file. Version 2 has the addresses of joined members.
+pub(super) const FORMAT_VERSION: u8 = 2;
 const FRAME_MAGIC: [u8; 4] = *b"WPfr";
-/// Bytes of the file header: magic, salt, checksum.
+/// Bytes of the file header: magic, version, salt, checksum.
 pub(super) const FILE_HEADER_BYTES: usize = 20;
 /// Bytes of a frame header: magic, sequence, length, payload checksum, header checksum.
 const FRAME_HEADER_BYTES: usize = 24;
@@ -16,6 +18,7 @@
 /// Builds the file header.
 pub(super) fn file_header(salt: u64) -> Vec<u8> {
     let mut header = FILE_MAGIC.to_vec();
+    header.push(FORMAT_VERSION);
     header.extend(salt.to_le_bytes());
     header.extend(crc32c::crc32c(&header).to_le_bytes());
     header
@@ -28,6 +31,15 @@
     (header == file_header(salt)).then_some(salt)
 }
 
+/// Returns the version in the header of a file that another release has written.
+pub(super) fn other_version(bytes: &[u8]) -> Option<u8> {
+    let header = bytes.get(..FILE_HEADER_BYTES)?;
+    let (content, checksum) = header.split_at(FILE_HEADER_BYTES - 4);
+    let is_intact = crc32c::crc32c(content).to_le_bytes() == *checksum;
+    let version = content[FILE_MAGIC.len()];
+    (is_intact && content.starts_with(&FILE_MAGIC) && version != FORMAT_VERSION).then_some(version)
+}
+
 /// Builds a frame around a payload.
 pub(super) fn frame(salt: u64, sequence: u64, payload: &[u8]) -> Vec<u8> {
     let length = u32::try_from(payload.len()).expect("a group of records is less than 4 GiB");
--- a/crates/wasabipoint_consensus/tests/driver.rs
+++ b/crates/wasabipoint_consensus/tests/driver.rs
@@ -5,6 +5,7 @@
 #[path = "driver/cluster.rs"]
 mod cluster;
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use cluster::Cluster;
@@ -14,6 +15,9 @@
 
 const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
 
+/// Address of members that join; the transport of these tests knows members by their ids.
+const ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1);
+
 /// Guards against a cluster that commits nothing, or different things on its members.
 #[tokio::test(start_paused = true)]
 async fn commits_on_all_members() {
@@ -116,7 +120,7 @@
     cluster.restart(4).await.unwrap();
     let change = cluster.handle(leader);
     change
-        .change_membership(MembershipChange::AddLearner(MemberId(4)))
+        .change_membership(MembershipChange::AddLearner(MemberId(4), ADDRESS))
         .await
         .unwrap();
     assert_eq!(change.status().remaining_redundancy, 0);
@@ -131,7 +135,7 @@
     cluster.wait_redundancy(leader, 0).await;
     cluster.append(leader, 200).await.unwrap();
     cluster.wait_values(4, 201).await;
-    let old_id = MembershipChange::AddLearner(MemberId(lost));
+    let old_id = MembershipChange::AddLearner(MemberId(lost), ADDRESS);
     let result = change.change_membership(old_id).await;
     assert!(
         matches!(result, Err(ProposeError::ChangeRefused(_))),
--- a/crates/wasabipoint_consensus/tests/schedules/simulation.rs
+++ b/crates/wasabipoint_consensus/tests/schedules/simulation.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 
 use rand::rngs::StdRng;
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -56,6 +57,10 @@
     }
 }
 
+fn address_of(id: u64) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], id as u16))
+}
+
 #[derive(Default)]
 struct Node {
     disk_id: u64,
@@ -71,6 +76,21 @@
     is_joining: bool,
     has_lost_disk: bool,
     is_refused: bool,
+    /// Members whose addresses it was told when it joined.
+    told: BTreeSet<u64>,
+    /// Members that have sent it a message since its start.
+    heard: BTreeSet<u64>,
+}
+
+impl Node {
+    /// Returns whether messages to a member find their way: consensus names members by id only, but
+    /// a transport needs an address.
+    fn has_address_of(&self, core: &Core, to: MemberId, first_members: u64) -> bool {
+        to.0 <= first_members
+            || self.told.contains(&to.0)
+            || self.heard.contains(&to.0)
+            || core.configuration().addresses.contains_key(&to)
+    }
 }
 
 struct Client {
@@ -158,6 +178,7 @@
         };
         node.core = None;
         node.writes.clear();
+        node.heard.clear();
         if let Some((_, steps)) = node.batch.take() {
             for step in steps.into_iter().take(durable_steps) {
                 node.disk
@@ -257,7 +278,9 @@
             0 if configuration.members().count() < 6 => {
                 let id = self.nodes.keys().last().unwrap() + 1;
                 self.add_node(id);
-                MembershipChange::AddLearner(MemberId(id))
+                let told = configuration.members().map(|m| m.0);
+                self.nodes.get_mut(&id).unwrap().told = told.collect();
+                MembershipChange::AddLearner(MemberId(id), address_of(id))
             }
             1 if configuration.voters.len() < 5 => {
                 let learners: Vec<_> = configuration.learners.iter().collect();
@@ -322,6 +345,9 @@
                 self.wire.push(message.clone());
             }
             if chance < 96 {
+                if let Some(node) = self.nodes.get_mut(&message.to.0) {
+                    node.heard.insert(message.from.0);
+                }
                 self.step(message.to.0, |core| core.receive(message));
             }
         }
@@ -437,10 +463,14 @@
         {
             node.batch = Some((batch, steps_of(writes)));
         }
-        self.wire.extend(core.take_messages());
+        let messages = core.take_messages().into_iter();
+        let (node, first) = (&self.nodes[&id], self.first_members);
+        let addressed = messages.filter(|m| node.has_address_of(&core, m.to, first));
+        self.wire.extend(addressed);
         if core.is_leader() {
             self.oracle.note_leader(core.term(), id);
         }
+        let node = self.nodes.get_mut(&id).unwrap();
         if core.refusal().is_some() {
             node.is_refused = true;
             node.batch = None;
@@ -472,8 +502,20 @@
         self.oracle.note_applied(register.index, register.digest);
     }
 
-    /// Ends all faults and checks that the cluster works and holds everything acknowledged.
+    /// Stops all members at once. One of them comes back without its disk, if that is to be borne.
+    fn lose_power(&mut self) {
+        for id in self.ids() {
+            self.crash(id, 0);
+        }
+        self.wire.clear();
+        let lost = *self.ids().choose(&mut self.rng).unwrap();
+        self.lose_disk(lost);
+    }
+
+    /// Ends all faults with a loss of power, and checks that the cluster works again and holds
+    /// everything acknowledged.
     pub(crate) fn finish(&mut self) {
+        self.lose_power();
         self.heal();
         self.loss_percent = 0;
         self.crash_percent = 0;
--- a/crates/wasabipoint_consensus/tests/steps.rs
+++ b/crates/wasabipoint_consensus/tests/steps.rs
@@ -1,5 +1,7 @@
 //! Single steps of the step function whose order decides safety.
 
+use std::net::SocketAddr;
+
 use wasabipoint_consensus::{
     Body, ChangeRefusal, Configuration, Core, CoreConfig, DiskId, Entry, HardState,
     MembershipChange, Message, Payload, ProposeError, Recovered, SharedBytes,
@@ -168,8 +170,10 @@
 fn a_second_membership_change_waits_for_the_first() {
     let mut core = member(Vec::new());
     elect(&mut core);
-    let change =
-        |core: &mut Core, id| core.change_membership(MembershipChange::AddLearner(MemberId(id)));
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let change = |core: &mut Core, id| {
+        core.change_membership(MembershipChange::AddLearner(MemberId(id), address))
+    };
     let in_progress = Err(ProposeError::ChangeRefused(ChangeRefusal::ChangeInProgress));
     let appended = |match_index| Body::Appended {
         match_index,
--- a/crates/wasabipoint_consensus/tests/storage.rs
+++ b/crates/wasabipoint_consensus/tests/storage.rs
@@ -181,6 +181,26 @@
     assert!(matches!(folder.open(), Err(StartError::Disk { .. })));
 }
 
+/// Guards against a log of another release that is taken for damaged, or overwritten.
+#[test]
+fn refuses_a_log_of_another_format_and_leaves_it() {
+    let folder = Folder::new();
+    let (mut storage, _) = folder.open().unwrap();
+    write_entries(&mut storage, 1..=2, 1);
+    drop(storage);
+    let mut older = fs::read(folder.log()).unwrap();
+    older[7] = 1;
+    let checksum = crc32c::crc32c(&older[..16]);
+    older[16..20].copy_from_slice(&checksum.to_le_bytes());
+    fs::write(folder.log(), &older).unwrap();
+    let opened = folder.open();
+    assert!(matches!(
+        opened,
+        Err(StartError::OtherFormat { version: 1, .. })
+    ));
+    assert_eq!(fs::read(folder.log()).unwrap(), older);
+}
+
 /// Guards against entries that are discarded at the second start after a crash between the
 /// replacements of snapshot and log.
 #[test]
--- a/crates/wasabipoint_control/src/api.rs
+++ b/crates/wasabipoint_control/src/api.rs
@@ -414,7 +414,7 @@
                 let http = None;
                 self.propose(Command::PutMember { member, rpc, http })
                     .await?;
-                MembershipChange::AddLearner(member)
+                MembershipChange::AddLearner(member, rpc)
             }
             ("add_learner", None) => {
                 let detail = "address: required to add a member";
--- a/crates/wasabipoint_control/src/lib.rs
+++ b/crates/wasabipoint_control/src/lib.rs
@@ -1,5 +1,6 @@
 //! The control member: replicated state, rpc service, placement and the operator API.
 
+mod addresses;
 mod api;
 mod control;
 mod deployment;
--- a/crates/wasabipoint_control/src/member.rs
+++ b/crates/wasabipoint_control/src/member.rs
@@ -1,6 +1,5 @@
 //! Access to the replicated state of one member.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -11,6 +10,7 @@
 use wasabipoint_rpc::ControlRefusal;
 
 use crate::machine::{ControlMachine, encode};
+use crate::peer::PeerTransport;
 use crate::state::{Command, ControlState, Outcome, StampedCommand};
 
 /// Log time of one term.
@@ -27,7 +27,7 @@
     replica: ReplicaHandle,
     machine: Arc<Mutex<ControlMachine>>,
     clock: Mutex<Option<LogClock>>,
-    first_addresses: BTreeMap<MemberId, SocketAddr>,
+    transport: Arc<PeerTransport>,
     leading_term: watch::Receiver<Option<u64>>,
 }
 
@@ -52,7 +52,7 @@
         id: MemberId,
         replica: ReplicaHandle,
         machine: Arc<Mutex<ControlMachine>>,
-        first_addresses: BTreeMap<MemberId, SocketAddr>,
+        transport: Arc<PeerTransport>,
     ) -> Self {
         Self {
             id,
@@ -60,7 +60,7 @@
             replica,
             machine,
             clock: Mutex::new(None),
-            first_addresses,
+            transport,
         }
     }
 
@@ -149,8 +149,12 @@
 
     /// Returns the rpc address of a member.
     pub(crate) fn rpc_address(&self, member: MemberId) -> Option<SocketAddr> {
-        let first = self.first_addresses.get(&member).copied();
-        first.or_else(|| self.read(|state| state.members.get(&member).map(|known| known.rpc)))
+        self.transport.address(member)
+    }
+
+    /// Notes the address to which another member wants its answers.
+    pub(crate) fn learn_address(&self, member: MemberId, rpc: SocketAddr) {
+        self.transport.learn(member, rpc);
     }
 
     /// Returns the HTTP address of a member, once it has led.
--- a/crates/wasabipoint_control/src/membership.rs
+++ b/crates/wasabipoint_control/src/membership.rs
@@ -215,7 +215,7 @@
         self.member.propose(address).await.map_err(refusal)?;
         let status = self.member.replica().status();
         if !status.members.iter().any(|m| m.member == request.member) {
-            let change = MembershipChange::AddLearner(request.member);
+            let change = MembershipChange::AddLearner(request.member, request.rpc);
             let changed = self.member.replica().change_membership(change).await;
             changed.map_err(refusal)?;
             info!(self.logger, "control: a member joins as a learner";
--- a/crates/wasabipoint_control/src/peer.rs
+++ b/crates/wasabipoint_control/src/peer.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use slog::{Logger, info, warn};
@@ -17,6 +17,8 @@
 use wasabipoint_kernel::MemberId;
 use wasabipoint_rpc::{PeerBatch, PeerRpcClient, RPC_FRAME_BYTES, context_with_timeout};
 
+use crate::addresses::AddressBook;
+
 /// First byte of a connection between members. A connection of an entry or agent starts with a
 /// frame length, whose first byte is zero because frames are shorter than 16 MiB.
 pub(crate) const PEER_PREAMBLE: u8 = b'P';
@@ -45,52 +47,92 @@
     }
 }
 
+/// What is known of the other members and the connections to them.
+struct Peers {
+    book: AddressBook,
+    running: BTreeMap<MemberId, Peer>,
+    /// Members without an address for which that is recorded.
+    unaddressed: BTreeSet<MemberId>,
+}
+
 /// Sends consensus messages over one connection per member.
 pub(crate) struct PeerTransport {
     cluster: String,
     from: MemberId,
-    peers: RwLock<BTreeMap<MemberId, Peer>>,
-    /// Members without an address for which that is recorded.
-    unaddressed: Mutex<BTreeSet<MemberId>>,
+    from_rpc: SocketAddr,
+    peers: Mutex<Peers>,
     logger: Logger,
 }
 
 impl PeerTransport {
-    pub(crate) fn new(cluster: &str, from: MemberId, logger: Logger) -> Self {
-        Self {
+    pub(crate) fn new(
+        cluster: &str,
+        from: MemberId,
+        from_rpc: SocketAddr,
+        book: AddressBook,
+        logger: Logger,
+    ) -> Self {
+        let transport = Self {
             cluster: cluster.to_owned(),
             from,
-            peers: RwLock::default(),
-            unaddressed: Mutex::default(),
+            from_rpc,
+            peers: Mutex::new(Peers {
+                book,
+                running: BTreeMap::new(),
+                unaddressed: BTreeSet::new(),
+            }),
             logger,
+        };
+        transport.connect(&mut transport.lock());
+        transport
+    }
+
+    /// Returns the address of a member.
+    pub(crate) fn address(&self, member: MemberId) -> Option<SocketAddr> {
+        self.lock().book.get(member)
+    }
+
+    /// Replaces the addresses that are replicated.
+    pub(crate) fn set_replicated(&self, addresses: BTreeMap<MemberId, SocketAddr>) {
+        let mut peers = self.lock();
+        peers.book.set_replicated(addresses);
+        self.connect(&mut peers);
+    }
+
+    /// Notes the address to which a member wants its answers.
+    pub(crate) fn learn(&self, member: MemberId, address: SocketAddr) {
+        let mut peers = self.lock();
+        if peers.book.learn(member, address) {
+            self.connect(&mut peers);
         }
     }
 
-    /// Replaces the addresses of the other members.
-    pub(crate) fn set_addresses(&self, addresses: &BTreeMap<MemberId, SocketAddr>) {
-        let mut peers = self.peers.write().unwrap_or_else(PoisonError::into_inner);
-        peers.retain(|member, peer| addresses.get(member) == Some(&peer.address));
-        let mut unaddressed = self.lock_unaddressed();
+    fn lock(&self) -> MutexGuard<'_, Peers> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Opens connections to members with a new address, and closes those to old ones.
+    fn connect(&self, peers: &mut Peers) {
+        let addresses = peers.book.all();
+        let running = &mut peers.running;
+        running.retain(|member, peer| addresses.get(member) == Some(&peer.address));
+        let unaddressed = &mut peers.unaddressed;
         unaddressed.retain(|member| !addresses.contains_key(member));
         for (member, address) in addresses {
-            if *member != self.from && !peers.contains_key(member) {
+            if member != self.from && !running.contains_key(&member) {
                 info!(self.logger, "control: address of a member"; "member" => member.0,
                     "rpc" => %address);
-                peers.insert(*member, self.start_peer(*member, *address));
+                running.insert(member, self.start_peer(member, address));
             }
         }
     }
 
-    fn lock_unaddressed(&self) -> MutexGuard<'_, BTreeSet<MemberId>> {
-        let locked = self.unaddressed.lock();
-        locked.unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn start_peer(&self, to: MemberId, address: SocketAddr) -> Peer {
         let (sender, receiver) = mpsc::channel(QUEUED_MESSAGES);
         let sender_loop = SenderLoop {
             cluster: self.cluster.clone(),
             from: self.from,
+            from_rpc: self.from_rpc,
             to,
             address,
             receiver,
@@ -107,11 +149,11 @@
 
 impl Transport for PeerTransport {
     fn send(&self, to: MemberId, message: Vec<u8>) {
-        let peers = self.peers.read().unwrap_or_else(PoisonError::into_inner);
-        if let Some(peer) = peers.get(&to) {
+        let mut peers = self.lock();
+        if let Some(peer) = peers.running.get(&to) {
             // A full queue means that the member is slow or gone; consensus repeats lost messages.
             let _ = peer.sender.try_send(message);
-        } else if self.lock_unaddressed().insert(to) {
+        } else if peers.unaddressed.insert(to) {
             warn!(self.logger, "control: a member has no address, its messages are lost";
                 "member" => to.0);
         }
@@ -121,6 +163,7 @@
 struct SenderLoop {
     cluster: String,
     from: MemberId,
+    from_rpc: SocketAddr,
     to: MemberId,
     address: SocketAddr,
     receiver: mpsc::Receiver<Vec<u8>>,
@@ -175,6 +218,7 @@
         PeerBatch {
             cluster: self.cluster.clone(),
             from: self.from,
+            from_rpc: self.from_rpc,
             to: self.to,
             messages,
         }
--- a/crates/wasabipoint_control/src/rpc.rs
+++ b/crates/wasabipoint_control/src/rpc.rs
@@ -135,6 +135,9 @@
             return;
         }
         self.control.metrics.count_call("deliver");
+        self.control
+            .member
+            .learn_address(batch.from, batch.from_rpc);
         for message in batch.messages {
             self.control.member.replica().deliver(batch.from, message);
         }
--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -15,6 +15,7 @@
 use wasabipoint_http::{HttpHandler, HttpServer, HttpServerHandle};
 use wasabipoint_kernel::{ErrorKind, KeyDigester, MemberId, Settings};
 
+use crate::addresses::AddressBook;
 use crate::api::OperatorApi;
 use crate::control::Control;
 use crate::deployment::DeploymentStore;
@@ -42,6 +43,9 @@
     pub members: BTreeMap<MemberId, SocketAddr>,
     /// Whether this member joins an existing cluster as a learner.
     pub is_joining: bool,
+    /// Whether members found each other, so that what a member tells of its own address goes
+    /// before `members`. Addresses that an operator sets stay in force.
+    pub is_discovered: bool,
     /// Address for entry, agent and control processes.
     pub rpc_listen: SocketAddr,
     /// Address of the operator API and of metrics.
@@ -81,6 +85,7 @@
             member: identity.member,
             members: identity.members.clone(),
             is_joining: identity.is_joining,
+            is_discovered: true,
             rpc_listen,
             http_listen,
             data_folder: settings.path("data_folder"),
@@ -107,6 +112,7 @@
                 .map(|(member, address)| (MemberId(member), address))
                 .collect(),
             is_joining: settings.flag("join"),
+            is_discovered: false,
             rpc_listen: settings.address("rpc_listen"),
             http_listen: settings.address("http_listen"),
             data_folder: settings.path("data_folder"),
@@ -227,9 +233,10 @@
         let transport = Arc::new(PeerTransport::new(
             &config.cluster,
             config.member,
+            rpc_address,
+            AddressBook::new(config.members.clone(), !config.is_discovered),
             logger.clone(),
         ));
-        transport.set_addresses(&config.members);
         let replica = Replica::start(
             ReplicaConfig {
                 cluster: config.cluster.clone(),
@@ -246,9 +253,8 @@
         )
         .await
         .map_err(ControlStartError::Replica)?;
-        let first_addresses = config.members.clone();
         let control = Arc::new(Control {
-            member: Member::new(config.member, replica, machine, first_addresses.clone()),
+            member: Member::new(config.member, replica, machine, Arc::clone(&transport)),
             metrics: ControlMetrics::new(),
             logger,
             wake_placement: tokio::sync::Notify::new(),
@@ -275,11 +281,7 @@
         let cluster = Arc::from(config.cluster.as_str());
         tasks.spawn(serve_rpc(Arc::clone(&control), cluster, listener));
         tasks.spawn(run_placement(Arc::clone(&control)));
-        tasks.spawn(follow_addresses(
-            Arc::clone(&control),
-            transport,
-            first_addresses,
-        ));
+        tasks.spawn(follow_addresses(Arc::clone(&control), transport));
         if let Some(url) = config.platform_list {
             tasks.spawn(poll_platform(Arc::clone(&control), url));
         }
@@ -347,27 +349,37 @@
     }
 }
 
-/// Tells the transport of members that joined. Addresses in the settings take precedence.
-async fn follow_addresses(
-    control: Arc<Control>,
-    transport: Arc<PeerTransport>,
-    first: BTreeMap<MemberId, SocketAddr>,
-) {
+/// Pause between looks at the addresses while entries are applied; addresses change rarely.
+const ADDRESS_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Tells the transport the addresses of members that joined: those of the configuration in force,
+/// which need no applied entry, and those that members announced as leaders.
+async fn follow_addresses(control: Arc<Control>, transport: Arc<PeerTransport>) {
     let mut status = control.member.replica().watch_status();
     loop {
-        let mut addresses = first.clone();
-        control.member.read(|state| {
-            for (member, known) in &state.members {
-                addresses.entry(*member).or_insert(known.rpc);
-            }
+        let mut addresses = control.member.read(|state| {
+            let announced = state.members.iter();
+            let announced = announced.map(|(member, known)| (*member, known.rpc));
+            announced.collect::<BTreeMap<_, _>>()
+        });
+        let applied = {
+            let status = status.borrow_and_update();
+            addresses.extend(configured_addresses(&status));
+            status.applied_index
+        };
+        transport.set_replicated(addresses.clone());
+        let is_known = |(member, address)| addresses.get(&member) == Some(&address);
+        let changed = status.wait_for(|status| {
+            status.applied_index > applied || !configured_addresses(status).all(is_known)
         });
-        transport.set_addresses(&addresses);
-        let applied = status.borrow_and_update().applied_index;
-        let changed = status.wait_for(|status| status.applied_index > applied);
         if changed.await.is_err() {
             return;
         }
-        // Addresses change rarely; once per second is often enough while entries are applied.
-        tokio::time::sleep(Duration::from_millis(200)).await;
+        tokio::time::sleep(ADDRESS_INTERVAL).await;
     }
 }
+
+fn configured_addresses(status: &ReplicaStatus) -> impl Iterator<Item = (MemberId, SocketAddr)> {
+    let members = status.members.iter();
+    members.filter_map(|known| Some((known.member, known.address?)))
+}
--- a/crates/wasabipoint_control/tests/membership/recovery.rs
+++ b/crates/wasabipoint_control/tests/membership/recovery.rs
@@ -90,3 +90,22 @@
     wait_for_voters(&vms, 3).await;
     apply(&vms, 1, "one").await;
 }
+
+/// Guards against a member that was removed while it was away and comes back: nobody can tell it so
+/// once its address is forgotten, and its VM stays out of the cluster.
+#[tokio::test]
+async fn a_removed_member_that_returns_joins_again() {
+    let (mut vms, seeds) = start_all("removed", 3).await;
+    wait_for_voters(&vms, 3).await;
+    vms[0].wipe().await;
+    vms[0].start(&seeds, false).await;
+    wait_for_voters(&vms, 3).await;
+    vms[0].stop().await;
+    let mut successor = Vm::new("removed");
+    successor.start(&seeds, false).await;
+    vms.push(successor);
+    wait_for_voters(&vms, 3).await;
+    vms[0].start(&seeds, false).await;
+    vms[0].rejoin(&seeds).await;
+    wait_for_voters(&vms, 4).await;
+}
--- a/crates/wasabipoint_control/tests/membership/vm.rs
+++ b/crates/wasabipoint_control/tests/membership/vm.rs
@@ -9,13 +9,13 @@
 
 use futures::future::BoxFuture;
 use slog::{Discard, Logger, o};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use wasabipoint_consensus::Role;
 use wasabipoint_control::{
     CommandAnswer, ControlServer, EndpointDirectory, EngineCommand, EngineCommander, EngineState,
-    find_identity,
+    discard_identity, find_identity,
 };
-use wasabipoint_kernel::{CallerLimits, Deployment, MemberId};
+use wasabipoint_kernel::{CallerLimits, Deployment};
 use wasabipoint_rpc::EndpointView;
 
 use crate::member::{deployed, member_config};
@@ -48,6 +48,9 @@
 /// One VM: an address, a disk, and the member that runs there.
 pub(crate) struct Vm {
     pub(crate) address: SocketAddr,
+    /// Keeps the port from being given to a connection while the member is down. It does not
+    /// listen, so the member can bind the same address.
+    _port: TcpSocket,
     folder: PathBuf,
     pub(crate) server: Option<ControlServer>,
 }
@@ -56,10 +59,13 @@
     pub(crate) fn new(test: &str) -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let port = TcpSocket::new_v4().unwrap();
+        port.set_reuseaddr(true).unwrap();
+        port.bind("127.0.0.1:0".parse().unwrap()).unwrap();
         let name = format!("wasabipoint-{test}-{}-{number}", std::process::id());
         Self {
             address: port.local_addr().unwrap(),
+            _port: port,
             folder: std::env::temp_dir().join(name),
             server: None,
         }
@@ -84,6 +90,17 @@
         }
     }
 
+    /// Does what the program does when the other members refuse this one: joins as a new member.
+    pub(crate) async fn rejoin(&mut self, seeds: &[SocketAddr]) {
+        let server = self.server.as_ref().unwrap();
+        let stopped = tokio::time::timeout(LIMIT, server.wait_until_stopped()).await;
+        stopped.expect("nobody refuses the member that was removed");
+        assert!(server.is_refused());
+        self.stop().await;
+        discard_identity(&self.folder).unwrap();
+        self.start(seeds, false).await;
+    }
+
     pub(crate) async fn wipe(&mut self) {
         self.stop().await;
         std::fs::remove_dir_all(&self.folder).unwrap();
--- a/crates/wasabipoint_rpc/src/service.rs
+++ b/crates/wasabipoint_rpc/src/service.rs
@@ -78,6 +78,8 @@
         pub cluster: String,
         /// The sending member.
         pub from: MemberId,
+        /// Its rpc address, to which answers go.
+        pub from_rpc: SocketAddr,
         /// The receiving member.
         pub to: MemberId,
         /// Encoded messages in sending order.
