Let a joining process follow seeds that change

A process with an empty disk asked the seeds of its start until it was started again, also when all of them were gone and the settings named others.

Evidence: a_joining_process_follows_seeds_that_change failed (no leader took the join within 30 s) and passes. first_members_that_come_up_far_apart_elect_a_leader passed before; it covers the report of first starts that come up far apart.

--- a/crates/wasabipoint_control/src/membership.rs
+++ b/crates/wasabipoint_control/src/membership.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use slog::{info, warn};
+use tokio::sync::watch;
 use tokio::time::Instant;
 use wasabipoint_consensus::{MembershipChange, ReplicaStatus, Role};
 use wasabipoint_kernel::{IniDocument, MemberId};
@@ -63,17 +64,18 @@
     folder: &Path,
     own: SocketAddr,
     own_http: SocketAddr,
-    seeds: &[SocketAddr],
+    seeds: &watch::Receiver<Vec<SocketAddr>>,
     is_first_start: bool,
 ) -> io::Result<MemberIdentity> {
     if let Some(identity) = read_identity(folder)? {
         return Ok(identity);
     }
-    let identity = if is_first_start && seeds.contains(&own) {
+    let first_seeds = seeds.borrow().clone();
+    let identity = if is_first_start && first_seeds.contains(&own) {
         MemberIdentity {
             member: first_member_id(own),
             is_joining: false,
-            members: seeds
+            members: first_seeds
                 .iter()
                 .map(|seed| (first_member_id(*seed), *seed))
                 .collect(),
@@ -97,10 +99,12 @@
     Ok(identity)
 }
 
-/// Repeats the request to join until a leader takes it.
-async fn ask_to_join(seeds: &[SocketAddr], request: &JoinRequest) -> JoinReply {
-    let client = ControlClient::new(seeds);
+/// Repeats the request to join until a leader takes it. The seeds may change meanwhile: those of the
+/// start may all be gone.
+async fn ask_to_join(seeds: &watch::Receiver<Vec<SocketAddr>>, request: &JoinRequest) -> JoinReply {
+    let client = ControlClient::new(&seeds.borrow());
     loop {
+        client.set_members(&seeds.borrow());
         let joined = client.call(Duration::ZERO, JOIN_TIMEOUT, |client, context| {
             let request = request.clone();
             async move { client.join(context, request).await }
--- a/crates/wasabipoint_control/tests/membership/recovery.rs
+++ b/crates/wasabipoint_control/tests/membership/recovery.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use tokio::sync::watch;
+
 use crate::vm::{Vm, apply, read, start_all, wait_for_voters};
 
 /// Time after the VMs are back in which the cluster has to serve again.
@@ -109,3 +111,33 @@
     vms[0].rejoin(&seeds).await;
     wait_for_voters(&vms, 4).await;
 }
+
+/// Guards against a joining process whose seeds are all gone, and that does not look at new ones.
+#[tokio::test]
+async fn a_joining_process_follows_seeds_that_change() {
+    let (vms, seeds) = start_all("seeds", 3).await;
+    wait_for_voters(&vms, 3).await;
+    let gone = Vm::new("seeds");
+    let mut joiner = Vm::new("seeds");
+    let (sender, listed) = watch::channel(vec![gone.address]);
+    let started = joiner.start_with_seeds(&listed, false);
+    let exchange = async {
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        sender.send(seeds).unwrap();
+    };
+    tokio::join!(started, exchange);
+    assert!(joiner.server.is_some());
+}
+
+/// Guards against a first start that needs its members at the same moment.
+#[tokio::test]
+async fn first_members_that_come_up_far_apart_elect_a_leader() {
+    let mut vms: Vec<Vm> = (0..3).map(|_| Vm::new("apart")).collect();
+    let seeds: Vec<SocketAddr> = vms.iter().map(|vm| vm.address).collect();
+    for vm in &mut vms {
+        vm.start(&seeds, true).await;
+        tokio::time::sleep(Duration::from_secs(2)).await;
+    }
+    wait_for_voters(&vms, 3).await;
+    apply(&vms, 1, "one").await;
+}
--- a/crates/wasabipoint_control/tests/membership/vm.rs
+++ b/crates/wasabipoint_control/tests/membership/vm.rs
@@ -10,6 +10,7 @@
 use futures::future::BoxFuture;
 use slog::{Discard, Logger, o};
 use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::watch;
 use wasabipoint_consensus::Role;
 use wasabipoint_control::{
     CommandAnswer, ControlServer, EndpointDirectory, EngineCommand, EngineCommander, EngineState,
@@ -72,6 +73,16 @@
     }
 
     pub(crate) async fn start(&mut self, seeds: &[SocketAddr], is_first_start: bool) {
+        let (_sender, seeds) = watch::channel(seeds.to_vec());
+        self.start_with_seeds(&seeds, is_first_start).await;
+    }
+
+    /// Starts the member with seeds that may change while it joins.
+    pub(crate) async fn start_with_seeds(
+        &mut self,
+        seeds: &watch::Receiver<Vec<SocketAddr>>,
+        is_first_start: bool,
+    ) {
         let listener = TcpListener::bind(self.address).await.unwrap();
         let http: SocketAddr = "127.0.0.1:0".parse().unwrap();
         let identity = find_identity(&self.folder, self.address, http, seeds, is_first_start);
