Remove a spare voter at once, so that the next lost disk leaves a quorum

While an exchanged VM still counts, four voters of which one is gone lose their quorum with the next lost disk, and the wiped VM cannot join without a leader.

Change: a voter that is stopped while the count is even asks the leader to remove it; one that falls silent is removed after 1 s if all others respond, since the rest bears as many losses without it.

Evidence: a_voter_that_is_stopped_in_an_even_set_leaves_first failed (no leader within 12 s) and passes.

--- a/crates/wasabipoint_agent/tests/process.rs
+++ b/crates/wasabipoint_agent/tests/process.rs
@@ -77,6 +77,14 @@
         })
     }
 
+    async fn leave(
+        self,
+        _: tarpc::context::Context,
+        _: wasabipoint_kernel::MemberId,
+    ) -> Result<(), wasabipoint_rpc::ControlRefusal> {
+        Err(wasabipoint_rpc::ControlRefusal::Unavailable)
+    }
+
     async fn join(
         self,
         _: tarpc::context::Context,
--- a/crates/wasabipoint_control/src/membership.rs
+++ b/crates/wasabipoint_control/src/membership.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use wasabipoint_consensus::{MembershipChange, ReplicaStatus, Role};
-use wasabipoint_kernel::{IniDocument, MemberId};
+use wasabipoint_kernel::{ErrorKind, IniDocument, MemberId};
 use wasabipoint_rpc::{ControlClient, ControlRefusal, JoinReply, JoinRequest};
 
 use crate::control::Control;
@@ -25,10 +25,20 @@
 /// Pause between looks at the membership.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Silence after which one member beyond an odd number is taken for replaced. Shorter silences
-/// come from restarts.
+/// Silence after which a learner, or one voter beyond an odd number, is taken for replaced. Shorter
+/// silences come from restarts.
 const REPLACED_AFTER: Duration = Duration::from_secs(3);
 
+/// The same for a voter when all others respond. Four voters of which one is gone lose their quorum
+/// with the next one; three do not.
+const SPARE_AFTER: Duration = Duration::from_secs(1);
+
+/// Smallest number of voters of which one may leave: three bear as many losses as four.
+const SMALLEST_SPARE_SET: usize = 4;
+
+/// Longest time for a member to leave before it stops.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Pause between attempts to join.
 const JOIN_PAUSE: Duration = Duration::from_millis(500);
 
@@ -235,6 +245,57 @@
     }
 }
 
+impl Control {
+    /// Removes a voter that is about to stop, if the others bear as many losses without it.
+    pub(crate) async fn release_member(&self, member: MemberId) -> Result<(), ControlRefusal> {
+        let refusal = |error| self.member.refusal(error);
+        let status = self.member.replica().status();
+        let is_spare = has_spare_voter(&status) && do_others_respond(&status, member);
+        if status.role == Role::Leader && !is_spare {
+            return Err(ControlRefusal::Refused {
+                kind: ErrorKind::Unavailable,
+                detail: "the other members need this one".to_owned(),
+            });
+        }
+        let change = MembershipChange::Remove(member);
+        let changed = self.member.replica().change_membership(change).await;
+        info!(self.logger, "control: a member leaves before it stops"; "member" => member.0,
+            "result" => ?changed, "voters" => count_voters(&status));
+        changed.map_err(refusal)?;
+        // A leader that has left itself can commit no more.
+        if member != self.member.id() {
+            let forgotten = self.member.propose(Command::RemoveMember(member)).await;
+            forgotten.map_err(refusal)?;
+        }
+        Ok(())
+    }
+
+    /// Leaves the membership if the other members bear as many losses without this one.
+    pub(crate) async fn leave_if_spare(&self) {
+        let status = self.member.replica().status();
+        let own = self.member.id();
+        let is_voter = status.members.iter().any(|m| m.member == own && m.is_voter);
+        if !is_voter || !has_spare_voter(&status) {
+            return;
+        }
+        if status.role == Role::Leader {
+            // The release is recorded, and the member stops in any case.
+            let _ = tokio::time::timeout(LEAVE_TIMEOUT, self.release_member(own)).await;
+            return;
+        }
+        let leader = status.leader;
+        if let Some(leader) = leader.and_then(|leader| self.member.rpc_address(leader)) {
+            let client = ControlClient::new(&[leader]);
+            let left = client.call(
+                Duration::ZERO,
+                LEAVE_TIMEOUT,
+                |client, context| async move { client.leave(context, own).await },
+            );
+            info!(self.logger, "control: asked to leave"; "result" => ?left.await);
+        }
+    }
+}
+
 /// Promotes learners and removes replaced members while this member leads.
 pub(crate) async fn keep_membership(control: Arc<Control>) {
     let mut silent_since: BTreeMap<MemberId, Instant> = BTreeMap::new();
@@ -273,6 +334,18 @@
     }
 }
 
+/// Returns whether all voters but one respond.
+fn do_others_respond(status: &ReplicaStatus, member: MemberId) -> bool {
+    let mut others = status.members.iter().filter(|m| m.member != member);
+    others.all(|m| !m.is_voter || m.is_responding)
+}
+
+/// Returns whether one voter less would bear as many losses.
+fn has_spare_voter(status: &ReplicaStatus) -> bool {
+    let count = count_voters(status);
+    count >= SMALLEST_SPARE_SET && count.is_multiple_of(2)
+}
+
 fn count_voters(status: &ReplicaStatus) -> usize {
     status.members.iter().filter(|m| m.is_voter).count()
 }
@@ -312,8 +385,12 @@
     }
     let is_even = count_voters(status).is_multiple_of(2);
     let replaced = silent.filter(|m| {
-        let silence = silent_since[&m.member].elapsed();
-        silence >= REPLACED_AFTER && (is_even || !m.is_voter)
+        let limit = if m.is_voter && do_others_respond(status, m.member) {
+            SPARE_AFTER
+        } else {
+            REPLACED_AFTER
+        };
+        silent_since[&m.member].elapsed() >= limit && (is_even || !m.is_voter)
     });
     replaced
         .max_by_key(|m| silent_since[&m.member].elapsed())
--- a/crates/wasabipoint_control/src/rpc.rs
+++ b/crates/wasabipoint_control/src/rpc.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
-use wasabipoint_kernel::{EndpointId, ErrorKind, ModelName};
+use wasabipoint_kernel::{EndpointId, ErrorKind, MemberId, ModelName};
 use wasabipoint_rpc::{
     AdapterRequest, AgentDirective, AgentReport, ClaimOutcome, ClaimRequest, ColdEstimate,
     ControlRefusal, ControlRpc, EntryDirective, EntryReport, FleetUpdate, JoinReply, JoinRequest,
@@ -440,6 +440,11 @@
         }
     }
 
+    async fn leave(self, _: Context, member: MemberId) -> Result<(), ControlRefusal> {
+        self.control.metrics.count_call("leave");
+        self.control.release_member(member).await
+    }
+
     async fn join(self, _: Context, request: JoinRequest) -> Result<JoinReply, ControlRefusal> {
         self.control.metrics.count_call("join");
         self.leading_term()?;
--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -340,6 +340,13 @@
         self.control.member.replica().status().is_refused
     }
 
+    /// Leaves the membership before a stop, if the other members bear as many losses without this
+    /// one: one of four that is stopped for good would cost them the next loss. A member that comes
+    /// back is refused and joins anew.
+    pub async fn leave_if_spare(&self) {
+        self.control.leave_if_spare().await;
+    }
+
     /// Closes the ports and then the data folder.
     pub async fn stop(mut self) {
         self.tasks.shutdown().await;
--- a/crates/wasabipoint_control/tests/membership/recovery.rs
+++ b/crates/wasabipoint_control/tests/membership/recovery.rs
@@ -112,6 +112,24 @@
     wait_for_voters(&vms, 4).await;
 }
 
+/// Guards against four voters of which one is gone: the next lost disk takes their quorum for good.
+#[tokio::test]
+async fn a_voter_that_is_stopped_in_an_even_set_leaves_first() {
+    let (mut vms, seeds) = start_all("even", 3).await;
+    wait_for_voters(&vms, 3).await;
+    let mut successor = Vm::new("even");
+    successor.start(&seeds, false).await;
+    vms.push(successor);
+    wait_for_voters(&vms, 4).await;
+    apply(&vms, 1, "one").await;
+    let mut planned = vms.remove(0);
+    planned.server.as_ref().unwrap().leave_if_spare().await;
+    planned.stop().await;
+    vms[0].wipe().await;
+    recover(&mut vms[..1], &seeds).await;
+    assert_eq!(read(&vms).await, "one");
+}
+
 /// Guards against a joining process whose seeds are all gone, and that does not look at new ones.
 #[tokio::test]
 async fn a_joining_process_follows_seeds_that_change() {
--- a/crates/wasabipoint_entry/tests/sockets.rs
+++ b/crates/wasabipoint_entry/tests/sockets.rs
@@ -92,6 +92,14 @@
         Err(ControlRefusal::Unavailable)
     }
 
+    async fn leave(
+        self,
+        _: tarpc::context::Context,
+        _: wasabipoint_kernel::MemberId,
+    ) -> Result<(), wasabipoint_rpc::ControlRefusal> {
+        Err(wasabipoint_rpc::ControlRefusal::Unavailable)
+    }
+
     async fn join(
         self,
         _: tarpc::context::Context,
--- a/crates/wasabipoint_rpc/src/service.rs
+++ b/crates/wasabipoint_rpc/src/service.rs
@@ -102,6 +102,8 @@
     async fn report_agent(report: AgentReport) -> Result<AgentDirective, ControlRefusal>;
     /// Asks to become a member; the answer lists the members to talk to.
     async fn join(request: JoinRequest) -> Result<JoinReply, ControlRefusal>;
+    /// Removes a member that is about to stop, unless the others need it.
+    async fn leave(member: MemberId) -> Result<(), ControlRefusal>;
     /// Loads an adapter on one of the endpoints that hold its model.
     async fn load_adapter(request: AdapterRequest) -> Result<EndpointId, ControlRefusal>;
 }
