Give up a response whose body does not end

What callers would see: an endpoint in trouble that sends a body without end is read until the timeout of the route, and the entry process collects all of it: at the speed of a link it is out of memory in seconds and ends, with all its connections. A refusal without end held its request as long.

Cause: whole bodies were collected without a bound. Heads and events had bounds already.

--- a/crates/wasabipoint_entry/src/forward.rs
+++ b/crates/wasabipoint_entry/src/forward.rs
@@ -2,6 +2,7 @@
 //! route's service, and the response comes back unchanged.
 
 mod answer;
+mod body_buffer;
 mod budget;
 mod call;
 mod demand;
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -20,6 +20,7 @@
 
 use super::Forwarder;
 use super::answer::{AnswerBody, strip_connection_headers};
+use super::body_buffer::MAX_BODY_BYTES;
 use super::dialect::{ForwardFacts, RequestFacts};
 use super::endpoints::{Choice, Need};
 use super::exchange::{Exchange, Outgoing, Started, begin_exchange};
@@ -124,7 +125,8 @@
                 return Ok(self.relay(running));
             }
             let endpoint = running.place.endpoint.clone();
-            let read = running.started.read_whole(&self.forwarder.pool);
+            let pool = &self.forwarder.pool;
+            let read = running.started.read_whole(pool, MAX_BODY_BYTES);
             let whole = timeout_at(self.deadline, read).await;
             drop(running.place);
             match whole {
--- a/crates/wasabipoint_entry/src/forward/exchange.rs
+++ b/crates/wasabipoint_entry/src/forward/exchange.rs
@@ -6,6 +6,7 @@
 use hyper::body::Incoming;
 use wasabipoint_rpc::EndpointView;
 
+use super::body_buffer::{BodyBuffer, MAX_REFUSAL_BYTES};
 use super::dialect::{ForwardDialect, ForwardFacts, ResponseFacts};
 use super::pool::{Connection, Pool, SendError};
 use std::sync::Arc;
@@ -96,8 +97,8 @@
     };
     if started.facts.is_not_run || started.head.status == StatusCode::MISDIRECTED_REQUEST {
         let (status, facts) = (started.head.status, started.facts.clone());
-        // The body is short; without its end the connection is not used again.
-        let _ = started.read_whole(pool).await;
+        // Without the end of its body the connection is not used again.
+        let _ = started.read_whole(pool, MAX_REFUSAL_BYTES).await;
         return Exchange::NotRun { status, facts };
     }
     if started.head.status.is_success() && !started.facts.is_signed {
@@ -118,18 +119,19 @@
         Ok(None)
     }
 
-    /// Reads the whole body and keeps the connection.
+    /// Reads the whole body, up to `max_bytes`, and keeps the connection.
     pub(crate) async fn read_whole(
         mut self,
         pool: &Arc<Pool>,
+        max_bytes: usize,
     ) -> Result<(http::response::Parts, Bytes), String> {
-        let mut whole = bytes::BytesMut::new();
+        let mut whole = BodyBuffer::new(pool.bodies(), max_bytes);
         while let Some(piece) = self.next_piece().await? {
-            whole.extend_from_slice(&piece);
+            whole.push(&piece)?;
         }
         let head = self.head.clone();
         self.finish(pool);
-        Ok((head, whole.freeze()))
+        Ok((head, whole.finish()))
     }
 
     /// Keeps the connection of a body that was read to its end.
--- a/crates/wasabipoint_entry/src/forward/pool.rs
+++ b/crates/wasabipoint_entry/src/forward/pool.rs
@@ -16,6 +16,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+use super::body_buffer::BodyBudget;
+
 /// Longest time for a connection to be established. Endpoints are a millisecond away.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -93,9 +95,15 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    bodies: BodyBudget,
 }
 
 impl Pool {
+    /// Returns the memory that bodies on these connections share.
+    pub(crate) fn bodies(&self) -> &BodyBudget {
+        &self.bodies
+    }
+
     /// Returns an idle connection, or a new one.
     pub(crate) async fn connect(
         self: &Arc<Self>,
--- a/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
@@ -109,6 +109,9 @@
     SendWithPause(String, Duration, String),
     /// Closes the connection.
     Close,
+    /// Sends the first text, then the second one again and again, and tells when the connection is
+    /// closed by the other side.
+    Endless(String, String, oneshot::Sender<()>),
     /// Says nothing, and tells when the connection is closed by the other side.
     Silence(oneshot::Sender<()>),
 }
@@ -170,6 +173,14 @@
                 stream.write_all(text.as_bytes()).await.unwrap();
                 return;
             }
+            Step::Endless(first, repeated, closed) => {
+                let mut next = stream.write_all(first.as_bytes()).await;
+                while next.is_ok() {
+                    next = stream.write_all(repeated.as_bytes()).await;
+                }
+                let _ = closed.send(());
+                return;
+            }
             Step::Close => return,
             Step::Silence(closed) => {
                 let mut buffer = [0; 16];
