Start HTTP workers outside the runtime's thread

The library waits for threads of its own when it starts.

Change: the start runs in a thread of its own, and the member takes part meanwhile.

--- a/crates/wasabipoint_agent/src/main.rs
+++ b/crates/wasabipoint_agent/src/main.rs
@@ -73,7 +73,9 @@
         logger,
     );
     let agent = Arc::new(agent);
-    let server = server.serve(Arc::new(AgentService::new(Arc::clone(&agent))))?;
+    let server = server
+        .serve(Arc::new(AgentService::new(Arc::clone(&agent))))
+        .await?;
     println!("listening http={listen}");
     wait_for_termination().await?;
     agent.drain().await;
--- a/crates/wasabipoint_agent/tests/agent/drain.rs
+++ b/crates/wasabipoint_agent/tests/agent/drain.rs
@@ -68,7 +68,7 @@
     let server = HttpServer::new("127.0.0.1:0".parse().unwrap()).unwrap();
     let base = format!("http://{}", server.local_address().unwrap());
     let service = AgentService::new(Arc::clone(&setup.agent));
-    server.serve(Arc::new(service)).unwrap();
+    server.serve(Arc::new(service)).await.unwrap();
     Served {
         setup,
         client: HttpClient::new(Duration::from_secs(5)),
--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -298,7 +298,7 @@
             let store = DeploymentStore::new(Arc::clone(&control));
             api = (deployed.operator_api)(store, api);
         }
-        let handle = http.serve(api).map_err(listen_error(bound_http))?;
+        let handle = http.serve(api).await.map_err(listen_error(bound_http))?;
         info!(control.logger, "control: ready"; "member" => config.member.0,
             "rpc" => %bound_rpc, "http" => %bound_http);
         Ok(Self {
--- a/crates/wasabipoint_control/tests/cluster/faults.rs
+++ b/crates/wasabipoint_control/tests/cluster/faults.rs
@@ -99,7 +99,7 @@
     });
     let http = HttpServer::new("127.0.0.1:0".parse().unwrap()).unwrap();
     let url = format!("http://{}/vms", http.local_address().unwrap());
-    let handle = http.serve(Arc::clone(&platform) as _).unwrap();
+    let handle = http.serve(Arc::clone(&platform) as _).await.unwrap();
     let server = start_single_with(|config| {
         config.agent_silence = Duration::from_millis(1_500);
         config.platform_list = Some(url);
--- a/crates/wasabipoint_entry/src/main.rs
+++ b/crates/wasabipoint_entry/src/main.rs
@@ -60,7 +60,9 @@
     let control = Arc::new(RpcControlLink::new(&settings.addresses("control")));
     let agents = Arc::new(HttpAgentLink::new());
     let entry = Entry::start(config, control, agents, logger.clone());
-    let handle = server.serve(Arc::new(EntryHandler::new(Arc::clone(&entry))))?;
+    let handle = server
+        .serve(Arc::new(EntryHandler::new(Arc::clone(&entry))))
+        .await?;
     let mut output = std::io::stdout();
     writeln!(output, "listening http={address}")?;
     output.flush()?;
--- a/crates/wasabipoint_entry/tests/sockets.rs
+++ b/crates/wasabipoint_entry/tests/sockets.rs
@@ -246,6 +246,7 @@
     let agent_address = agent_server.local_address().unwrap();
     agent_server
         .serve(Arc::clone(&agent) as Arc<dyn HttpHandler>)
+        .await
         .unwrap();
     let control_address = start_control(build_view(agent_address)).await;
     let settings = Settings::parse("entry.ini", SETTINGS, "entry", ENTRY_SETTINGS).unwrap();
@@ -259,6 +260,7 @@
     );
     server
         .serve(Arc::new(EntryHandler::new(Arc::clone(&entry))))
+        .await
         .unwrap();
     entry.wait_until_ready().await;
     Setup {
--- a/crates/wasabipoint_http/src/lib.rs
+++ b/crates/wasabipoint_http/src/lib.rs
@@ -3,9 +3,11 @@
 
 mod client;
 mod server;
+mod start;
 
 pub use client::{ClientError, HttpClient, ResponseBody};
 pub use server::{
     BodyError, HttpHandler, HttpRequest, HttpResponse, HttpServer, HttpServerHandle, OutgoingBody,
     RequestBody, StreamAborted, json_response, refusal_response, text_response,
 };
+pub use start::start_in_thread;
--- a/crates/wasabipoint_http/src/server.rs
+++ b/crates/wasabipoint_http/src/server.rs
@@ -21,11 +21,13 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 use wasabipoint_kernel::{ErrorKind, Refusal};
-use xitca_server::ServerHandle;
+use xitca_server::{ServerFuture, ServerHandle};
 use xitca_web::body::{Body, BodyExt, Frame, SizeHint};
 use xitca_web::http::RequestExt;
 use xitca_web::service::fn_service;
 
+use crate::start::start_in_thread;
+
 /// Pieces of a request body that may wait between worker and handler.
 const BODY_CHANNEL_PIECES: usize = 8;
 
@@ -195,21 +197,15 @@
     }
 
     /// Starts the workers; handlers run on the calling runtime.
-    pub fn serve(self, handler: Arc<dyn HttpHandler>) -> io::Result<HttpServerHandle> {
+    ///
+    /// # Errors
+    ///
+    /// Fails when the workers cannot be started.
+    pub async fn serve(self, handler: Arc<dyn HttpHandler>) -> io::Result<HttpServerHandle> {
         let runtime = Handle::current();
-        let service = fn_service(
-            async move |request: Request<RequestExt<xitca_web::body::RequestBody>>| {
-                Ok::<_, Infallible>(run_handler(&runtime, &handler, request).await)
-            },
-        );
-        let mut server = xitca_web::HttpServer::serve(service)
-            .worker_threads(self.workers)
-            .keep_alive_timeout(KEEP_ALIVE)
-            // The program drains first and stops the server last.
-            .disable_signal()
-            .listen(self.listener)?
-            .run();
-        let handle = server.handle()?;
+        // The library waits for threads of its own when it starts.
+        let start = move || start_workers(self.listener, self.workers, runtime, handler);
+        let (server, handle) = start_in_thread(start).await?;
         let task = tokio::spawn(async move {
             // The server ends only after `stop`, when the process ends too.
             let _ = server.await;
@@ -218,6 +214,28 @@
     }
 }
 
+fn start_workers(
+    listener: TcpListener,
+    workers: usize,
+    runtime: Handle,
+    handler: Arc<dyn HttpHandler>,
+) -> io::Result<(ServerFuture, ServerHandle)> {
+    let service = fn_service(
+        async move |request: Request<RequestExt<xitca_web::body::RequestBody>>| {
+            Ok::<_, Infallible>(run_handler(&runtime, &handler, request).await)
+        },
+    );
+    let mut server = xitca_web::HttpServer::serve(service)
+        .worker_threads(workers)
+        .keep_alive_timeout(KEEP_ALIVE)
+        // The program drains first and stops the server last.
+        .disable_signal()
+        .listen(listener)?
+        .run();
+    let handle = server.handle()?;
+    Ok((server, handle))
+}
+
 /// A running server.
 pub struct HttpServerHandle {
     handle: ServerHandle,
--- a/crates/wasabipoint_http/tests/server.rs
+++ b/crates/wasabipoint_http/tests/server.rs
@@ -73,7 +73,7 @@
     caller_left: oneshot::Receiver<()>,
 }
 
-fn start() -> Setup {
+async fn start() -> Setup {
     let (sender, caller_left) = oneshot::channel();
     let server = HttpServer::new("127.0.0.1:0".parse().unwrap()).unwrap();
     let base = format!("http://{}", server.local_address().unwrap());
@@ -81,6 +81,7 @@
         .serve(Arc::new(TestHandler {
             caller_left: Mutex::new(Some(sender)),
         }))
+        .await
         .unwrap();
     Setup {
         client: HttpClient::new(Duration::from_secs(5)),
@@ -98,7 +99,7 @@
 /// Guards against bodies that are lost or cut between worker and handler.
 #[tokio::test]
 async fn echoes_a_body_up_to_the_bound() {
-    let setup = start();
+    let setup = start().await;
     for (size, status) in [(0, 200), (MAX_BODY_BYTES, 200), (MAX_BODY_BYTES + 1, 413)] {
         let body = vec![b'x'; size];
         let timeout = Duration::from_secs(20);
@@ -117,7 +118,7 @@
 /// Guards against an aborted stream that looks complete to the caller.
 #[tokio::test]
 async fn tells_complete_streams_from_aborted_ones() {
-    let setup = start();
+    let setup = start().await;
     let whole = setup
         .client
         .send(request(&setup.base, "/stream", b""))
@@ -138,7 +139,7 @@
 /// Guards against work that goes on for a caller that is gone.
 #[tokio::test]
 async fn reports_a_caller_that_left() {
-    let setup = start();
+    let setup = start().await;
     let response = setup
         .client
         .send(request(&setup.base, "/endless", b""))
--- a/crates/wasabipoint_load/tests/http.rs
+++ b/crates/wasabipoint_load/tests/http.rs
@@ -64,7 +64,7 @@
 async fn ends_are_told_apart() {
     let server = HttpServer::new(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
     let address = server.local_address().unwrap();
-    let handle = server.serve(Arc::new(StandIn)).unwrap();
+    let handle = server.serve(Arc::new(StandIn)).await.unwrap();
     let outcomes = run_http(&plan(address), &[address]).await.unwrap();
     let counts: Vec<_> = outcomes.iter().map(CustomerOutcome::counts).collect();
     assert_eq!(counts, [(20, 0, 0), (0, 0, 20), (0, 20, 0)]);
