Split the identity of a member from the upkeep of the membership

The durable replacement of a file and the sync of a folder stood twice, in the control and in the consensus crate; both use the latter's now.

The copy in the control crate created the data folder without syncing its parent, after which the other one found the folder in place and did not sync it either: a loss of power could take the whole folder where it was created at the first start. Both create all missing parents durably now. Found by reading; the folder exists already on the users' platform, and no test here loses names of folders.

--- a/crates/wasabipoint_consensus/src/lib.rs
+++ b/crates/wasabipoint_consensus/src/lib.rs
@@ -28,4 +28,4 @@
 };
 pub use message::{Body, Message, Refusal};
 pub use replica::{Replica, ReplicaHandle};
-pub use storage::{DiskError, DiskHook, Opened, Storage};
+pub use storage::{DiskError, DiskHook, Opened, Storage, create_folder, replace_file, sync_folder};
--- a/crates/wasabipoint_consensus/src/storage.rs
+++ b/crates/wasabipoint_consensus/src/storage.rs
@@ -1,10 +1,11 @@
 //! Synced storage of a member: log, snapshot, identity and lock file in one folder.
 
+mod folder;
 mod frame;
 mod identity;
 
 use std::fs::{self, File, OpenOptions, TryLockError};
-use std::io::{self, ErrorKind, Write as _};
+use std::io::{self, ErrorKind};
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 
 use crate::api::StartError;
 use crate::entry::{Compaction, DiskId, Entry, HardState, Recovered, Snapshot, Write};
+pub use folder::{create_folder, replace_file, sync_folder};
 use identity::Identity;
 
 const LOG_FILE: &str = "log";
@@ -221,7 +223,7 @@
     }
 }
 
-fn disk_error(path: &Path) -> impl Fn(io::Error) -> DiskError + use<> {
+pub(super) fn disk_error(path: &Path) -> impl Fn(io::Error) -> DiskError + use<> {
     let path = path.to_owned();
     move |error| DiskError {
         path: path.clone(),
@@ -236,23 +238,6 @@
     }
 }
 
-fn sync_folder(folder: &Path) -> Result<(), DiskError> {
-    let opened = File::open(folder);
-    let synced = opened.and_then(|folder| folder.sync_all());
-    synced.map_err(disk_error(folder))
-}
-
-fn create_folder(folder: &Path) -> Result<(), StartError> {
-    if folder.is_dir() {
-        return Ok(());
-    }
-    fs::create_dir_all(folder).map_err(at(folder))?;
-    if let Some(parent) = folder.parent().filter(|p| !p.as_os_str().is_empty()) {
-        sync_folder(parent)?;
-    }
-    Ok(())
-}
-
 fn lock_folder(folder: &Path) -> Result<File, StartError> {
     let path = folder.join(LOCK_FILE);
     let mut options = OpenOptions::new();
@@ -267,21 +252,6 @@
     }
 }
 
-/// Replaces a file so that a crash leaves either the old or the new content.
-fn replace_file(folder: &Path, name: &str, bytes: &[u8]) -> Result<File, DiskError> {
-    let temporary = folder.join(format!("{name}.new"));
-    let write = || {
-        let mut file = File::create(&temporary)?;
-        file.write_all(bytes)?;
-        file.sync_all()?;
-        fs::rename(&temporary, folder.join(name))?;
-        Ok(file)
-    };
-    let file = write().map_err(disk_error(&temporary))?;
-    sync_folder(folder)?;
-    Ok(file)
-}
-
 fn read_if_present(path: &Path) -> Result<Option<Vec<u8>>, StartError> {
     match fs::read(path) {
         Ok(bytes) => Ok(Some(bytes)),
--- /dev/null
+++ b/crates/wasabipoint_consensus/src/storage/folder.rs
@@ -0,0 +1,54 @@
+//! Files and folders that outlast a loss of power.
+
+use std::fs::{self, File};
+use std::io::Write as _;
+use std::path::Path;
+
+use super::{DiskError, disk_error};
+
+/// Makes the names in a folder durable.
+///
+/// # Errors
+///
+/// Fails when the disk refuses it.
+pub fn sync_folder(folder: &Path) -> Result<(), DiskError> {
+    let opened = File::open(folder);
+    let synced = opened.and_then(|folder| folder.sync_all());
+    synced.map_err(disk_error(folder))
+}
+
+/// Creates a folder and its missing parents, and makes their names durable.
+///
+/// # Errors
+///
+/// Fails when the disk refuses it.
+pub fn create_folder(folder: &Path) -> Result<(), DiskError> {
+    let ancestors = folder.ancestors().filter(|a| !a.as_os_str().is_empty());
+    let missing: Vec<&Path> = ancestors.take_while(|a| !a.is_dir()).collect();
+    if missing.is_empty() {
+        return Ok(());
+    }
+    fs::create_dir_all(folder).map_err(disk_error(folder))?;
+    let parents = missing.iter().filter_map(|created| created.parent());
+    let mut named = parents.filter(|parent| !parent.as_os_str().is_empty());
+    named.try_for_each(sync_folder)
+}
+
+/// Replaces a file so that a crash leaves either the old or the new content.
+///
+/// # Errors
+///
+/// Fails when the disk refuses it. The old file may then be in place, or the new one.
+pub fn replace_file(folder: &Path, name: &str, bytes: &[u8]) -> Result<File, DiskError> {
+    let temporary = folder.join(format!("{name}.new"));
+    let write = || {
+        let mut file = File::create(&temporary)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        fs::rename(&temporary, folder.join(name))?;
+        Ok(file)
+    };
+    let file = write().map_err(disk_error(&temporary))?;
+    sync_folder(folder)?;
+    Ok(file)
+}
--- a/crates/wasabipoint_control/src/lib.rs
+++ b/crates/wasabipoint_control/src/lib.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod directory;
 mod engines;
+mod identity;
 mod leader_state;
 mod machine;
 mod member;
@@ -24,8 +25,8 @@
 pub use engines::{
     CommandAnswer, EngineCommand, EngineCommander, EngineLedger, EngineOperation, EngineState,
 };
+pub use identity::{MemberIdentity, discard_identity, find_identity, first_member_id};
 pub use machine::ControlMachine;
-pub use membership::{MemberIdentity, discard_identity, find_identity, first_member_id};
 pub use server::{ControlConfig, ControlServer, ControlStartError, Deployed};
 pub use state::{
     Bucket, ClaimState, Command, ConfigApply, ConfigBody, ConfigState, ControlState,
