Let a member that found the others declare the address it listens on

The member declared the address of its first start, and the answers to its questions went there.

Evidence: a_member_that_returns_at_another_address_is_answered failed (no leader within 12 s) and passes. a_joining_member_that_lost_power_at_once_goes_on passed before; it covers a case of the class.

--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -222,7 +222,9 @@
             .local_address()
             .map_err(listen_error(config.http_listen))?;
         let own = config.members.get(&config.member).copied();
-        let rpc_address = own.filter(|own| own.port() != 0).unwrap_or(bound_rpc);
+        // A member that found the others by itself may have moved since its first start.
+        let own = own.filter(|own| own.port() != 0 && !config.is_discovered);
+        let rpc_address = own.unwrap_or(bound_rpc);
         // A wildcard address is of no use to others; the member's rpc address is reachable.
         let http_address = if bound_http.ip().is_unspecified() {
             SocketAddr::new(rpc_address.ip(), bound_http.port())
--- a/crates/wasabipoint_control/tests/membership/recovery.rs
+++ b/crates/wasabipoint_control/tests/membership/recovery.rs
@@ -159,3 +159,35 @@
     wait_for_voters(&vms, 3).await;
     apply(&vms, 1, "one").await;
 }
+
+/// Guards against a member that comes back at another address with its disk: the others know the old
+/// one, and answers go there.
+#[tokio::test]
+async fn a_member_that_returns_at_another_address_is_answered() {
+    let (mut vms, seeds) = start_all("moved", 3).await;
+    wait_for_voters(&vms, 3).await;
+    apply(&vms, 1, "one").await;
+    stop_all(&mut vms).await;
+    vms[0].take_new_address();
+    vms[1].wipe().await;
+    recover(&mut vms, &seeds).await;
+    wait_for_voters(&vms, 3).await;
+    assert_eq!(read(&vms).await, "one");
+}
+
+/// Guards against a joining member that is never whole because it lost power before its first
+/// snapshot was.
+#[tokio::test]
+async fn a_joining_member_that_lost_power_at_once_goes_on() {
+    let (mut vms, seeds) = start_all("early", 3).await;
+    wait_for_voters(&vms, 3).await;
+    for version in 1..=80 {
+        apply(&vms, version, "document ".repeat(1_024).as_str()).await;
+    }
+    let mut successor = Vm::new("early");
+    successor.start(&seeds, false).await;
+    successor.stop().await;
+    successor.start(&seeds, false).await;
+    vms.push(successor);
+    wait_for_voters(&vms, 4).await;
+}
--- a/crates/wasabipoint_control/tests/membership/vm.rs
+++ b/crates/wasabipoint_control/tests/membership/vm.rs
@@ -51,7 +51,7 @@
     pub(crate) address: SocketAddr,
     /// Keeps the port from being given to a connection while the member is down. It does not
     /// listen, so the member can bind the same address.
-    _port: TcpSocket,
+    port: TcpSocket,
     folder: PathBuf,
     pub(crate) server: Option<ControlServer>,
 }
@@ -66,12 +66,19 @@
         let name = format!("wasabipoint-{test}-{}-{number}", std::process::id());
         Self {
             address: port.local_addr().unwrap(),
-            _port: port,
+            port,
             folder: std::env::temp_dir().join(name),
             server: None,
         }
     }
 
+    /// Moves a stopped member with its disk to another address.
+    pub(crate) fn take_new_address(&mut self) {
+        let mut moved = Self::new("moved");
+        std::mem::swap(&mut self.address, &mut moved.address);
+        std::mem::swap(&mut self.port, &mut moved.port);
+    }
+
     pub(crate) async fn start(&mut self, seeds: &[SocketAddr], is_first_start: bool) {
         let (_sender, seeds) = watch::channel(seeds.to_vec());
         self.start_with_seeds(&seeds, is_first_start).await;
