--- a/crates/wasabipoint_consensus/tests/driver.rs
+++ b/crates/wasabipoint_consensus/tests/driver.rs
@@ -53,6 +53,22 @@
     cluster.stop_all().await;
 }
 
+/// Guards against an election whose questions and answers nobody can follow afterwards, and against
+/// records that go on without one.
+#[tokio::test(start_paused = true)]
+async fn an_election_leaves_records_of_its_steps() {
+    const STEP: &str = "consensus: election";
+    let cluster = Cluster::start(3).await;
+    cluster.leader().await;
+    sleep(Duration::from_secs(1)).await;
+    let told = cluster.count_records(STEP);
+    // Asked and granted, before the vote and in it, each at two members.
+    assert!(told >= 8, "{told} records");
+    sleep(Duration::from_secs(10)).await;
+    assert_eq!(cluster.count_records(STEP), told);
+    cluster.stop_all().await;
+}
+
 /// Guards against a cluster that stays without a leader, or loses entries, when its leader dies.
 #[tokio::test(start_paused = true)]
 async fn elects_a_leader_after_the_leader_is_killed() {
