--- a/crates/wasabipoint_control/src/addresses.rs
+++ b/crates/wasabipoint_control/src/addresses.rs
@@ -7,7 +7,7 @@
 
 /// Most addresses kept from messages of members that nothing else names. A member that was removed
 /// needs the answer that says so; beyond that they are of no use.
-const LEARNED_ADDRESSES: usize = 64;
+const MAX_LEARNED_ADDRESSES: usize = 64;
 
 /// What is known of the members' addresses, and from where.
 #[derive(Debug)]
@@ -32,7 +32,8 @@
         }
     }
 
-    /// Returns the address of a member.
+    /// Returns the address of a member. What it tells of itself goes before what was known at the
+    /// first start, since it may have moved.
     pub(crate) fn get(&self, member: MemberId) -> Option<SocketAddr> {
         let first = self.first.get(&member);
         let learned = self.learned.get(&member);
@@ -63,7 +64,7 @@
         if address.ip().is_unspecified() || self.learned.get(&member) == Some(&address) {
             return false;
         }
-        if self.learned.len() >= LEARNED_ADDRESSES {
+        if self.learned.len() >= MAX_LEARNED_ADDRESSES {
             let (first, replicated) = (&self.first, &self.replicated);
             let is_named = |m: &MemberId| first.contains_key(m) || replicated.contains_key(m);
             self.learned.retain(|known, _| is_named(known));
--- a/crates/wasabipoint_control/src/membership.rs
+++ b/crates/wasabipoint_control/src/membership.rs
@@ -61,9 +61,7 @@
             members: members.collect(),
         })
     }
-}
 
-impl Control {
     /// Removes a voter that is about to stop, if the others bear as many losses without it.
     pub(crate) async fn release_member(&self, member: MemberId) -> Result<(), ControlRefusal> {
         let refusal = |error| self.member.refusal(error);
