Keep the causes of failed connections, refused accepts and a leave in the records

Found in reading the change again, and needed to trace the test that failed once: its NotConnected said only 'client error (Connect)', so a refused connection, a reset and a missing address look alike.

The stand-ins' server stopped listening without a word at its first failed accept; it reports the error and goes on. Whether that was the cause of the failed test is not known, so it stays listed. A leader that leaves before it stops records the result, also when the time is over.

--- a/crates/wasabipoint_control/src/membership.rs
+++ b/crates/wasabipoint_control/src/membership.rs
@@ -95,8 +95,8 @@
             return;
         }
         if status.role == Role::Leader {
-            // The release is recorded, and the member stops in any case.
-            let _ = tokio::time::timeout(LEAVE_TIMEOUT, self.release_member(own)).await;
+            let released = tokio::time::timeout(LEAVE_TIMEOUT, self.release_member(own)).await;
+            info!(self.logger, "control: left as the leader"; "result" => ?released);
             return;
         }
         let leader = status.leader;
--- a/crates/wasabipoint_fakes/src/server.rs
+++ b/crates/wasabipoint_fakes/src/server.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
@@ -36,6 +37,9 @@
 
 impl std::error::Error for Aborted {}
 
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 pub(crate) type FakeBody = BoxBody<Bytes, Aborted>;
 pub(crate) type FakeResponse = Result<Response<FakeBody>, Aborted>;
 
@@ -64,7 +68,15 @@
         let connections = Connections::default();
         let accepted = Arc::clone(&connections);
         let accept = tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let stream = match listener.accept().await {
+                    Ok((stream, _)) => stream,
+                    Err(error) => {
+                        eprintln!("a connection was not accepted: {error}");
+                        tokio::time::sleep(ACCEPT_PAUSE).await;
+                        continue;
+                    }
+                };
                 let _ = stream.set_nodelay(true);
                 let handler = Arc::clone(&handler);
                 let service = service_fn(move |request| Arc::clone(&handler).handle(request));
--- a/crates/wasabipoint_http/src/client.rs
+++ b/crates/wasabipoint_http/src/client.rs
@@ -115,9 +115,9 @@
             .await
             .map_err(|error| {
                 if error.is_connect() {
-                    ClientError::NotConnected(error.to_string())
+                    ClientError::NotConnected(describe(&error))
                 } else {
-                    ClientError::Interrupted(error.to_string())
+                    ClientError::Interrupted(describe(&error))
                 }
             })?;
         Ok(response.map(|incoming| ResponseBody { incoming }))
@@ -139,3 +139,10 @@
             .unwrap_or(Err(ClientError::TimedOut))
     }
 }
+
+/// Returns the text of an error with its causes. The library's own text leaves out the system's
+/// error.
+fn describe(error: &dyn std::error::Error) -> String {
+    let causes = std::iter::successors(error.source(), |cause| cause.source());
+    causes.fold(error.to_string(), |text, cause| format!("{text}: {cause}"))
+}
