Let first members start without one whose disk is lost

Cause: a first member takes part only after all others have recorded its disk. One that loses its disk before that joins under another id, so the others waited for its record for ever. Change: a join from the address of a first member under another id tells the members that are asked that the disk is lost. The lost member stays a voter with a disk that nobody has, so the quorum does not shrink; with no quorum of disks left the start waits.

--- a/crates/wasabipoint_consensus/src/core.rs
+++ b/crates/wasabipoint_consensus/src/core.rs
@@ -78,6 +78,8 @@
     rng: StdRng,
     hard: HardState,
     welcomed_by: BTreeSet<MemberId>,
+    /// First members that lost their disks before this member took part.
+    lost_disks: BTreeSet<MemberId>,
     refusal: Option<Refusal>,
     log: Log,
     /// Configurations by the index of their entry; the first is in force at the commit index or
@@ -119,6 +121,7 @@
             rng: StdRng::seed_from_u64(config.seed),
             hard: recovered.hard,
             welcomed_by: BTreeSet::new(),
+            lost_disks: BTreeSet::new(),
             refusal: None,
             configurations: VecDeque::from([first]),
             incoming: None,
--- a/crates/wasabipoint_consensus/src/core/admission.rs
+++ b/crates/wasabipoint_consensus/src/core/admission.rs
@@ -3,6 +3,10 @@
 //! A first member takes part only after every other first member has durably recorded its disk.
 //! Whoever has counted a vote or confirmation of a member knows its disk, so a member that starts
 //! again with an empty disk is refused as long as one of the others still has its own disk.
+//!
+//! A first member whose process says that it lost its disk does not come back under its old id, so
+//! the others do not wait for it. It stays among the first voters with a disk that nobody has: the
+//! quorum is the same for members that took part before and after the loss.
 
 use wasabipoint_kernel::MemberId;
 
@@ -25,10 +29,12 @@
             self.write_hard_state();
             return;
         }
-        let mut others = self.config.initial_members.iter();
-        if others.all(|m| *m == self.config.member || self.welcomed_by.contains(m)) {
+        if self.awaited_members().is_empty() {
             let mut voters = self.hard.met.clone();
             voters.insert(self.config.member, self.config.disk);
+            for lost in &self.lost_disks {
+                voters.entry(*lost).or_insert(DiskId::LOST);
+            }
             let configuration = Configuration {
                 voters,
                 ..Configuration::default()
@@ -46,11 +52,31 @@
             return Vec::new();
         }
         let first = self.config.initial_members.iter().copied();
-        first
-            .filter(|m| *m != self.config.member && !self.welcomed_by.contains(m))
+        let others = first.filter(|m| *m != self.config.member);
+        others
+            .filter(|m| !self.welcomed_by.contains(m) && !self.is_counted_lost(*m))
             .collect()
     }
 
+    /// Notes that a first member lost its disk, as the process at its address says. It counts only
+    /// until this member takes part.
+    pub fn note_lost_disk(&mut self, member: MemberId) {
+        let is_other =
+            self.config.initial_members.contains(&member) && member != self.config.member;
+        if self.is_admitted() || !is_other {
+            return;
+        }
+        self.lost_disks.insert(member);
+        self.admit_if_known();
+    }
+
+    /// Returns whether a first member need not be waited for. A quorum of the first members has to
+    /// be left.
+    fn is_counted_lost(&self, member: MemberId) -> bool {
+        let first = self.config.initial_members.len();
+        self.lost_disks.len() <= (first - 1) / 2 && self.lost_disks.contains(&member)
+    }
+
     pub(super) fn send_hellos(&mut self) {
         if self.refusal.is_some() || !self.now.is_multiple_of(HEARTBEAT_TICKS) {
             return;
--- a/crates/wasabipoint_consensus/src/entry.rs
+++ b/crates/wasabipoint_consensus/src/entry.rs
@@ -68,6 +68,12 @@
     pub struct DiskId(pub u64);
 }
 
+impl DiskId {
+    /// Stands for a disk that was lost before its id was known. No drawn id is zero but with a
+    /// chance of one in 2^64.
+    pub(crate) const LOST: Self = Self(0);
+}
+
 plain_data! {
     data
     /// The members of the cluster.
--- a/crates/wasabipoint_consensus/src/replica.rs
+++ b/crates/wasabipoint_consensus/src/replica.rs
@@ -171,6 +171,13 @@
         result.map(|_| ())
     }
 
+    /// Tells the replica that a first member lost its disk and joins under another id. A replica
+    /// that takes part already ignores it.
+    pub fn note_lost_disk(&self, member: MemberId) {
+        // The process that lost its disk repeats its request, so a full queue loses nothing.
+        let _ = self.requests.try_send(Request::NoteLostDisk(member));
+    }
+
     /// Stops the replica and waits until its files are closed.
     pub async fn stop(self) {
         // A failed send means that the replica has stopped already.
--- a/crates/wasabipoint_consensus/src/replica/driver.rs
+++ b/crates/wasabipoint_consensus/src/replica/driver.rs
@@ -39,6 +39,7 @@
     Read {
         answer: oneshot::Sender<Result<u64, ProposeError>>,
     },
+    NoteLostDisk(MemberId),
     Stop,
 }
 
@@ -195,10 +196,21 @@
                     Err(error) => drop(answer.send(Err(error))),
                 }
             }
+            Request::NoteLostDisk(member) => self.note_lost_disk(member),
             Request::Stop => self.is_stopping = true,
         }
     }
 
+    /// Records that a first member is no longer waited for, if that lets this one take part.
+    fn note_lost_disk(&mut self, member: MemberId) {
+        let awaited = self.core.awaited_members();
+        self.core.note_lost_disk(member);
+        if awaited != self.core.awaited_members() {
+            info!(self.logger, "consensus: a first member lost its disk before the first election";
+                "member" => member.0);
+        }
+    }
+
     fn register(&mut self, result: Result<u64, ProposeError>, answer: Answer) {
         match result {
             Ok(index) => {
@@ -372,7 +384,7 @@
                     let _ = answer.send(Err(ProposeError::Stopped));
                 }
                 Request::Read { answer } => drop(answer.send(Err(ProposeError::Stopped))),
-                Request::Stop => {}
+                Request::NoteLostDisk(_) | Request::Stop => {}
             }
         }
         info!(self.logger, "consensus: stopped");
--- a/crates/wasabipoint_consensus/tests/steps.rs
+++ b/crates/wasabipoint_consensus/tests/steps.rs
@@ -216,3 +216,71 @@
     receive(&mut core, 2, term, appended(2));
     assert_eq!(core.take_reads(), [(101, Ok(1))]);
 }
+
+/// Creates member 1 of some first members at its first start.
+fn first_member(members: u64) -> Core {
+    let config = CoreConfig {
+        member: MemberId(1),
+        disk: DiskId(1),
+        initial_members: (1..=members).map(MemberId).collect(),
+        is_joining: false,
+        trailing_entries: 0,
+        seed: 1,
+    };
+    Core::new(config, Recovered::default())
+}
+
+/// Guards against a first member that waits for ever for one whose disk is lost, and against a
+/// smaller quorum than that of a member which took part before the loss.
+#[test]
+fn a_first_member_does_not_wait_for_a_lost_disk() {
+    let mut core = first_member(3);
+    core.note_lost_disk(MemberId(2));
+    assert_eq!(core.awaited_members(), [MemberId(3)]);
+    receive(&mut core, 3, 0, Body::Welcome);
+    complete_writes(&mut core);
+    assert_eq!(core.awaited_members(), []);
+    assert_eq!(core.configuration().voters.len(), 3);
+    let voters = &core.configuration().voters;
+    assert_ne!(voters[&MemberId(2)], DiskId(2));
+    // The first member that lost its disk does not come back under its old id.
+    core.take_messages();
+    receive(&mut core, 2, 0, Body::Hello);
+    let answers = core.take_messages();
+    assert!(matches!(
+        answers[..],
+        [Message {
+            body: Body::Refuse { .. },
+            ..
+        }]
+    ));
+}
+
+/// Guards against two halves of the first members that each elect a leader: with too many disks
+/// lost, the first start waits.
+#[test]
+fn a_first_member_waits_when_no_quorum_of_disks_is_left() {
+    let mut core = first_member(3);
+    core.note_lost_disk(MemberId(2));
+    core.note_lost_disk(MemberId(3));
+    complete_writes(&mut core);
+    assert_eq!(core.awaited_members(), [MemberId(2), MemberId(3)]);
+    for _ in 0..100 {
+        core.tick();
+    }
+    assert!(!core.is_leader());
+    assert_eq!(core.term(), 0);
+}
+
+/// Guards against a member that counts itself or a stranger as lost, and against one that takes
+/// part already and forgets a voter.
+#[test]
+fn a_lost_disk_counts_only_for_other_first_members_before_the_first_election() {
+    let mut core = first_member(3);
+    core.note_lost_disk(MemberId(1));
+    core.note_lost_disk(MemberId(9));
+    assert_eq!(core.awaited_members(), [MemberId(2), MemberId(3)]);
+    let mut core = member(Vec::new());
+    core.note_lost_disk(MemberId(2));
+    assert_eq!(core.configuration(), &configuration());
+}
--- a/crates/wasabipoint_control/src/membership.rs
+++ b/crates/wasabipoint_control/src/membership.rs
@@ -13,6 +13,7 @@
 use wasabipoint_rpc::{ControlClient, ControlRefusal, JoinReply, JoinRequest};
 
 use crate::control::Control;
+use crate::identity::first_member_id;
 use crate::state::Command;
 
 /// Pause between looks at the membership.
@@ -62,6 +63,15 @@
         })
     }
 
+    /// Takes a join from the address of a first member as the news that its disk is lost: only a
+    /// process with an empty disk joins, and it has a new id.
+    pub(crate) fn note_lost_disk(&self, request: &JoinRequest) {
+        let first = first_member_id(request.rpc);
+        if first != request.member {
+            self.member.replica().note_lost_disk(first);
+        }
+    }
+
     /// Removes a voter that is about to stop, if the others bear as many losses without it.
     pub(crate) async fn release_member(&self, member: MemberId) -> Result<(), ControlRefusal> {
         let refusal = |error| self.member.refusal(error);
--- a/crates/wasabipoint_control/src/rpc.rs
+++ b/crates/wasabipoint_control/src/rpc.rs
@@ -447,6 +447,7 @@
 
     async fn join(self, _: Context, request: JoinRequest) -> Result<JoinReply, ControlRefusal> {
         self.control.metrics.count_call("join");
+        self.control.note_lost_disk(&request);
         self.leading_term()?;
         self.control.accept_join(&request).await
     }
