Confirm the quorum before each command to an engine

Loads of adapters also skipped the wait of a new leader for the commands of its predecessor; only changes of models kept it. Failed before: a_leader_without_a_quorum_commands_no_engine and a_new_leader_loads_no_adapter_before_the_lease_of_its_predecessor_is_over. Change: every command, for models and adapters, follows a read round with the quorum and the end of the predecessor's lease.

--- a/crates/wasabipoint_control/src/engines/book.rs
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -263,6 +263,12 @@
         self.commands_from = Some(from);
     }
 
+    /// Tells whether the commands of an earlier leader have all arrived.
+    pub(crate) fn may_command(&self) -> bool {
+        self.commands_from
+            .is_some_and(|from| from <= Instant::now())
+    }
+
     /// Returns the time until this leader sends commands.
     pub(crate) fn wait_for_commands(&self) -> Duration {
         let from = self.commands_from;
--- a/crates/wasabipoint_control/src/engines/change.rs
+++ b/crates/wasabipoint_control/src/engines/change.rs
@@ -198,6 +198,25 @@
         })
     }
 
+    /// Confirms that no other leader commands engines: this one still has a quorum, and the commands
+    /// of its predecessor have arrived. A process that was paused finds out only by asking, since no
+    /// clock of its own need have gone on.
+    async fn confirm_command(&self) -> Result<(), String> {
+        let member = &self.control.member;
+        let confirmed = tokio::time::timeout(ANSWER_TIMEOUT, member.replica().confirm_read()).await;
+        let has_quorum = matches!(confirmed, Ok(Ok(_)));
+        if !has_quorum || member.leading_term() != Some(self.term) {
+            return Err("another member may lead".to_owned());
+        }
+        let may_command = self
+            .control
+            .with_leader_state(self.term, |leader| leader.engines.may_command());
+        if !may_command {
+            return Err("commands of an earlier leader may still arrive".to_owned());
+        }
+        Ok(())
+    }
+
     /// Sends one command that fits by the ledger.
     pub(crate) async fn send(
         &self,
@@ -205,6 +224,7 @@
         operation: EngineOperation,
         model: &ModelName,
     ) -> Result<CommandAnswer, String> {
+        self.confirm_command().await?;
         let Some(expected_sequence) = ledger.sequence(self.endpoint.incarnation) else {
             return Err("the state of the engine is not known".to_owned());
         };
--- a/crates/wasabipoint_control/tests/engine_changes.rs
+++ b/crates/wasabipoint_control/tests/engine_changes.rs
@@ -6,12 +6,14 @@
 mod member;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use futures::future::BoxFuture;
 use slog::{Discard, Logger, o};
 use tokio::net::TcpListener;
+use wasabipoint_consensus::Role;
 use wasabipoint_control::{
     CommandAnswer, ControlServer, EndpointDirectory, EngineCommand, EngineCommander,
     EngineOperation, EngineState, MemberIdentity,
@@ -21,7 +23,8 @@
     ForwardService, Incarnation, MemberId, ModelName, ServiceName,
 };
 use wasabipoint_rpc::{
-    AdapterRequest, ControlClient, EndpointKind, EndpointView, EntryReport, ModelDemand,
+    AdapterRequest, ControlClient, ControlError, EndpointKind, EndpointView, EntryReport,
+    FleetUpdate, ModelDemand, WatchRequest,
 };
 
 use member::{deployed, member_config};
@@ -29,6 +32,9 @@
 /// Longest wait for a condition; a change of these engines takes well under a second.
 const LIMIT: Duration = Duration::from_secs(15);
 
+/// Tick of members whose leader takes a second or more to notice that it has lost the others.
+const SLOW_TICK_MS: u64 = 100;
+
 fn names(models: &[&str]) -> Vec<ModelName> {
     models.iter().map(|model| ModelName::new(*model)).collect()
 }
@@ -157,7 +163,7 @@
 }
 
 struct Fixture {
-    server: ControlServer,
+    server: Option<ControlServer>,
     client: ControlClient,
     folder: std::path::PathBuf,
 }
@@ -170,32 +176,96 @@
 
 impl Fixture {
     async fn start(test: &str, engines: &Arc<Engines>) -> Self {
+        Self::start_with_lease(test, engines, Duration::ZERO).await
+    }
+
+    async fn start_with_lease(test: &str, engines: &Arc<Engines>, lease: Duration) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let members = BTreeMap::from([(MemberId(1), listener.local_addr().unwrap())]);
+        let fixture = Self::start_member(test, engines, listener, &members, lease).await;
+        fixture.apply_deployment().await;
+        fixture
+    }
+
+    /// Starts three members whose leader is slow to notice that it has lost the others. The first
+    /// one returned leads.
+    async fn start_three(test: &str, engines: &Arc<Engines>) -> Vec<Self> {
+        let mut listeners = Vec::new();
+        for _ in 0..3 {
+            listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+        }
+        let addresses = listeners.iter().map(|one| one.local_addr().unwrap());
+        let members: BTreeMap<_, _> = (1..=3).map(MemberId).zip(addresses).collect();
+        let mut fixtures = Vec::new();
+        for listener in listeners {
+            let lease = Duration::ZERO;
+            fixtures.push(Self::start_member(test, engines, listener, &members, lease).await);
+        }
+        let elected = async {
+            loop {
+                let is_leader = |one: &Self| one.server().replica_status().role == Role::Leader;
+                if let Some(leader) = fixtures.iter().position(is_leader) {
+                    return leader;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        let leader = tokio::time::timeout(LIMIT, elected).await.unwrap();
+        fixtures.swap(0, leader);
+        fixtures[0].apply_deployment().await;
+        fixtures
+    }
+
+    async fn start_member(
+        test: &str,
+        engines: &Arc<Engines>,
+        listener: TcpListener,
+        members: &BTreeMap<MemberId, SocketAddr>,
+        lease: Duration,
+    ) -> Self {
         let address = listener.local_addr().unwrap();
-        let name = format!("wasabipoint-changes-{test}-{}", std::process::id());
+        let (member, _) = members
+            .iter()
+            .find(|(_, known)| **known == address)
+            .unwrap();
+        let name = format!(
+            "wasabipoint-changes-{test}-{}-{}",
+            member.0,
+            std::process::id()
+        );
         let folder = std::env::temp_dir().join(name);
         let identity = MemberIdentity {
-            member: MemberId(1),
+            member: *member,
             is_joining: false,
-            members: BTreeMap::from([(MemberId(1), address)]),
+            members: members.clone(),
         };
-        let config = member_config(identity, address, &folder);
-        let deployed = deployed(Arc::clone(engines) as _, Arc::clone(engines) as _);
+        let mut config = member_config(identity, address, &folder);
+        if members.len() > 1 {
+            config.tick_ms = SLOW_TICK_MS;
+        }
+        let mut deployed = deployed(Arc::clone(engines) as _, Arc::clone(engines) as _);
+        deployed.command_lease = lease;
         let logger = Logger::root(Discard, o!());
         let server = ControlServer::start_deployed(config, listener, logger, Some(deployed));
-        let server = server.await.unwrap();
-        let store = server.deployments();
+        Self {
+            client: ControlClient::new(&[address]),
+            server: Some(server.await.unwrap()),
+            folder,
+        }
+    }
+
+    fn server(&self) -> &ControlServer {
+        self.server.as_ref().unwrap()
+    }
+
+    async fn apply_deployment(&self) {
+        let store = self.server().deployments();
         let applied = async {
             while store.apply(b"{}".to_vec(), deployment()).await.is_err() {
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
         };
         tokio::time::timeout(LIMIT, applied).await.unwrap();
-        Self {
-            client: ControlClient::new(&[address]),
-            server,
-            folder,
-        }
     }
 
     /// Reports that requests wait for a model until the condition holds.
@@ -226,6 +296,42 @@
         tokio::time::timeout(LIMIT, reported).await.unwrap();
     }
 
+    /// Asks for an adapter on the engine `e1`.
+    async fn load_adapter(&self, adapter: &str) -> Result<EndpointId, ControlError> {
+        let request = AdapterRequest {
+            adapter: ModelName::new(adapter),
+            candidates: vec![EndpointId::new("e1")],
+        };
+        let asked = self.client.call(Duration::ZERO, LIMIT, |client, context| {
+            let request = request.clone();
+            async move { client.load_adapter(context, request).await }
+        });
+        asked.await
+    }
+
+    /// Waits until the leader knows the list of engines.
+    async fn wait_for_list(&self) {
+        let listed = async {
+            let mut known = 0;
+            while known == 0 {
+                let request = WatchRequest {
+                    caller: "test".to_owned(),
+                    known_revision: 0,
+                    wait_ms: 0,
+                };
+                let watched = self.client.call(Duration::ZERO, LIMIT, |client, context| {
+                    let request = request.clone();
+                    async move { client.watch(context, request).await }
+                });
+                if let FleetUpdate::Snapshot(view) = watched.await.unwrap().update {
+                    known = view.endpoints.len();
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(LIMIT, listed).await.unwrap();
+    }
+
     async fn report(&self, report: EntryReport) {
         let sent = self.client.call(Duration::ZERO, LIMIT, |client, context| {
             let report = report.clone();
@@ -269,8 +375,7 @@
     assert_eq!(commands[1].operation, EngineOperation::Load);
     assert!(commands.iter().all(|command| command.fencing_token.0 > 0));
     drop(commands);
-    let Fixture { ref server, .. } = fixture;
-    assert!(!server.is_refused());
+    assert!(!fixture.server().is_refused());
 }
 
 /// Guards against a change that waits half a minute for room on an engine which a predecessor has
@@ -323,19 +428,7 @@
 async fn adapters_are_loaded_once_and_within_their_places() {
     let engines = Engines::new(&[("e1", &["a", "b"], &["a", "b"])]);
     let fixture = Fixture::start("adapters", &engines).await;
-    let ask = async |adapter: &str| {
-        let request = AdapterRequest {
-            adapter: ModelName::new(adapter),
-            candidates: vec![EndpointId::new("e1")],
-        };
-        let asked = fixture
-            .client
-            .call(Duration::ZERO, LIMIT, |client, context| {
-                let request = request.clone();
-                async move { client.load_adapter(context, request).await }
-            });
-        asked.await
-    };
+    let ask = async |adapter: &str| fixture.load_adapter(adapter).await;
     // The list has to be known first.
     let loaded = async {
         while ask("a/a1").await.is_err() {
@@ -349,3 +442,33 @@
     assert!(ask("a/a3").await.is_err());
     assert_eq!(engines.commands.lock().unwrap().len(), 2);
 }
+
+/// Guards against a new leader that loads an adapter while commands of its predecessor are still on
+/// their way to an engine that checks no fencing tokens.
+#[tokio::test]
+async fn a_new_leader_loads_no_adapter_before_the_lease_of_its_predecessor_is_over() {
+    let engines = Engines::new(&[("e1", &["a", "b"], &["a", "b"])]);
+    let lease = Duration::from_hours(1);
+    let fixture = Fixture::start_with_lease("lease", &engines, lease).await;
+    fixture.wait_for_list().await;
+    for _ in 0..10 {
+        assert!(fixture.load_adapter("a/a1").await.is_err());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(engines.commands.lock().unwrap().len(), 0);
+}
+
+/// Guards against a leader that was paused or cut off, still holds itself for the leader, and
+/// commands an engine in turn with its successor.
+#[tokio::test]
+async fn a_leader_without_a_quorum_commands_no_engine() {
+    let engines = Engines::new(&[("e1", &["a", "b"], &["a", "b"])]);
+    let mut members = Fixture::start_three("quorum", &engines).await;
+    members[0].wait_for_list().await;
+    for member in &mut members[1..] {
+        member.server.take().unwrap().stop().await;
+    }
+    assert_eq!(members[0].server().replica_status().role, Role::Leader);
+    assert!(members[0].load_adapter("a/a1").await.is_err());
+    assert_eq!(engines.commands.lock().unwrap().len(), 0);
+}
