Load a model from the store only if no engine has it on its disk

Failed before: a_model_on_a_busy_engines_disk_is_not_loaded_from_the_store. Change: the store serves models that requests wait for only where no disk has them.

--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -299,13 +299,19 @@
             }
             ChangeCause::Relief | ChangeCause::Spread => Need::of(0.0),
         };
+        // A disk elsewhere is faster than the store, also after a wait for its engine.
+        let is_on_a_disk = cause == ChangeCause::Cold
+            && self
+                .engines
+                .iter()
+                .any(|engine| engine.on_disk.contains(model));
         let mut best: Option<(f64, usize, f64, Vec<ModelName>)> = None;
         for (index, engine) in self.engines.iter().enumerate() {
             if !engine.is_changeable || engine.models.contains(model) {
                 continue;
             }
             let is_near = engine.on_disk.contains(model);
-            let may_fetch = self.store.can_load(cause);
+            let may_fetch = self.store.can_load(cause) && !is_on_a_disk;
             if !(is_near || may_fetch) {
                 continue;
             }
--- a/crates/wasabipoint_policy/tests/engine_plan.rs
+++ b/crates/wasabipoint_policy/tests/engine_plan.rs
@@ -109,6 +109,22 @@
     assert!(plan_engine_changes(&models, &engines, SLOTS, STORE).is_empty());
 }
 
+/// Pattern: rare models asked for together while their engine carries out another change. Guards
+/// against a load from the store that keeps a second engine busy for six seconds, where the first one
+/// is free within one.
+#[test]
+fn a_model_on_a_busy_engines_disk_is_not_loaded_from_the_store() {
+    let models = [model("idle", 0.0, 0), model("cold", 1.0, 3)];
+    let mut engines = [engine("e1", &["idle"]), engine("e2", &["idle"])];
+    engines[0].on_disk.insert(ModelName::new("cold"));
+    engines[0].is_changeable = false;
+    assert!(plan_engine_changes(&models, &engines, SLOTS, STORE).is_empty());
+    engines[0].is_changeable = true;
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].endpoint, EndpointId::new("e1"));
+}
+
 /// Pattern: demand moves to one model while every place holds a rare model in use. Guards against
 /// a queue of a hundred requests at one engine, all late, beside models with one request a second.
 #[test]
