Give up surplus replicas before rare models in use

Cause: the loss of a replica counted as the load that the others then bear, however small. Failed before: a_surplus_replica_makes_room_before_a_rare_model. Change: up to half of the load that calls for a further replica, the loss of one costs nothing.

--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -22,6 +22,10 @@
 /// makes room for a model that no engine holds.
 const SPARE_SHARE: f64 = 0.25;
 
+/// Share of the relief bound up to which a replica serves as well as with fewer requests, so that a
+/// further one is worth nothing.
+const COMFORTABLE_SHARE: f64 = 0.5;
+
 /// Loads from the store at once for models that nobody asks for yet.
 const SPREAD_STORE_LOADS: u32 = 1;
 
@@ -190,19 +194,41 @@
     relief: f64,
     crowded: f64,
     spare: f64,
+    comfortable: f64,
 }
 
 impl LoadBounds {
     fn new(slots: u32) -> Self {
         let slots = f64::from(slots);
+        let relief = (slots * RELIEF_SHARE).max(MIN_RELIEF_LOAD);
         Self {
-            relief: (slots * RELIEF_SHARE).max(MIN_RELIEF_LOAD),
+            relief,
+            comfortable: relief * COMFORTABLE_SHARE,
             crowded: (slots * CROWDED_SHARE).max(MIN_CROWDED_LOAD),
             spare: slots * SPARE_SHARE,
         }
     }
 }
 
+/// What an unload costs.
+#[derive(Clone, Copy)]
+struct Displacement {
+    /// Concurrent requests that are served worse.
+    cost: f64,
+    /// Load per replica that remains.
+    loss: f64,
+}
+
+/// Models that make room on an engine.
+#[derive(Default)]
+struct Room {
+    /// The largest cost of an unload.
+    cost: f64,
+    /// The largest load per replica that remains.
+    loss: f64,
+    victims: Vec<ModelName>,
+}
+
 /// Demand in concurrent requests up to which a model without another replica makes room.
 #[derive(Clone, Copy)]
 struct Need {
@@ -320,9 +346,10 @@
             } else {
                 need.from_store
             };
-            let Some((loss, victims)) = self.make_room(engine, weights_mb, need) else {
+            let Some(room) = self.make_room(engine, weights_mb, need) else {
                 continue;
             };
+            let Room { loss, victims, .. } = room;
             let is_too_dear = match cause {
                 ChangeCause::Relief => loss * GAIN >= gain,
                 ChangeCause::Cold | ChangeCause::Spread => loss > self.bounds.spare,
@@ -330,7 +357,7 @@
             if is_too_dear {
                 continue;
             }
-            let mut cost = loss + self.engine_load(engine) * ENGINE_LOAD_COST;
+            let mut cost = room.cost + self.engine_load(engine) * ENGINE_LOAD_COST;
             if !is_near {
                 cost += STORE_COST;
                 if engine.serves_adapters {
@@ -359,13 +386,8 @@
         true
     }
 
-    /// Returns the models that make room, with the largest load per replica that remains of them.
-    fn make_room(
-        &self,
-        engine: &EngineHolding,
-        weights_mb: u64,
-        need: f64,
-    ) -> Option<(f64, Vec<ModelName>)> {
+    /// Returns the models that make room, cheapest first.
+    fn make_room(&self, engine: &EngineHolding, weights_mb: u64, need: f64) -> Option<Room> {
         // The size of a model that the configuration dropped is not known; the largest is safe.
         let largest_mb = self
             .models
@@ -379,42 +401,51 @@
         };
         let used_mb: u64 = engine.models.iter().map(size).sum();
         let mut free_mb = engine.capacity_mb.saturating_sub(used_mb);
-        let mut candidates: Vec<(f64, &ModelName)> = engine
+        let mut candidates: Vec<(Displacement, &ModelName)> = engine
             .models
             .iter()
             .filter(|held| !engine.kept.contains(*held))
-            .filter_map(|held| Some((self.loss(held, need)?, held)))
+            .filter_map(|held| Some((self.displacement(held, need)?, held)))
             .collect();
-        // Of models without demand, one that another engine holds as well goes first.
+        // Of models that cost the same, one that another engine holds as well goes first.
         candidates.sort_by(|one, other| {
             let replicas = |model: &ModelName| std::cmp::Reverse(self.replicas(model));
             one.0
-                .total_cmp(&other.0)
+                .cost
+                .total_cmp(&other.0.cost)
                 .then_with(|| replicas(one.1).cmp(&replicas(other.1)))
         });
-        let mut victims = Vec::new();
-        let mut largest: f64 = 0.0;
+        let mut room = Room::default();
         let mut candidates = candidates.into_iter();
         while free_mb < weights_mb {
-            let (loss, victim) = candidates.next()?;
-            largest = largest.max(loss);
+            let (displacement, victim) = candidates.next()?;
+            room.cost = room.cost.max(displacement.cost);
+            room.loss = room.loss.max(displacement.loss);
             free_mb += size(victim);
-            victims.push(victim.clone());
+            room.victims.push(victim.clone());
         }
-        Some((largest, victims))
+        Some(room)
     }
 
-    /// Returns the load per replica that an unload leaves, or `None` for the last replica of a
-    /// model whose demand is not below `need`. Models with running requests go last.
-    fn loss(&self, model: &ModelName, need: f64) -> Option<f64> {
+    /// Returns what the unload of one replica costs, or `None` for the last replica of a model whose
+    /// demand is not below `need`. Models with running requests go last.
+    fn displacement(&self, model: &ModelName, need: f64) -> Option<Displacement> {
         let load = self.load(model);
         match self.replicas(model) {
             0 | 1 => {
                 let running = self.models.get(model).map_or(0, |model| model.running);
                 let wait = f64::from(running) * RUNNING_LOAD;
-                (load < need).then_some(load * DISPLACEMENT + wait)
+                let loss = load * DISPLACEMENT;
+                (load < need).then_some(Displacement {
+                    cost: loss + wait,
+                    loss,
+                })
+            }
+            replicas => {
+                let loss = load / f64::from(replicas - 1);
+                let cost = (loss - self.bounds.comfortable).max(0.0);
+                Some(Displacement { cost, loss })
             }
-            replicas => Some(load / f64::from(replicas - 1)),
         }
     }
 
--- a/crates/wasabipoint_policy/tests/engine_plan.rs
+++ b/crates/wasabipoint_policy/tests/engine_plan.rs
@@ -125,6 +125,26 @@
     assert_eq!(changes[0].endpoint, EndpointId::new("e1"));
 }
 
+/// Pattern: a model that was busy for a while keeps three replicas with few requests each. Guards
+/// against rare models that displace each other while places are spent on it.
+#[test]
+fn a_surplus_replica_makes_room_before_a_rare_model() {
+    let models = [
+        model("calm", 6.0, 0),
+        model("rare", 0.3, 0),
+        model("cold", 0.1, 1),
+    ];
+    let mut engines = [
+        engine("e1", &["calm", "rare"]),
+        engine("e2", &["calm"]),
+        engine("e3", &["calm"]),
+    ];
+    engines[0].on_disk.insert(ModelName::new("cold"));
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].unload, [ModelName::new("calm")]);
+}
+
 /// Pattern: demand moves to one model while every place holds a rare model in use. Guards against
 /// a queue of a hundred requests at one engine, all late, beside models with one request a second.
 #[test]
