Forecast a load by the queue before its engine, and say why a load waits

Cause: a request for an absent model was told the time of a load that begins now (1.3 s from a disk), also while all engines with it were busy or other models waited for them. Each entry report also copied the whole engine section of the configuration once for each absent model it named. Failed before: with the old estimate models_that_wait_for_the_same_engine_queue expects 2 and 3 s and gets 1 s for each; the module is new, so the tests do not compile on the old code. Change: a pure forecast (policy, load_forecast) from the engines' changes in progress, the plan's deferred models and the store's loads, built once per report and only if a model is absent. The plan returns deferred loads with a reason, recorded once each.

--- a/crates/wasabipoint_control/src/engines/book.rs
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use tokio::time::Instant;
-use wasabipoint_kernel::{EndpointId, Incarnation, ModelName};
-use wasabipoint_policy::{EngineDemand, StoreConcurrency};
+use wasabipoint_kernel::{EndpointId, EngineSpec, Incarnation, ModelName};
+use wasabipoint_policy::{Deferral, EngineDemand, EngineForecast, LoadForecast, StoreConcurrency};
 use wasabipoint_rpc::EndpointView;
 
 use super::ledger::EngineLedger;
@@ -56,6 +56,7 @@
     adapter_use: BTreeMap<(EndpointId, ModelName), Instant>,
     store_loads: VecDeque<Instant>,
     store: StoreConcurrency,
+    deferred: Vec<(ModelName, Deferral)>,
     failed: BTreeMap<EndpointId, Instant>,
     commands_from: Option<Instant>,
     /// Until when models stay that were loaded a moment ago.
@@ -76,6 +77,7 @@
             adapter_use: BTreeMap::new(),
             store_loads: VecDeque::new(),
             store: StoreConcurrency::default(),
+            deferred: Vec::new(),
             failed: BTreeMap::new(),
             commands_from: None,
             kept_until: BTreeMap::new(),
@@ -187,9 +189,49 @@
         Some(ready.saturating_duration_since(Instant::now()))
     }
 
-    /// Tells whether any engine has the weights of a model on its disk.
-    pub(crate) fn is_near_anywhere(&self, model: &ModelName) -> bool {
-        self.near.values().any(|models| models.contains(model))
+    /// Returns what loads that have not begun have to wait for. `engines` are those that can be
+    /// reached.
+    pub(crate) fn forecast<'f>(
+        &'f self,
+        engines: impl Iterator<Item = &'f EndpointId>,
+    ) -> LoadForecast<'f> {
+        let forecasts = engines.filter_map(|engine| {
+            Some(EngineForecast {
+                free_in: self.free_in(engine),
+                on_disk: self.near.get(engine)?,
+            })
+        });
+        let now = Instant::now();
+        let from_store = self.loading.values().filter(|load| load.is_from_store);
+        let store_loads = from_store.map(|load| load.ready.saturating_duration_since(now));
+        LoadForecast::new(forecasts.collect())
+            .with_store(store_loads.collect(), self.store.loads_at_once())
+            .with_deferred(&self.deferred)
+    }
+
+    /// Returns when an engine has carried out the load in progress.
+    fn free_in(&self, engine: &EndpointId) -> Duration {
+        let loads = self.loading.iter().filter(|((at, _), _)| at == engine);
+        let ready = loads.map(|(_, load)| load.ready).max();
+        ready.map_or(Duration::ZERO, |ready| {
+            ready.saturating_duration_since(Instant::now())
+        })
+    }
+
+    /// Records the models of a service in demand whose loads have not begun, most needed first.
+    pub(crate) fn set_deferred(
+        &mut self,
+        service: &EngineSpec,
+        deferred: Vec<(ModelName, Deferral)>,
+    ) {
+        self.deferred
+            .retain(|(model, _)| !service.models.contains_key(model));
+        self.deferred.extend(deferred);
+    }
+
+    /// Returns the models in demand whose loads have not begun, with the reason.
+    pub(crate) fn deferred(&self) -> &[(ModelName, Deferral)] {
+        &self.deferred
     }
 
     /// Records what an engine holds after a change.
--- a/crates/wasabipoint_control/src/engines/driver.rs
+++ b/crates/wasabipoint_control/src/engines/driver.rs
@@ -1,18 +1,18 @@
 //! The task of the leader that plans changes of engines.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{info, warn};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
-use wasabipoint_kernel::{EndpointId, EngineSpec, Incarnation, ModelName, ServiceName};
-use wasabipoint_policy::plan_engine_changes;
-use wasabipoint_rpc::EndpointView;
+use wasabipoint_kernel::{Deployment, EndpointId, EngineSpec, Incarnation, ModelName, ServiceName};
+use wasabipoint_policy::{Deferral, EngineChange, LoadForecast, LoadTimes, plan_engine_changes};
+use wasabipoint_rpc::{ColdEstimate, EndpointView};
 
 use super::EngineCommander;
-use super::book::base_of;
+use super::book::{EngineBook, base_of};
 use super::change::EngineSession;
 use super::view::{holdings, model_loads, store_budget, sum_by_model};
 use crate::control::Control;
@@ -73,7 +73,7 @@
 
 /// Time that a change takes beside its load: commands, the unload before it, the news to the entry
 /// processes.
-const CHANGE_OVERHEAD: Duration = Duration::from_millis(500);
+const CHANGE_OVERHEAD: Duration = Duration::from_millis(400);
 
 /// Records which engines became unreachable or reachable again.
 fn log_unreachable(
@@ -136,7 +136,7 @@
     }
 }
 
-type PlannedChange = (EngineSession, wasabipoint_policy::EngineChange, Duration);
+type PlannedChange = (EngineSession, EngineChange, Duration);
 
 fn plan(
     control: &Arc<Control>,
@@ -183,7 +183,10 @@
         let models = model_loads(leader, engine, endpoints, &demand);
         let holdings = holdings(leader, engine, endpoints, &demand);
         let store = store_budget(leader, engine);
-        let changes = plan_engine_changes(&models, &holdings, engine.slots, store);
+        let plan = plan_engine_changes(&models, &holdings, engine.slots, store);
+        log_deferred(control, term, leader.engines.deferred(), &plan.deferred);
+        leader.engines.set_deferred(engine, plan.deferred);
+        let changes = plan.changes;
         for change in &changes {
             let expected = expected_load(engine, &change.load, change.is_from_store);
             leader.engines.begin_load(
@@ -231,34 +234,81 @@
 }
 
 impl Control {
-    /// Estimates when a model that no engine holds can be ready.
-    pub(crate) fn estimate_load(&self, term: u64, name: &ModelName) -> Option<Duration> {
-        let base = base_of(name);
-        let unreachable = self.with_leader_state(term, |leader| leader.unreachable());
-        let engine = self.member.read(|state| {
-            let is_held = state
-                .view
-                .endpoints
-                .values()
-                .filter(|endpoint| !endpoint.is_leaving && endpoint.models.contains(&base))
-                .any(|endpoint| {
-                    !unreachable.contains_key(&(endpoint.endpoint.clone(), endpoint.incarnation))
-                });
-            let deployment = state.view.deployment.iter();
-            let mut services = deployment.flat_map(|deployment| deployment.services.values());
-            let engine = services.find_map(|service| {
-                let engine = service.engine.as_ref()?;
-                engine.models.contains_key(&base).then(|| engine.clone())
-            });
-            engine.filter(|_| !is_held)
-        })?;
+    /// Estimates when those of some models that no engine holds can be ready.
+    pub(crate) fn estimate_loads(&self, term: u64, names: &[ModelName]) -> Vec<ColdEstimate> {
         self.with_leader_state(term, |leader| {
-            let loading = leader.engines.ready_in(&base);
-            let is_from_store = !leader.engines.is_near_anywhere(&base);
-            Some(loading.unwrap_or_else(|| {
-                let load = expected_load(&engine, &base, is_from_store);
-                load + CHANGE_OVERHEAD + leader.engines.wait_for_commands()
-            }))
+            let unreachable = leader.unreachable();
+            self.member.read(|state| {
+                let Some(deployment) = &state.view.deployment else {
+                    return Vec::new();
+                };
+                let endpoints = state.view.endpoints.values();
+                let reachable: Vec<&EndpointView> = endpoints
+                    .filter(|endpoint| {
+                        let key = (endpoint.endpoint.clone(), endpoint.incarnation);
+                        !endpoint.is_leaving && !unreachable.contains_key(&key)
+                    })
+                    .collect();
+                let held: HashSet<&ModelName> = reachable
+                    .iter()
+                    .flat_map(|endpoint| &endpoint.models)
+                    .collect();
+                let absent = names.iter().filter(|name| !held.contains(&base_of(name)));
+                let absent: Vec<&ModelName> = absent.collect();
+                if absent.is_empty() {
+                    return Vec::new();
+                }
+                let ids = reachable.iter().map(|endpoint| &endpoint.endpoint);
+                let forecast = leader.engines.forecast(ids);
+                let estimates = absent.into_iter().filter_map(|name| {
+                    let ready_in = estimate_load(&leader.engines, &forecast, deployment, name)?;
+                    Some(ColdEstimate {
+                        model: name.clone(),
+                        ready_in_ms: ready_in.as_millis() as u64,
+                    })
+                });
+                estimates.collect()
+            })
         })
     }
 }
+
+/// Estimates when a model that no engine holds can be ready; `None` if no service has it.
+fn estimate_load(
+    book: &EngineBook,
+    forecast: &LoadForecast<'_>,
+    deployment: &Deployment,
+    name: &ModelName,
+) -> Option<Duration> {
+    let base = base_of(name);
+    if let Some(ready) = book.ready_in(&base) {
+        return Some(ready);
+    }
+    let mut engines = deployment
+        .services
+        .values()
+        .filter_map(|service| service.engine.as_ref());
+    let engine = engines.find(|engine| engine.models.contains_key(&base))?;
+    let times = LoadTimes {
+        from_disk: expected_load(engine, &base, false) + CHANGE_OVERHEAD,
+        from_store: expected_load(engine, &base, true) + CHANGE_OVERHEAD,
+    };
+    Some(forecast.ready_in(&base, times) + book.wait_for_commands())
+}
+
+/// Records the models whose loads begin to wait, and why. A model that waits on leaves no further
+/// record.
+fn log_deferred(
+    control: &Control,
+    term: u64,
+    known: &[(ModelName, Deferral)],
+    deferred: &[(ModelName, Deferral)],
+) {
+    for (position, (model, reason)) in deferred.iter().enumerate() {
+        if known.contains(&(model.clone(), *reason)) {
+            continue;
+        }
+        info!(control.logger, "placement: load deferred"; "term" => term, "model" => %model,
+            "reason" => ?reason, "position" => position);
+    }
+}
--- a/crates/wasabipoint_control/src/rpc.rs
+++ b/crates/wasabipoint_control/src/rpc.rs
@@ -338,14 +338,7 @@
         });
         let mut cold_estimates = cold_estimates;
         if control.commander.is_some() {
-            cold_estimates = reported
-                .into_iter()
-                .filter_map(|model| {
-                    let ready_in = control.estimate_load(term, &model)?;
-                    let ready_in_ms = ready_in.as_millis() as u64;
-                    Some(ColdEstimate { model, ready_in_ms })
-                })
-                .collect();
+            cold_estimates = control.estimate_loads(term, &reported);
         }
         if is_urgent {
             control.wake_placement.notify_one();
--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -136,6 +136,30 @@
     }
 }
 
+plain_data! {
+    copy
+    /// Why no load begins for a model that requests wait for.
+    pub enum Deferral {
+        /// Every engine with its weights on disk carries out another change.
+        EnginesChanging,
+        /// The weight store serves as many loads as it can.
+        StoreBusy,
+        /// No engine has room that is worth less than the model.
+        NoRoom,
+    }
+}
+
+plain_data! {
+    data
+    /// Changes to begin now, and models that have to wait.
+    pub struct EnginePlan {
+        /// The changes.
+        pub changes: Vec<EngineChange>,
+        /// Models in demand that no engine holds or loads, most needed first.
+        pub deferred: Vec<(ModelName, Deferral)>,
+    }
+}
+
 plain_data! {
     copy
     /// What the weight store can take on now.
@@ -179,14 +203,21 @@
     engines: &[EngineHolding],
     slots: u32,
     store: StoreBudget,
-) -> Vec<EngineChange> {
+) -> EnginePlan {
     let mut plan = Plan::new(models, engines, slots, store);
+    let mut deferred = Vec::new();
     while let Some((model, cause)) = plan.neediest() {
         if !plan.add_replica(&model, cause) {
+            if cause == ChangeCause::Cold {
+                deferred.push((model.clone(), plan.deferral(&model)));
+            }
             plan.given_up.insert(model);
         }
     }
-    plan.changes
+    EnginePlan {
+        changes: plan.changes,
+        deferred,
+    }
 }
 
 /// Concurrent requests per replica from which on it counts as busy, by what follows from it.
@@ -386,6 +417,19 @@
         true
     }
 
+    /// Tells why no engine takes a model in demand.
+    fn deferral(&self, model: &ModelName) -> Deferral {
+        let mut near = self.engines.iter().filter(|e| e.on_disk.contains(model));
+        let is_near = near.clone().next().is_some();
+        if is_near && !near.any(|engine| engine.is_changeable) {
+            return Deferral::EnginesChanging;
+        }
+        if !is_near && !self.store.can_load(ChangeCause::Cold) {
+            return Deferral::StoreBusy;
+        }
+        Deferral::NoRoom
+    }
+
     /// Returns the models that make room, cheapest first.
     fn make_room(&self, engine: &EngineHolding, weights_mb: u64, need: f64) -> Option<Room> {
         // The size of a model that the configuration dropped is not known; the largest is safe.
--- a/crates/wasabipoint_policy/src/lib.rs
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -8,14 +8,17 @@
 
 mod engine_demand;
 mod engine_plan;
+mod load_forecast;
 mod placement;
 mod routing;
 mod store_concurrency;
 
 pub use engine_demand::EngineDemand;
 pub use engine_plan::{
-    ChangeCause, EngineChange, EngineHolding, ModelLoad, StoreBudget, plan_engine_changes,
+    ChangeCause, Deferral, EngineChange, EngineHolding, EnginePlan, ModelLoad, StoreBudget,
+    plan_engine_changes,
 };
+pub use load_forecast::{EngineForecast, LoadForecast, LoadTimes};
 pub use placement::{
     DemandSample, EndpointCapacity, GrantState, GrantView, LoadOption, ModelView,
     PLACEMENT_POLICIES, PlacementDecision, PlacementPlan, PlacementPlugin, PlacementPolicy,
--- a/crates/wasabipoint_policy/tests/engine_plan.rs
+++ b/crates/wasabipoint_policy/tests/engine_plan.rs
@@ -5,7 +5,9 @@
 use std::collections::BTreeSet;
 
 use wasabipoint_kernel::{EndpointId, ModelName};
-use wasabipoint_policy::{ChangeCause, EngineHolding, ModelLoad, StoreBudget, plan_engine_changes};
+use wasabipoint_policy::{
+    ChangeCause, Deferral, EngineHolding, ModelLoad, StoreBudget, plan_engine_changes,
+};
 
 const SLOTS: u32 = 64;
 
@@ -51,7 +53,7 @@
         engine("e1", &["busy", "rare"]),
         engine("e2", &["busy", "other"]),
     ];
-    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE).changes;
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].load, ModelName::new("cold"));
     assert!(changes[0].is_from_store);
@@ -66,11 +68,15 @@
     for index in 1..8 {
         engines.push(engine(&format!("e{index}"), &["idle"]));
     }
-    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE).changes;
     assert_eq!(changes.len(), 1);
     let mut loading = models.to_vec();
     loading[0].is_loading = true;
-    assert!(plan_engine_changes(&loading, &engines, SLOTS, STORE).is_empty());
+    assert!(
+        plan_engine_changes(&loading, &engines, SLOTS, STORE)
+            .changes
+            .is_empty()
+    );
 }
 
 /// Pattern: single requests for rare models. Guards against models that displace each other back
@@ -83,7 +89,11 @@
         model("rare", 0.04, 1),
     ];
     let engines = [engine("e1", &["used", "used2"])];
-    assert!(plan_engine_changes(&models, &engines, SLOTS, STORE).is_empty());
+    assert!(
+        plan_engine_changes(&models, &engines, SLOTS, STORE)
+            .changes
+            .is_empty()
+    );
 }
 
 /// Pattern: many rare models, each asked for now and then, before few places. Guards against a model
@@ -99,14 +109,18 @@
     models[0].running = 1;
     let mut engines = [engine("e1", &["used", "used2"])];
     engines[0].on_disk.insert(ModelName::new("rare"));
-    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE).changes;
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].unload, [ModelName::new("used2")]);
     assert!(!changes[0].is_from_store);
     // A model that runs several requests at any time does not make room for a single one.
     models[0].load = 2.5;
     models[1].load = 2.5;
-    assert!(plan_engine_changes(&models, &engines, SLOTS, STORE).is_empty());
+    assert!(
+        plan_engine_changes(&models, &engines, SLOTS, STORE)
+            .changes
+            .is_empty()
+    );
 }
 
 /// Pattern: rare models asked for together while their engine carries out another change. Guards
@@ -118,9 +132,12 @@
     let mut engines = [engine("e1", &["idle"]), engine("e2", &["idle"])];
     engines[0].on_disk.insert(ModelName::new("cold"));
     engines[0].is_changeable = false;
-    assert!(plan_engine_changes(&models, &engines, SLOTS, STORE).is_empty());
+    let plan = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    assert!(plan.changes.is_empty());
+    let deferred = (ModelName::new("cold"), Deferral::EnginesChanging);
+    assert_eq!(plan.deferred, [deferred]);
     engines[0].is_changeable = true;
-    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE).changes;
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].endpoint, EndpointId::new("e1"));
 }
@@ -140,7 +157,7 @@
         engine("e3", &["calm"]),
     ];
     engines[0].on_disk.insert(ModelName::new("cold"));
-    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE).changes;
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].unload, [ModelName::new("calm")]);
 }
@@ -159,7 +176,7 @@
         engine("e1", &["crowded", "rare1"]),
         engine("e2", &["rare2", "rare3"]),
     ];
-    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE).changes;
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].load, ModelName::new("crowded"));
     assert_eq!(changes[0].unload, [ModelName::new("rare2")]);
@@ -167,7 +184,11 @@
     // Pauses at a busy engine do not yet cost what a rare model loses.
     let mut busy = models;
     busy[0].load = 22.0;
-    assert!(plan_engine_changes(&busy, &engines, SLOTS, STORE).is_empty());
+    assert!(
+        plan_engine_changes(&busy, &engines, SLOTS, STORE)
+            .changes
+            .is_empty()
+    );
 }
 
 /// Pattern: engines with few slots. Guards against further replicas for models that their engine
@@ -183,10 +204,19 @@
         engine("e1", &["busy", "rare1"]),
         engine("e2", &["rare2", "rare3"]),
     ];
-    assert!(plan_engine_changes(&models, &engines, 32, STORE).is_empty());
+    assert!(
+        plan_engine_changes(&models, &engines, 32, STORE)
+            .changes
+            .is_empty()
+    );
     let mut crowded = models;
     crowded[0].load = 30.0;
-    assert_eq!(plan_engine_changes(&crowded, &engines, 32, STORE).len(), 1);
+    assert_eq!(
+        plan_engine_changes(&crowded, &engines, 32, STORE)
+            .changes
+            .len(),
+        1
+    );
 }
 
 /// Pattern: the same, while requests wait for another rare model. Guards against an engine that
@@ -202,7 +232,7 @@
         engine("e1", &["crowded", "other"]),
         engine("e2", &["idle", "other"]),
     ];
-    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE).changes;
     let at_e2 = changes.iter().find(|c| c.endpoint == EndpointId::new("e2"));
     assert_eq!(at_e2.unwrap().load, ModelName::new("crowded"));
 }
@@ -217,10 +247,19 @@
         capacity_mb: 100,
         ..engine
     });
-    assert!(plan_engine_changes(&models, &engines, SLOTS, STORE).is_empty());
+    assert!(
+        plan_engine_changes(&models, &engines, SLOTS, STORE)
+            .changes
+            .is_empty()
+    );
     let mut calm = models;
     calm[0].load = 12.0;
-    assert_eq!(plan_engine_changes(&calm, &engines, SLOTS, STORE).len(), 1);
+    assert_eq!(
+        plan_engine_changes(&calm, &engines, SLOTS, STORE)
+            .changes
+            .len(),
+        1
+    );
 }
 
 /// Guards against the unload of a model whose load has just ended.
@@ -233,10 +272,16 @@
     ];
     let mut engines = [engine("e1", &["fresh", "fresh2"])];
     engines[0].kept = engines[0].models.iter().cloned().collect();
-    assert!(plan_engine_changes(&models, &engines, SLOTS, STORE).is_empty());
+    assert!(
+        plan_engine_changes(&models, &engines, SLOTS, STORE)
+            .changes
+            .is_empty()
+    );
     engines[0].kept.clear();
     assert_eq!(
-        plan_engine_changes(&models, &engines, SLOTS, STORE).len(),
+        plan_engine_changes(&models, &engines, SLOTS, STORE)
+            .changes
+            .len(),
         1
     );
 }
@@ -248,7 +293,7 @@
     let models = [model("busy", 6.0, 0), model("idle", 0.0, 0)];
     let mut engines = [engine("e1", &["busy", "a"]), engine("e2", &["busy", "b"])];
     engines[1].on_disk.insert(ModelName::new("idle"));
-    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE);
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE).changes;
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].endpoint, EndpointId::new("e2"));
     assert_eq!(changes[0].unload, [ModelName::new("busy")]);
@@ -263,7 +308,11 @@
     let engines: Vec<EngineHolding> = (0..8)
         .map(|index| engine(&format!("e{index}"), &[]))
         .collect();
-    let begun = |store| plan_engine_changes(&models, &engines, SLOTS, store).len();
+    let begun = |store| {
+        plan_engine_changes(&models, &engines, SLOTS, store)
+            .changes
+            .len()
+    };
     assert_eq!(begun(STORE), 4);
     assert_eq!(
         begun(StoreBudget {
@@ -290,7 +339,7 @@
         model("large", 3.0, 4),
     ];
     models[2].weights_mb = 150;
-    let changes = plan_engine_changes(&models, &[engine("e1", &["a", "b"])], SLOTS, STORE);
+    let changes = plan_engine_changes(&models, &[engine("e1", &["a", "b"])], SLOTS, STORE).changes;
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].unload.len(), 2);
 }
--- /dev/null
+++ b/crates/wasabipoint_policy/tests/load_forecast.rs
@@ -0,0 +1,77 @@
+//! Forecasts of loads: engines that are busy, models that wait, a store with few places.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use wasabipoint_kernel::ModelName;
+use wasabipoint_policy::{Deferral, EngineForecast, LoadForecast, LoadTimes};
+
+const MILLI: Duration = Duration::from_millis(1);
+
+const TIMES: LoadTimes = LoadTimes {
+    from_disk: Duration::from_secs(1),
+    from_store: Duration::from_secs(6),
+};
+
+fn names(models: &[&str]) -> BTreeSet<ModelName> {
+    models.iter().map(|model| ModelName::new(*model)).collect()
+}
+
+fn engine(free_in_ms: u32, on_disk: &BTreeSet<ModelName>) -> EngineForecast<'_> {
+    EngineForecast {
+        free_in: MILLI * free_in_ms,
+        on_disk,
+    }
+}
+
+fn deferred(models: &[&str], reason: Deferral) -> Vec<(ModelName, Deferral)> {
+    let models = models.iter();
+    models
+        .map(|model| (ModelName::new(*model), reason))
+        .collect()
+}
+
+fn ready_ms(forecast: &LoadForecast<'_>, model: &str) -> u128 {
+    forecast.ready_in(&ModelName::new(model), TIMES).as_millis()
+}
+
+/// Guards against a request that waits for a disk whose engine is busy for seconds.
+#[test]
+fn a_disk_load_begins_when_the_first_engine_is_free() {
+    let (near, far) = (names(&["m"]), names(&[]));
+    let engines = vec![engine(5_000, &near), engine(700, &near), engine(0, &far)];
+    let forecast = LoadForecast::new(engines);
+    assert_eq!(ready_ms(&forecast, "m"), 1_700);
+    assert_eq!(ready_ms(&forecast, "elsewhere"), 6_000);
+}
+
+/// Pattern: rare models asked for together on one engine's disk. Guards against callers that are all
+/// told the time of the first load, wait for it in vain and are refused.
+#[test]
+fn models_that_wait_for_the_same_engine_queue() {
+    let waiting = deferred(&["a", "b"], Deferral::NoRoom);
+    let (all, two) = (names(&["a", "b", "c"]), names(&["a", "b"]));
+    let alone = LoadForecast::new(vec![engine(0, &all)]).with_deferred(&waiting);
+    assert_eq!(ready_ms(&alone, "a"), 1_000);
+    assert_eq!(ready_ms(&alone, "b"), 2_000);
+    assert_eq!(ready_ms(&alone, "c"), 3_000);
+    // A second engine takes half of the models that it has as well.
+    let engines = vec![engine(0, &all), engine(10_000, &two)];
+    let shared = LoadForecast::new(engines).with_deferred(&waiting);
+    assert_eq!(ready_ms(&shared, "c"), 2_000);
+}
+
+/// Pattern: demand moves to models that only the store has. Guards against a time that holds for the
+/// first loads only.
+#[test]
+fn models_that_wait_for_the_store_queue() {
+    let idle = LoadForecast::new(Vec::new()).with_store(Vec::new(), 2);
+    assert_eq!(ready_ms(&idle, "m"), 6_000);
+    let running = vec![MILLI * 4_000, MILLI * 1_000];
+    let busy = LoadForecast::new(Vec::new()).with_store(running, 2);
+    assert_eq!(ready_ms(&busy, "m"), 7_000);
+    let waiting = deferred(&["a", "b", "m"], Deferral::StoreBusy);
+    let queued = busy.with_deferred(&waiting);
+    assert_eq!(ready_ms(&queued, "a"), 7_000);
+    assert_eq!(ready_ms(&queued, "m"), 13_000);
+}
