Spare engines that are asked for adapters from swaps

Cause: an engine loads no adapter during a change. The cost of that counted for loads from the store only, so swaps went to engines with adapters in demand although others had the model on their disks. Failed before: a_swap_spares_an_engine_that_is_asked_for_adapters.

--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -57,6 +57,9 @@
 /// Cost of a load from the store at an engine that is asked for adapters.
 const ADAPTER_STORE_COST: f64 = 12.0;
 
+/// The same for a load from its disk.
+const ADAPTER_DISK_COST: f64 = 2.0;
+
 /// A model in use without another replica gives way only to one with this many times its demand,
 /// if that one comes from the store.
 const DISPLACEMENT: f64 = 3.0;
@@ -389,12 +392,12 @@
                 continue;
             }
             let mut cost = room.cost + self.engine_load(engine) * ENGINE_LOAD_COST;
-            if !is_near {
-                cost += STORE_COST;
-                if engine.serves_adapters {
-                    cost += ADAPTER_STORE_COST;
-                }
-            }
+            cost += match (is_near, engine.serves_adapters) {
+                (true, false) => 0.0,
+                (true, true) => ADAPTER_DISK_COST,
+                (false, false) => STORE_COST,
+                (false, true) => STORE_COST + ADAPTER_STORE_COST,
+            };
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, index, loss, victims));
             }
--- a/crates/wasabipoint_policy/tests/engine_plan.rs
+++ b/crates/wasabipoint_policy/tests/engine_plan.rs
@@ -162,6 +162,26 @@
     assert_eq!(changes[0].unload, [ModelName::new("calm")]);
 }
 
+/// Pattern: adapters of a busy model beside rare models. Guards against requests for adapters that
+/// wait for a change of their engine, where another engine could have changed.
+#[test]
+fn a_swap_spares_an_engine_that_is_asked_for_adapters() {
+    let models = [
+        model("idle", 0.0, 0),
+        model("rare", 0.2, 0),
+        model("cold", 0.1, 1),
+    ];
+    let mut engines = [engine("e1", &["idle"]), engine("e2", &["rare"])];
+    for engine in &mut engines {
+        engine.capacity_mb = 100;
+        engine.on_disk.insert(ModelName::new("cold"));
+    }
+    engines[0].serves_adapters = true;
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE).changes;
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].endpoint, EndpointId::new("e2"));
+}
+
 /// Pattern: demand moves to one model while every place holds a rare model in use. Guards against
 /// a queue of a hundred requests at one engine, all late, beside models with one request a second.
 #[test]
