Tell requests for an adapter when the change of its engine is complete

Cause: an engine loads no adapter while a model is loaded there. Failed before: an_adapter_is_told_when_the_change_of_its_engine_is_complete does not compile on the old code, which answers with an error without a time. Change: control answers with the time left; the request waits if its caller does, or is refused with that time at once. An engine that an adapter waits for begins no further change for 0.4 s.

--- a/crates/wasabipoint_agent/tests/process.rs
+++ b/crates/wasabipoint_agent/tests/process.rs
@@ -97,7 +97,7 @@
         self,
         _: tarpc::context::Context,
         _: wasabipoint_rpc::AdapterRequest,
-    ) -> Result<wasabipoint_kernel::EndpointId, wasabipoint_rpc::ControlRefusal> {
+    ) -> Result<wasabipoint_rpc::AdapterReply, wasabipoint_rpc::ControlRefusal> {
         Err(wasabipoint_rpc::ControlRefusal::Unavailable)
     }
 }
--- a/crates/wasabipoint_control/src/engines/adapters.rs
+++ b/crates/wasabipoint_control/src/engines/adapters.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use wasabipoint_kernel::{EndpointId, EngineSpec, ErrorKind, ModelName};
-use wasabipoint_rpc::{AdapterRequest, ControlRefusal, EndpointView};
+use wasabipoint_kernel::{EngineSpec, ErrorKind, ModelName};
+use wasabipoint_rpc::{AdapterReply, AdapterRequest, ControlRefusal, EndpointView};
 
 use super::book::{base_of, is_model};
 use super::change::EngineSession;
@@ -26,11 +26,12 @@
         self: &Arc<Self>,
         term: u64,
         request: &AdapterRequest,
-    ) -> Result<EndpointId, ControlRefusal> {
+    ) -> Result<AdapterReply, ControlRefusal> {
         let Some(commander) = self.commander.clone() else {
             return Err(unavailable("no engines are commanded here"));
         };
         let mut failures = Vec::new();
+        let mut changed_in: Option<Duration> = None;
         for candidate in &request.candidates {
             let endpoint = self
                 .member
@@ -39,8 +40,11 @@
                 continue;
             };
             // An engine carries out one command at a time, and a model takes seconds.
-            if self.with_leader_state(term, |leader| leader.engines.is_changing(&endpoint)) {
-                failures.push("a change is in progress there".to_owned());
+            let changing = self.with_leader_state(term, |leader| {
+                leader.engines.await_change_for_adapter(&endpoint)
+            });
+            if let Some(left) = changing {
+                changed_in = Some(changed_in.map_or(left, |known| known.min(left)));
                 continue;
             }
             let Some(spec) = self.engine_spec(&endpoint) else {
@@ -54,10 +58,15 @@
                 spec: Arc::new(spec),
             };
             match self.load_adapter_at(&session, &request.adapter).await {
-                Ok(()) => return Ok(candidate.clone()),
+                Ok(()) => return Ok(AdapterReply::Loaded(candidate.clone())),
                 Err(failure) => failures.push(failure),
             }
         }
+        if let Some(left) = changed_in {
+            return Ok(AdapterReply::Changing {
+                ready_in_ms: left.as_millis() as u64,
+            });
+        }
         Err(unavailable(&format!(
             "no engine can load the adapter now: {}",
             failures.join("; ")
--- a/crates/wasabipoint_control/src/engines/book.rs
+++ b/crates/wasabipoint_control/src/engines/book.rs
@@ -27,6 +27,10 @@
 /// Time for which an engine is left alone after a change failed there.
 const FAILED_CHANGE_PAUSE: Duration = Duration::from_secs(2);
 
+/// Time after a request for an adapter met a change in progress in which no further change begins
+/// there. Entry processes ask again within it.
+const ADAPTER_TURN: Duration = Duration::from_millis(400);
+
 /// Models that the leader knows an engine to hold.
 #[derive(Debug, Clone)]
 struct Known {
@@ -53,6 +57,8 @@
     ledgers: BTreeMap<EndpointId, Arc<tokio::sync::Mutex<EngineLedger>>>,
     demand: EngineDemand,
     began: Instant,
+    /// When requests for an adapter last met a change in progress.
+    adapter_waits: BTreeMap<EndpointId, Instant>,
     adapter_use: BTreeMap<(EndpointId, ModelName), Instant>,
     store_loads: VecDeque<Instant>,
     store: StoreConcurrency,
@@ -74,6 +80,7 @@
             ledgers: BTreeMap::new(),
             demand: EngineDemand::default(),
             began: Instant::now(),
+            adapter_waits: BTreeMap::new(),
             adapter_use: BTreeMap::new(),
             store_loads: VecDeque::new(),
             store: StoreConcurrency::default(),
@@ -264,6 +271,26 @@
         known.is_some_and(|k| k.incarnation == endpoint.incarnation && k.until.is_none())
     }
 
+    /// Returns when the change in progress at an engine should be complete, if there is one, and
+    /// notes that an adapter waits for its end.
+    pub(crate) fn await_change_for_adapter(&mut self, endpoint: &EndpointView) -> Option<Duration> {
+        if !self.is_changing(endpoint) {
+            self.adapter_waits.remove(&endpoint.endpoint);
+            return None;
+        }
+        let left = self.free_in(&endpoint.endpoint);
+        self.adapter_waits
+            .insert(endpoint.endpoint.clone(), Instant::now());
+        Some(left)
+    }
+
+    /// Tells whether requests for an adapter met a change of an engine a moment ago, so that the next
+    /// change would keep them waiting.
+    pub(crate) fn has_adapter_wait(&self, endpoint: &EndpointId) -> bool {
+        let waits = self.adapter_waits.get(endpoint);
+        waits.is_some_and(|asked| asked.elapsed() < ADAPTER_TURN)
+    }
+
     /// Returns the models whose weights an engine has on its disk.
     pub(crate) fn near(&self, endpoint: &EndpointId) -> BTreeSet<ModelName> {
         self.near.get(endpoint).cloned().unwrap_or_default()
--- a/crates/wasabipoint_control/src/engines/view.rs
+++ b/crates/wasabipoint_control/src/engines/view.rs
@@ -104,7 +104,9 @@
             endpoint: id.clone(),
             capacity_mb,
             on_disk: book.near(id),
-            is_changeable: !book.is_changing(endpoint) && !book.has_failed(id),
+            is_changeable: !book.is_changing(endpoint)
+                && !book.has_failed(id)
+                && !book.has_adapter_wait(id),
             kept: if is_learning {
                 held.iter().cloned().collect()
             } else {
--- a/crates/wasabipoint_control/src/rpc.rs
+++ b/crates/wasabipoint_control/src/rpc.rs
@@ -13,11 +13,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
-use wasabipoint_kernel::{EndpointId, ErrorKind, MemberId, ModelName};
+use wasabipoint_kernel::{ErrorKind, MemberId, ModelName};
 use wasabipoint_rpc::{
-    AdapterRequest, AgentDirective, AgentReport, ClaimOutcome, ClaimRequest, ColdEstimate,
-    ControlRefusal, ControlRpc, EntryDirective, EntryReport, FleetUpdate, JoinReply, JoinRequest,
-    PeerBatch, PeerRpc, QuotaExchange, QuotaGrants, RPC_FRAME_BYTES, WatchReply, WatchRequest,
+    AdapterReply, AdapterRequest, AgentDirective, AgentReport, ClaimOutcome, ClaimRequest,
+    ColdEstimate, ControlRefusal, ControlRpc, EntryDirective, EntryReport, FleetUpdate, JoinReply,
+    JoinRequest, PeerBatch, PeerRpc, QuotaExchange, QuotaGrants, RPC_FRAME_BYTES, WatchReply,
+    WatchRequest,
 };
 
 use crate::control::Control;
@@ -449,7 +450,7 @@
         self,
         _: Context,
         request: AdapterRequest,
-    ) -> Result<EndpointId, ControlRefusal> {
+    ) -> Result<AdapterReply, ControlRefusal> {
         self.control.metrics.count_call("load_adapter");
         let term = self.leading_term()?;
         self.control.load_adapter(term, &request).await
--- a/crates/wasabipoint_control/tests/engine_changes.rs
+++ b/crates/wasabipoint_control/tests/engine_changes.rs
@@ -7,6 +7,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -23,8 +24,8 @@
     ForwardService, Incarnation, MemberId, ModelName, ServiceName,
 };
 use wasabipoint_rpc::{
-    AdapterRequest, ControlClient, ControlError, EndpointKind, EndpointView, EntryReport,
-    FleetUpdate, ModelDemand, WatchRequest,
+    AdapterReply, AdapterRequest, ControlClient, ControlError, EndpointKind, EndpointView,
+    EntryReport, FleetUpdate, ModelDemand, WatchRequest,
 };
 
 use member::{deployed, member_config};
@@ -44,6 +45,8 @@
     listed: Mutex<Vec<EndpointView>>,
     held: Mutex<BTreeMap<EndpointId, EngineState>>,
     commands: Mutex<Vec<EngineCommand>>,
+    /// Whether loads of models stay in progress.
+    has_slow_loads: AtomicBool,
 }
 
 impl Engines {
@@ -73,6 +76,7 @@
             listed: Mutex::new(listed.collect()),
             held: Mutex::new(held.collect()),
             commands: Mutex::default(),
+            has_slow_loads: AtomicBool::new(false),
         })
     }
 
@@ -112,6 +116,9 @@
         }
         state.sequence += 1;
         match command.operation {
+            EngineOperation::Load if self.has_slow_loads.load(Ordering::Relaxed) => {
+                state.is_busy = true;
+            }
             EngineOperation::Load => state.models.push(command.model.clone()),
             EngineOperation::Unload => state.models.retain(|model| *model != command.model),
         }
@@ -297,7 +304,7 @@
     }
 
     /// Asks for an adapter on the engine `e1`.
-    async fn load_adapter(&self, adapter: &str) -> Result<EndpointId, ControlError> {
+    async fn load_adapter(&self, adapter: &str) -> Result<AdapterReply, ControlError> {
         let request = AdapterRequest {
             adapter: ModelName::new(adapter),
             candidates: vec![EndpointId::new("e1")],
@@ -472,3 +479,20 @@
     assert!(members[0].load_adapter("a/a1").await.is_err());
     assert_eq!(engines.commands.lock().unwrap().len(), 0);
 }
+
+/// Pattern: adapters of a busy model beside rare models. Guards against requests for an adapter that
+/// are refused without a time, or wait for one that is not known, while their engine loads a model.
+#[tokio::test]
+async fn an_adapter_is_told_when_the_change_of_its_engine_is_complete() {
+    let engines = Engines::new(&[("e1", &["a", "b"], &["a", "b"])]);
+    engines.has_slow_loads.store(true, Ordering::Relaxed);
+    let fixture = Fixture::start("changing", &engines).await;
+    let is_loading = || engines.held.lock().unwrap()[&EndpointId::new("e1")].is_busy;
+    fixture.demand_until("c", is_loading).await;
+    let reply = fixture.load_adapter("a/a1").await.unwrap();
+    let AdapterReply::Changing { ready_in_ms } = reply else {
+        panic!("{reply:?}");
+    };
+    // A load from a disk takes 100 ms here, and its commands less than a second.
+    assert!(ready_in_ms <= 1_100, "{ready_in_ms}");
+}
--- a/crates/wasabipoint_entry/src/forward/call/wait.rs
+++ b/crates/wasabipoint_entry/src/forward/call/wait.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use slog::warn;
+use tokio::sync::watch;
 use tokio::time::{Instant, timeout_at};
 use wasabipoint_kernel::{ModelName, Refusal};
-use wasabipoint_rpc::AdapterRequest;
+use wasabipoint_rpc::{AdapterReply, AdapterRequest};
 
 use super::Call;
 use crate::forward::Forwarder;
@@ -40,6 +41,16 @@
 /// Time left for the first event once a model is loaded, in milliseconds.
 const FIRST_EVENT_MS: u64 = 200;
 
+/// The answer to a request for an adapter.
+enum AdapterOutcome {
+    /// An endpoint has it.
+    Loaded,
+    /// Every engine with the model changes what it holds, for about this long.
+    Changing(Duration),
+    /// No engine takes it now.
+    Unavailable,
+}
+
 /// Counts a request as waiting for its model.
 struct WaitGuard<'a> {
     forwarder: &'a Forwarder,
@@ -86,8 +97,13 @@
             let is_due = asked.is_none_or(|asked| asked.elapsed() >= ADAPTER_PAUSE);
             if is_due && model.as_str().contains('/') {
                 asked = Some(Instant::now());
-                if self.ask_for_adapter(model).await {
-                    continue;
+                match self.ask_for_adapter(model).await {
+                    AdapterOutcome::Loaded => continue,
+                    AdapterOutcome::Changing(left) => {
+                        self.await_change(left, &mut changed).await?;
+                        continue;
+                    }
+                    AdapterOutcome::Unavailable => {}
                 }
             }
             if wait.is_none() {
@@ -127,6 +143,23 @@
         }
     }
 
+    /// Waits for the end of the change that keeps the engines with the model from loading an
+    /// adapter, or refuses a request that cannot wait that long.
+    async fn await_change(
+        &self,
+        left: Duration,
+        changed: &mut watch::Receiver<u64>,
+    ) -> Result<(), Refusal> {
+        let now = Instant::now();
+        if now + left > self.patience() {
+            return Err(self.refuse_cold(Some(left)));
+        }
+        let limit = now + left.max(ADAPTER_PAUSE);
+        // The news of the change may come before or after its expected end.
+        let _ = timeout_at(limit, changed.changed()).await;
+        Ok(())
+    }
+
     /// Returns when the caller of a stream without any event leaves.
     fn patience(&self) -> Instant {
         if !self.route.run_policy.is_stream() {
@@ -157,10 +190,10 @@
             .is_empty()
     }
 
-    /// Asks control to load an adapter; tells whether an endpoint has it now.
-    async fn ask_for_adapter(&self, model: &ModelName) -> bool {
+    /// Asks control to load an adapter.
+    async fn ask_for_adapter(&self, model: &ModelName) -> AdapterOutcome {
         let Some((base, _)) = model.as_str().split_once('/') else {
-            return false;
+            return AdapterOutcome::Unavailable;
         };
         let now_ms = self.forwarder.clock.now_ms();
         let base = ModelName::new(base);
@@ -170,7 +203,7 @@
             .endpoints
             .holders(&self.service, &base, now_ms);
         if candidates.is_empty() {
-            return false;
+            return AdapterOutcome::Unavailable;
         }
         let request = AdapterRequest {
             adapter: model.clone(),
@@ -178,18 +211,21 @@
         };
         let asked = self.forwarder.control.load_adapter(request);
         match timeout_at(self.deadline, asked).await {
-            Ok(Ok(endpoint)) => {
+            Ok(Ok(AdapterReply::Loaded(endpoint))) => {
                 let mut state = self.forwarder.lock();
                 state.endpoints.note_loaded(&endpoint, model);
-                true
+                AdapterOutcome::Loaded
+            }
+            Ok(Ok(AdapterReply::Changing { ready_in_ms })) => {
+                AdapterOutcome::Changing(Duration::from_millis(ready_in_ms))
             }
             Ok(Err(error)) => {
                 warn!(self.forwarder.logger, "routing: adapter not loaded";
                     "request" => &self.facts.request_id, "adapter" => %model,
                     "error" => ?error);
-                false
+                AdapterOutcome::Unavailable
             }
-            Err(_) => false,
+            Err(_) => AdapterOutcome::Unavailable,
         }
     }
 }
--- a/crates/wasabipoint_entry/src/link.rs
+++ b/crates/wasabipoint_entry/src/link.rs
@@ -8,11 +8,11 @@
 use http::{Request, StatusCode};
 use serde_json::Value;
 use wasabipoint_http::{ClientError, HttpClient, ResponseBody};
-use wasabipoint_kernel::{EndpointId, ErrorKind, RunState};
+use wasabipoint_kernel::{ErrorKind, RunState};
 use wasabipoint_rpc::{
-    AdapterRequest, ClaimOutcome, ClaimRequest, ControlClient, ControlError, DispatchRequest,
-    EntryDirective, EntryReport, Outcome, OutcomeRequest, QuotaExchange, QuotaGrants, WatchReply,
-    WatchRequest, decode_message, encode_message,
+    AdapterReply, AdapterRequest, ClaimOutcome, ClaimRequest, ControlClient, ControlError,
+    DispatchRequest, EntryDirective, EntryReport, Outcome, OutcomeRequest, QuotaExchange,
+    QuotaGrants, WatchReply, WatchRequest, decode_message, encode_message,
 };
 
 /// Time for a call that does not wait at control, over all members that are tried.
@@ -47,7 +47,7 @@
     fn load_adapter(
         &self,
         _request: AdapterRequest,
-    ) -> BoxFuture<'_, Result<EndpointId, ControlError>> {
+    ) -> BoxFuture<'_, Result<AdapterReply, ControlError>> {
         Box::pin(async { Err(ControlError::Unavailable) })
     }
 }
@@ -167,7 +167,7 @@
     fn load_adapter(
         &self,
         request: AdapterRequest,
-    ) -> BoxFuture<'_, Result<EndpointId, ControlError>> {
+    ) -> BoxFuture<'_, Result<AdapterReply, ControlError>> {
         Box::pin(async move {
             self.caller
                 .call(Duration::ZERO, CONTROL_CALL, |client, context| {
--- a/crates/wasabipoint_rpc/src/lib.rs
+++ b/crates/wasabipoint_rpc/src/lib.rs
@@ -25,6 +25,7 @@
     OutcomeRequest, StoredResponse, StreamFrame, decode_message, encode_frame, encode_message,
 };
 pub use service::{
-    AdapterRequest, ControlRefusal, ControlRpc, ControlRpcClient, JoinReply, JoinRequest,
-    PeerBatch, PeerRpc, PeerRpcClient, RPC_FRAME_BYTES, connect_control, connect_peer, listen_rpc,
+    AdapterReply, AdapterRequest, ControlRefusal, ControlRpc, ControlRpcClient, JoinReply,
+    JoinRequest, PeerBatch, PeerRpc, PeerRpcClient, RPC_FRAME_BYTES, connect_control, connect_peer,
+    listen_rpc,
 };
--- a/crates/wasabipoint_rpc/src/service.rs
+++ b/crates/wasabipoint_rpc/src/service.rs
@@ -49,6 +49,20 @@
     }
 }
 
+plain_data! {
+    data
+    /// The answer to a request for an adapter.
+    pub enum AdapterReply {
+        /// An endpoint has it.
+        Loaded(EndpointId),
+        /// Every endpoint with the model is changing what it holds.
+        Changing {
+            /// Expected time until the first of them has changed.
+            ready_in_ms: u64,
+        },
+    }
+}
+
 plain_data! {
     data
     /// Why a control member does not answer a call.
@@ -105,7 +119,7 @@
     /// Removes a member that is about to stop, unless the others need it.
     async fn leave(member: MemberId) -> Result<(), ControlRefusal>;
     /// Loads an adapter on one of the endpoints that hold its model.
-    async fn load_adapter(request: AdapterRequest) -> Result<EndpointId, ControlRefusal>;
+    async fn load_adapter(request: AdapterRequest) -> Result<AdapterReply, ControlRefusal>;
 }
 
 /// Messages between control members.
