Relieve engines that several busy models crowd together

Cause: a replica counted as crowded by the requests of its own model. Failed before: an_engine_crowded_by_two_models_is_relieved. Change: relief and the loss of a replica go by the load of the whole engine; the plan sums it once per change and keeps the engines that hold each model.

--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -8,11 +8,14 @@
 
 use wasabipoint_kernel::{EndpointId, ModelName, plain_data};
 
+/// Part of an engine's concurrent requests from which on a further replica of their model relieves it.
+const CROWD_PART: f64 = 0.4;
+
 /// Concurrent requests below which a model counts as unused.
 const UNUSED_LOAD: f64 = 0.05;
 
-/// Share of an engine's slots up to which a replica is not relieved by another one. Above it the
-/// prompts of new requests begin to delay the tokens of running ones.
+/// Share of an engine's slots up to which it is not relieved by another replica. Above it the prompts
+/// of new requests begin to delay the tokens of running ones.
 const RELIEF_SHARE: f64 = 0.3;
 
 /// Share of an engine's slots above which a further replica may displace rare models.
@@ -134,7 +137,7 @@
         pub cause: ChangeCause,
         /// Concurrent requests per replica before the change.
         pub load_per_replica: f64,
-        /// Largest load per replica of the models that make room, after the change.
+        /// Largest load at the engines that remain for the models that make room, after the change.
         pub loss: f64,
     }
 }
@@ -249,7 +252,7 @@
 struct Displacement {
     /// Concurrent requests that are served worse.
     cost: f64,
-    /// Load per replica that remains.
+    /// Load at the engines that remain, or of the model if none does.
     loss: f64,
 }
 
@@ -258,7 +261,7 @@
 struct Room {
     /// The largest cost of an unload.
     cost: f64,
-    /// The largest load per replica that remains.
+    /// The largest load at the engines that remain.
     loss: f64,
     victims: Vec<ModelName>,
 }
@@ -282,7 +285,10 @@
 struct Plan<'p> {
     models: BTreeMap<&'p ModelName, &'p ModelLoad>,
     engines: Vec<EngineHolding>,
-    replicas: BTreeMap<ModelName, u32>,
+    /// Engines that hold each model, by their position.
+    holders: BTreeMap<ModelName, Vec<usize>>,
+    /// Concurrent requests at each engine, over all its models.
+    engine_loads: Vec<f64>,
     bounds: LoadBounds,
     store: StoreBudget,
     given_up: BTreeSet<ModelName>,
@@ -296,23 +302,52 @@
         slots: u32,
         store: StoreBudget,
     ) -> Self {
-        let mut replicas: BTreeMap<ModelName, u32> = BTreeMap::new();
-        for model in engines.iter().flat_map(|engine| &engine.models) {
-            *replicas.entry(model.clone()).or_default() += 1;
+        let mut holders: BTreeMap<ModelName, Vec<usize>> = BTreeMap::new();
+        for (index, engine) in engines.iter().enumerate() {
+            for model in &engine.models {
+                holders.entry(model.clone()).or_default().push(index);
+            }
         }
-        Self {
+        let mut plan = Self {
             models: models.iter().map(|model| (&model.name, model)).collect(),
             engines: engines.to_vec(),
-            replicas,
+            holders,
+            engine_loads: Vec::new(),
             bounds: LoadBounds::new(slots),
             store,
             given_up: BTreeSet::new(),
             changes: Vec::new(),
-        }
+        };
+        plan.sum_engine_loads();
+        plan
+    }
+
+    fn holders(&self, model: &ModelName) -> &[usize] {
+        self.holders.get(model).map_or(&[], Vec::as_slice)
     }
 
     fn replicas(&self, model: &ModelName) -> u32 {
-        self.replicas.get(model).copied().unwrap_or(0)
+        self.holders(model).len() as u32
+    }
+
+    fn per_replica(&self, model: &ModelName) -> f64 {
+        self.load(model) / f64::from(self.replicas(model).max(1))
+    }
+
+    /// Returns the mean of the concurrent requests at the engines that hold a model. Requests of all
+    /// models run in one batch there.
+    fn pressure(&self, model: &ModelName) -> f64 {
+        let holders = self.holders(model);
+        let loads = holders.iter().map(|index| self.engine_loads[*index]);
+        loads.sum::<f64>() / holders.len().max(1) as f64
+    }
+
+    fn sum_engine_loads(&mut self) {
+        let loads = self.engines.iter().map(|engine| {
+            let shares = engine.models.iter().map(|model| self.per_replica(model));
+            shares.sum()
+        });
+        self.engine_loads = loads.collect();
     }
 
     fn load(&self, model: &ModelName) -> f64 {
@@ -326,12 +361,11 @@
             if model.is_loading || self.given_up.contains(&model.name) {
                 return None;
             }
-            let replicas = self.replicas(&model.name);
-            let per_replica = model.load / f64::from(replicas.max(1));
-            let (rank, cause) = match replicas {
+            let per_replica = self.per_replica(&model.name);
+            let (rank, cause) = match self.replicas(&model.name) {
                 0 if model.waiting > 0 || model.load > UNUSED_LOAD => (1, ChangeCause::Cold),
                 0 => (0, ChangeCause::Spread),
-                _ if per_replica > self.bounds.relief => (2, ChangeCause::Relief),
+                _ if self.has_crowd(&model.name, self.bounds.relief) => (2, ChangeCause::Relief),
                 _ => return None,
             };
             let need = per_replica + f64::from(model.waiting);
@@ -342,19 +376,26 @@
             .map(|(_, _, cause, name)| (name.clone(), cause))
     }
 
+    /// Tells whether the engines of a model have more concurrent requests than `bound`, and the model
+    /// a large part in that.
+    fn has_crowd(&self, model: &ModelName, bound: f64) -> bool {
+        let pressure = self.pressure(model);
+        pressure > bound && self.per_replica(model) >= pressure * CROWD_PART
+    }
+
     fn add_replica(&mut self, model: &ModelName, cause: ChangeCause) -> bool {
         let weights_mb = self.models[model].weights_mb;
         let replicas = self.replicas(model);
         let load = self.load(model);
         let gain = load / f64::from(replicas + 1);
-        let per_replica = load / f64::from(replicas.max(1));
+        let per_replica = self.per_replica(model);
         let waiting = f64::from(self.models[model].waiting.min(MAX_WAITING_COUNTED));
         let need = match cause {
             ChangeCause::Cold => Need {
                 from_store: (load + waiting * WAITING_LOAD) / DISPLACEMENT,
                 from_disk: load / DISPLACEMENT + waiting * SWAP_WAITING_LOAD,
             },
-            ChangeCause::Relief if per_replica > self.bounds.crowded => {
+            ChangeCause::Relief if self.has_crowd(model, self.bounds.crowded) => {
                 Need::of((per_replica - gain) * RELIEF_WORTH / DISPLACEMENT)
             }
             ChangeCause::Relief | ChangeCause::Spread => Need::of(0.0),
@@ -380,7 +421,7 @@
             } else {
                 need.from_store
             };
-            let Some(room) = self.make_room(engine, weights_mb, need) else {
+            let Some(room) = self.make_room(index, weights_mb, need) else {
                 continue;
             };
             let Room { loss, victims, .. } = room;
@@ -391,7 +432,7 @@
             if is_too_dear {
                 continue;
             }
-            let mut cost = room.cost + self.engine_load(engine) * ENGINE_LOAD_COST;
+            let mut cost = room.cost + self.engine_loads[index] * ENGINE_LOAD_COST;
             cost += match (is_near, engine.serves_adapters) {
                 (true, false) => 0.0,
                 (true, true) => ADAPTER_DISK_COST,
@@ -434,7 +475,8 @@
     }
 
     /// Returns the models that make room, cheapest first.
-    fn make_room(&self, engine: &EngineHolding, weights_mb: u64, need: f64) -> Option<Room> {
+    fn make_room(&self, index: usize, weights_mb: u64, need: f64) -> Option<Room> {
+        let engine = &self.engines[index];
         // The size of a model that the configuration dropped is not known; the largest is safe.
         let largest_mb = self
             .models
@@ -452,7 +494,7 @@
             .models
             .iter()
             .filter(|held| !engine.kept.contains(*held))
-            .filter_map(|held| Some((self.displacement(held, need)?, held)))
+            .filter_map(|held| Some((self.displacement(held, index, need)?, held)))
             .collect();
         // Of models that cost the same, one that another engine holds as well goes first.
         candidates.sort_by(|one, other| {
@@ -476,7 +518,7 @@
 
     /// Returns what the unload of one replica costs, or `None` for the last replica of a model whose
     /// demand is not below `need`. Models with running requests go last.
-    fn displacement(&self, model: &ModelName, need: f64) -> Option<Displacement> {
+    fn displacement(&self, model: &ModelName, index: usize, need: f64) -> Option<Displacement> {
         let load = self.load(model);
         match self.replicas(model) {
             0 | 1 => {
@@ -489,21 +531,16 @@
                 })
             }
             replicas => {
-                let loss = load / f64::from(replicas - 1);
+                let others = self.holders(model).iter().filter(|other| **other != index);
+                let loads = others.map(|other| self.engine_loads[*other]);
+                let remaining = f64::from(replicas - 1);
+                let loss = (loads.sum::<f64>() + self.per_replica(model)) / remaining;
                 let cost = (loss - self.bounds.comfortable).max(0.0);
                 Some(Displacement { cost, loss })
             }
         }
     }
 
-    fn engine_load(&self, engine: &EngineHolding) -> f64 {
-        let shares = engine
-            .models
-            .iter()
-            .map(|model| self.load(model) / f64::from(self.replicas(model).max(1)));
-        shares.sum()
-    }
-
     /// Records a change for the rest of this plan; tells whether it loads from the store.
     fn apply(&mut self, index: usize, unload: &[ModelName], load: &ModelName) -> bool {
         let engine = &mut self.engines[index];
@@ -512,11 +549,12 @@
         engine.models.retain(|held| !unload.contains(held));
         engine.models.push(load.clone());
         for victim in unload {
-            if let Some(replicas) = self.replicas.get_mut(victim) {
-                *replicas -= 1;
+            if let Some(holders) = self.holders.get_mut(victim) {
+                holders.retain(|holder| *holder != index);
             }
         }
-        *self.replicas.entry(load.clone()).or_default() += 1;
+        self.holders.entry(load.clone()).or_default().push(index);
+        self.sum_engine_loads();
         if is_from_store {
             self.store.loads_left -= 1;
             self.store.loads_running += 1;
--- a/crates/wasabipoint_policy/tests/engine_plan.rs
+++ b/crates/wasabipoint_policy/tests/engine_plan.rs
@@ -239,6 +239,26 @@
     );
 }
 
+/// Pattern: two busy models share an engine, neither of them crowded by itself. Guards against an
+/// engine that is late for both while others are nearly idle.
+#[test]
+fn an_engine_crowded_by_two_models_is_relieved() {
+    let models = [
+        model("one", 19.0, 0),
+        model("two", 18.0, 0),
+        model("rare", 0.3, 0),
+    ];
+    let engines = [
+        engine("e1", &["one", "two"]),
+        engine("e2", &["rare", "other"]),
+    ];
+    let changes = plan_engine_changes(&models, &engines, SLOTS, STORE).changes;
+    let relieved = changes.iter().any(|c| c.cause == ChangeCause::Relief);
+    assert!(relieved, "{changes:?}");
+    // A rare model beside them gains nothing from a further replica.
+    assert!(changes.iter().all(|c| c.load != ModelName::new("rare")));
+}
+
 /// Pattern: the same, while requests wait for another rare model. Guards against an engine that
 /// goes to the rare model and leaves the crowd waiting for seconds more.
 #[test]
