Let writes of a control member wait for room on a full disk

Cause: any refused write ended the replica, since after a failed sync the state of the files is unknown. Ruled out: cutting the log back before the repeat; the repeated frame replaces the torn one, and a crash between them leaves a torn tail that the next start cuts. Failed before: a_change_on_a_full_disk_is_acknowledged_once_there_is_room and the others of full_disk.rs. Two tests used a full disk as their failing disk and asserted that the replica ends. A full disk is no longer a failure of that kind; they now refuse operations with a read-only file system, with the same checks, and a_full_disk_loses_no_acknowledged_change makes the loss check for the full disk. Change: errors of writes before any change are repeatable if there is no room; the write task repeats them every 100 ms until there is room or the process stops. A failed sync or rename stays fatal.

--- a/crates/wasabipoint_consensus/src/replica/driver.rs
+++ b/crates/wasabipoint_consensus/src/replica/driver.rs
@@ -1,6 +1,7 @@
 //! The task that feeds the step function and carries out what it asks for.
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -14,13 +15,16 @@
     MembershipChange, ProposeError, ReplicaConfig, ReplicaStatus, StateMachine, Transport,
 };
 use crate::core::{Core, Effect};
-use crate::entry::{Payload, SharedBytes};
+use crate::entry::{Payload, SharedBytes, Write};
 use crate::message::{self, Message};
 use crate::storage::{DiskError, Storage};
 
 /// Requests and messages handled before writes and messages are issued for all of them.
 const GROUP_SIZE: usize = 1_024;
 
+/// Pause before a write is repeated on a full disk.
+const FULL_DISK_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time without a known leader before each record of it. An election takes less than a second.
 const NO_LEADER_PAUSE: Duration = Duration::from_secs(2);
 
@@ -73,6 +77,8 @@
     next_read: u64,
     next_leader_record: Instant,
     is_stopping: bool,
+    /// Tells a write that waits for room to give up.
+    is_ending: Arc<AtomicBool>,
     /// Why the replica stops by itself.
     fault: Option<String>,
 }
@@ -107,6 +113,7 @@
             next_read: 0,
             next_leader_record: Instant::now() + NO_LEADER_PAUSE,
             is_stopping: false,
+            is_ending: Arc::default(),
             fault: None,
         }
     }
@@ -346,8 +353,9 @@
         let Disk::Idle(mut storage) = std::mem::replace(&mut self.disk, Disk::Failed) else {
             return;
         };
+        let (logger, is_ending) = (self.logger.clone(), Arc::clone(&self.is_ending));
         self.disk = Disk::Busy(tokio::task::spawn_blocking(move || {
-            let result = storage.write(writes);
+            let result = write_when_there_is_room(&mut storage, &writes, &logger, &is_ending);
             (storage, batch, result)
         }));
     }
@@ -369,6 +377,7 @@
     /// Waits for the write in progress, closes the files and answers all callers.
     async fn shut_down(mut self, mut requests: mpsc::Receiver<Request>) {
         requests.close();
+        self.is_ending.store(true, Ordering::Relaxed);
         if let Disk::Busy(task) = std::mem::replace(&mut self.disk, Disk::Failed) {
             let _ = task.await;
         }
@@ -403,6 +412,34 @@
     }
 }
 
+/// Writes a batch, repeating it while the disk is full. Until then the member confirms and grants
+/// nothing, and answers and follows its leader as before.
+fn write_when_there_is_room(
+    storage: &mut Storage,
+    writes: &[Write],
+    logger: &Logger,
+    is_ending: &AtomicBool,
+) -> Result<(), DiskError> {
+    let mut is_full = false;
+    loop {
+        match storage.write(writes) {
+            Err(error) if error.is_repeatable && !is_ending.load(Ordering::Relaxed) => {
+                if !std::mem::replace(&mut is_full, true) {
+                    warn!(logger, "consensus: the disk is full, writes wait for room";
+                        "path" => %error.path.display(), "writes" => writes.len());
+                }
+                std::thread::sleep(FULL_DISK_PAUSE);
+            }
+            result => {
+                if is_full && result.is_ok() {
+                    info!(logger, "consensus: the disk has room again");
+                }
+                return result;
+            }
+        }
+    }
+}
+
 /// Waits for the write in progress; never completes if there is none.
 async fn finish_disk(disk: &mut Disk) -> (Storage, u64, Result<(), DiskError>) {
     match disk {
--- a/crates/wasabipoint_consensus/src/storage.rs
+++ b/crates/wasabipoint_consensus/src/storage.rs
@@ -40,6 +40,9 @@
     pub path: PathBuf,
     /// The system's error.
     pub error: io::Error,
+    /// Whether the disk was full before anything durable changed, so that the same operation can
+    /// be repeated once there is room.
+    pub is_repeatable: bool,
 }
 
 impl std::fmt::Display for DiskError {
@@ -51,7 +54,7 @@
 impl std::error::Error for DiskError {}
 
 impl From<DiskError> for StartError {
-    fn from(DiskError { path, error }: DiskError) -> Self {
+    fn from(DiskError { path, error, .. }: DiskError) -> Self {
         Self::Disk { path, error }
     }
 }
@@ -138,18 +141,19 @@
         self.log_bytes
     }
 
-    /// Makes a batch durable. After an error the state of the files is unknown and the storage
-    /// must not be used again: a repeated sync can succeed although data was lost.
-    pub fn write(&mut self, writes: Vec<Write>) -> Result<(), DiskError> {
+    /// Makes a batch durable. After an error that is not repeatable the state of the files is unknown
+    /// and the storage must not be used again: a repeated sync can succeed although data was lost.
+    /// After a repeatable one the next call must be for the same batch.
+    pub fn write(&mut self, writes: &[Write]) -> Result<(), DiskError> {
         let mut records = Vec::new();
         for write in writes {
             match write {
-                Write::Hard(hard) => push_record(&mut records, &Record::Hard(hard)),
-                Write::Entry(entry) => push_record(&mut records, &Record::Entry(entry)),
+                Write::Hard(hard) => push_record(&mut records, &Record::Hard(hard.clone())),
+                Write::Entry(entry) => push_record(&mut records, &Record::Entry(entry.clone())),
                 Write::Snapshot(compaction) => {
                     // The rewritten log contains everything that was issued before it.
                     records.clear();
-                    self.replace_snapshot(*compaction)?;
+                    self.replace_snapshot(compaction)?;
                 }
             }
         }
@@ -162,9 +166,10 @@
     fn append_frame(&mut self, payload: &[u8]) -> Result<(), DiskError> {
         let path = self.folder.join(LOG_FILE);
         let bytes = frame::frame(self.salt, self.sequence, payload);
-        self.check_hook(&path)?;
+        // A part of the frame may be behind the end of the log; the repeated write replaces it.
+        self.check_hook(&path).map_err(before_change)?;
         let written = self.log.write_all_at(&bytes, self.log_bytes);
-        written.map_err(disk_error(&path))?;
+        written.map_err(disk_error(&path)).map_err(before_change)?;
         self.check_hook(&path)?;
         self.log.sync_data().map_err(disk_error(&path))?;
         self.log_bytes += bytes.len() as u64;
@@ -172,17 +177,17 @@
         Ok(())
     }
 
-    fn replace_snapshot(&mut self, compaction: Compaction) -> Result<(), DiskError> {
+    fn replace_snapshot(&mut self, compaction: &Compaction) -> Result<(), DiskError> {
         let path = self.folder.join(SNAPSHOT_FILE);
-        self.check_hook(&path)?;
-        replace_file(&self.folder, SNAPSHOT_FILE, &encode_snapshot(&compaction))?;
+        self.check_hook(&path).map_err(before_change)?;
+        replace_file(&self.folder, SNAPSHOT_FILE, &encode_snapshot(compaction))?;
         let Compaction {
             hard,
             base_index,
             base_term,
             entries,
             ..
-        } = compaction;
+        } = compaction.clone();
         self.replace_log(base_index, base_term, hard, entries)
     }
 
@@ -198,10 +203,12 @@
         for entry in entries {
             push_record(&mut records, &Record::Entry(entry));
         }
-        self.check_hook(&self.folder.join(LOG_FILE))?;
-        self.salt = rand::random();
-        let bytes = new_log(self.salt, &records);
+        let path = self.folder.join(LOG_FILE);
+        self.check_hook(&path).map_err(before_change)?;
+        let salt = rand::random();
+        let bytes = new_log(salt, &records);
         self.log = replace_file(&self.folder, LOG_FILE, &bytes)?;
+        self.salt = salt;
         self.log_bytes = bytes.len() as u64;
         self.sequence = 1;
         Ok(())
@@ -228,6 +235,16 @@
     move |error| DiskError {
         path: path.clone(),
         error,
+        is_repeatable: false,
+    }
+}
+
+/// Marks the error of an operation that has changed nothing durable as repeatable if the disk is full.
+pub(super) fn before_change(error: DiskError) -> DiskError {
+    let is_repeatable = error.error.kind() == ErrorKind::StorageFull;
+    DiskError {
+        is_repeatable,
+        ..error
     }
 }
 
--- a/crates/wasabipoint_consensus/src/storage/folder.rs
+++ b/crates/wasabipoint_consensus/src/storage/folder.rs
@@ -4,7 +4,7 @@
 use std::io::Write as _;
 use std::path::Path;
 
-use super::{DiskError, disk_error};
+use super::{DiskError, before_change, disk_error};
 
 /// Makes the names in a folder durable.
 ///
@@ -44,11 +44,14 @@
     let write = || {
         let mut file = File::create(&temporary)?;
         file.write_all(bytes)?;
-        file.sync_all()?;
-        fs::rename(&temporary, folder.join(name))?;
         Ok(file)
     };
-    let file = write().map_err(disk_error(&temporary))?;
+    let file = write()
+        .map_err(disk_error(&temporary))
+        .map_err(before_change)?;
+    let synced = file.sync_all();
+    let renamed = synced.and_then(|()| fs::rename(&temporary, folder.join(name)));
+    renamed.map_err(disk_error(&temporary))?;
     sync_folder(folder)?;
     Ok(file)
 }
--- a/crates/wasabipoint_consensus/tests/disk_fault.rs
+++ b/crates/wasabipoint_consensus/tests/disk_fault.rs
@@ -12,7 +12,7 @@
 };
 use wasabipoint_kernel::MemberId;
 
-/// Disk operations before the disk is full; enough for an election and some entries.
+/// Disk operations before the disk fails; enough for an election and some entries.
 const ALLOWED_OPERATIONS: usize = 40;
 
 static PANICS: AtomicUsize = AtomicUsize::new(0);
@@ -58,7 +58,7 @@
     let hook = Box::new(move |_: &std::path::Path| {
         operations += 1;
         if operations > ALLOWED_OPERATIONS {
-            return Err(io::Error::from(io::ErrorKind::StorageFull));
+            return Err(io::Error::from(io::ErrorKind::ReadOnlyFilesystem));
         }
         Ok(())
     });
--- a/crates/wasabipoint_consensus/tests/driver/cluster.rs
+++ b/crates/wasabipoint_consensus/tests/driver/cluster.rs
@@ -155,7 +155,7 @@
         let limit = self.disk_limits.get(&id).copied().unwrap_or(u64::MAX);
         Box::new(move |_| {
             if operations.fetch_add(1, Ordering::Relaxed) >= limit {
-                return Err(io::Error::from(io::ErrorKind::StorageFull));
+                return Err(io::Error::from(io::ErrorKind::ReadOnlyFilesystem));
             }
             Ok(())
         })
--- /dev/null
+++ b/crates/wasabipoint_consensus/tests/full_disk.rs
@@ -0,0 +1,238 @@
+//! A disk without room: writes wait for it, and nothing ends or is acknowledged meanwhile.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use slog::{Discard, Logger, o};
+use wasabipoint_consensus::{
+    DiskHook, Entry, Payload, ProposeError, Replica, ReplicaConfig, ReplicaHandle, RestoreError,
+    SharedBytes, StateMachine, Storage, Transport, Write,
+};
+use wasabipoint_kernel::MemberId;
+
+/// Longest wait for a step. Writes are repeated every 100 ms.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Keeps the first byte of each command.
+#[derive(Default)]
+struct Values(Vec<u8>);
+
+impl StateMachine for Values {
+    fn apply(&mut self, _: u64, command: &[u8]) -> Vec<u8> {
+        self.0.push(command[0]);
+        Vec::new()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.clone()
+    }
+
+    fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
+        self.0 = snapshot.to_vec();
+        Ok(())
+    }
+}
+
+/// Entries between snapshots, so that some fall into the time without room.
+const SNAPSHOT_ENTRIES: u64 = 16;
+
+struct NoPeers;
+
+impl Transport for NoPeers {
+    fn send(&self, _: MemberId, _: Vec<u8>) {}
+}
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Self {
+        static NEXT: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("wasabipoint-full-disk-{}-{number}", std::process::id());
+        Self(std::env::temp_dir().join(name))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn refuse_if(is_full: bool) -> io::Result<()> {
+    if is_full {
+        return Err(io::Error::from(io::ErrorKind::StorageFull));
+    }
+    Ok(())
+}
+
+/// Starts the only member of a cluster.
+async fn start_with_hook(folder: &Folder, hook: DiskHook) -> ReplicaHandle {
+    let config = ReplicaConfig {
+        cluster: "test".to_owned(),
+        member: MemberId(1),
+        members: vec![MemberId(1)],
+        is_joining: false,
+        data_folder: folder.0.clone(),
+        tick_ms: 10,
+        snapshot_entries: SNAPSHOT_ENTRIES,
+    };
+    let logger = Logger::root(Discard, o!());
+    let machine = Arc::new(Mutex::new(Values::default()));
+    let started =
+        Replica::start_with_disk_hook(config, machine, Arc::new(NoPeers), logger, Some(hook));
+    started.await.unwrap()
+}
+
+/// Starts the only member of a cluster on a disk that refuses writes while `is_full` is set.
+async fn start(folder: &Folder, is_full: &Arc<AtomicBool>) -> ReplicaHandle {
+    let is_full = Arc::clone(is_full);
+    let hook = Box::new(move |_: &Path| refuse_if(is_full.load(Ordering::Relaxed)));
+    let handle = start_with_hook(folder, hook).await;
+    let committed = async {
+        while handle.propose(vec![0]).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(LIMIT, committed).await.unwrap();
+    handle
+}
+
+/// Guards against a control process that ends while its disk is full, and against a change that is
+/// acknowledged before it is durable.
+#[tokio::test]
+async fn a_change_on_a_full_disk_is_acknowledged_once_there_is_room() {
+    let folder = Folder::new();
+    let is_full = Arc::new(AtomicBool::new(false));
+    let handle = start(&folder, &is_full).await;
+    is_full.store(true, Ordering::Relaxed);
+    let mut proposed = tokio::spawn({
+        let handle = handle.clone();
+        async move { handle.propose(vec![1]).await }
+    });
+    let early = tokio::time::timeout(Duration::from_millis(300), &mut proposed).await;
+    assert!(early.is_err(), "{early:?}");
+    assert!(!handle.status().is_stopped);
+    is_full.store(false, Ordering::Relaxed);
+    let result = tokio::time::timeout(LIMIT, proposed).await.unwrap();
+    assert!(result.unwrap().is_ok());
+    handle.stop().await;
+}
+
+/// Guards against a process that cannot stop while its disk is full.
+#[tokio::test]
+async fn a_replica_stops_on_a_full_disk() {
+    let folder = Folder::new();
+    let is_full = Arc::new(AtomicBool::new(false));
+    let handle = start(&folder, &is_full).await;
+    is_full.store(true, Ordering::Relaxed);
+    let proposed = tokio::spawn({
+        let handle = handle.clone();
+        async move { handle.propose(vec![1]).await }
+    });
+    tokio::task::yield_now().await;
+    tokio::time::timeout(LIMIT, handle.stop()).await.unwrap();
+    let result = proposed.await.unwrap();
+    assert!(
+        matches!(
+            result,
+            Err(ProposeError::OutcomeUnknown | ProposeError::Stopped)
+        ),
+        "{result:?}"
+    );
+}
+
+/// Returns the values that a stopped member has on its disk.
+fn stored_values(folder: &Folder) -> Vec<u8> {
+    let (_, opened) = Storage::open(&folder.0, "test", MemberId(1)).unwrap();
+    let recovered = opened.recovered;
+    let snapshot = recovered.snapshot.as_deref();
+    let mut values = snapshot.map_or(Vec::new(), |snapshot| snapshot.data.to_vec());
+    let from = snapshot.map_or(0, |snapshot| snapshot.index);
+    let entries = recovered.entries.iter().filter(|entry| entry.index > from);
+    for entry in entries {
+        if let Payload::Command(command) = &entry.payload {
+            values.push(command[0]);
+        }
+    }
+    values
+}
+
+/// Guards against an acknowledgement of a change that a restart loses, wherever the room ends: in a
+/// log, a snapshot, before a sync.
+#[tokio::test]
+async fn a_full_disk_loses_no_acknowledged_change() {
+    for allowed_operations in (3..30).chain(60..80) {
+        let folder = Folder::new();
+        let mut operations = 0;
+        let hook = Box::new(move |_: &Path| {
+            operations += 1;
+            refuse_if(operations > allowed_operations)
+        });
+        let handle = start_with_hook(&folder, hook).await;
+        let mut acknowledged = Vec::new();
+        for value in 0.. {
+            let proposed = handle.propose(vec![value]);
+            match tokio::time::timeout(Duration::from_millis(60), proposed).await {
+                Ok(Ok(_)) => acknowledged.push(value),
+                Ok(Err(ProposeError::NotLeader { .. })) if acknowledged.is_empty() => {
+                    // The election may itself have met the full disk.
+                    if value == u8::MAX {
+                        break;
+                    }
+                    tokio::time::sleep(Duration::from_millis(2)).await;
+                }
+                _ => break,
+            }
+        }
+        tokio::time::timeout(LIMIT, handle.stop()).await.unwrap();
+        let stored = stored_values(&folder);
+        let lost: Vec<_> = acknowledged
+            .iter()
+            .filter(|value| !stored.contains(value))
+            .collect();
+        assert!(
+            lost.is_empty(),
+            "{lost:?} lost after {allowed_operations} operations"
+        );
+    }
+}
+
+fn entry(index: u64) -> Write {
+    Write::Entry(Entry {
+        index,
+        term: 1,
+        payload: Payload::Command(SharedBytes::new(vec![index as u8])),
+    })
+}
+
+/// Guards against a repeated write that leaves the refused one in the log, and against a failed sync
+/// that is repeated although the system may have dropped the data.
+#[test]
+fn only_a_write_without_room_is_repeatable() {
+    let folder = Folder::new();
+    let (storage, _) = Storage::open(&folder.0, "test", MemberId(1)).unwrap();
+    let mut operation = 0;
+    // The first write, then the sync of the third one.
+    let hook = move |_: &Path| {
+        operation += 1;
+        match operation {
+            1 | 5 => Err(io::Error::from(io::ErrorKind::StorageFull)),
+            _ => Ok(()),
+        }
+    };
+    let mut storage = storage.with_hook(Box::new(hook));
+    let writes = [entry(1), entry(2)];
+    assert!(storage.write(&writes).unwrap_err().is_repeatable);
+    storage.write(&writes).unwrap();
+    assert!(!storage.write(&[entry(3)]).unwrap_err().is_repeatable);
+    drop(storage);
+    let (_, opened) = Storage::open(&folder.0, "test", MemberId(1)).unwrap();
+    assert_eq!(opened.recovered.entries[..2].len(), 2);
+    assert_eq!(opened.recovered.entries[1].index, 2);
+}
