Count engines with few slots as crowded before their slots are taken

Cause: the bounds of 14 and 18 concurrent requests hold from 32 slots on. Failed before: an_engine_without_free_slots_is_crowded. Change: both bounds stay below a share of the slots.

--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -39,6 +39,12 @@
 /// The same for the crowded share.
 const MIN_CROWDED_LOAD: f64 = 18.0;
 
+/// Share of the slots that the relief load reaches at most. Beyond it, bursts wait for a slot.
+const MAX_RELIEF_SHARE: f64 = 0.6;
+
+/// The same for the crowded load.
+const MAX_CROWDED_SHARE: f64 = 0.75;
+
 /// Loads from the store that further replicas may occupy at once. The rest of the store's speed is
 /// kept for models that no engine holds.
 const RELIEF_STORE_LOADS: u32 = 3;
@@ -238,11 +244,14 @@
     fn new(slots: u32) -> Self {
         let slots = f64::from(slots);
         let relief = (slots * RELIEF_SHARE).max(MIN_RELIEF_LOAD);
+        let relief = relief.min(slots * MAX_RELIEF_SHARE);
+        let crowded = (slots * CROWDED_SHARE).max(MIN_CROWDED_LOAD);
+        let comfortable = relief * COMFORTABLE_SHARE;
         Self {
             relief,
-            comfortable: relief * COMFORTABLE_SHARE,
-            crowded: (slots * CROWDED_SHARE).max(MIN_CROWDED_LOAD),
-            spare: slots * SPARE_SHARE,
+            comfortable,
+            crowded: crowded.min(slots * MAX_CROWDED_SHARE),
+            spare: (slots * SPARE_SHARE).max(comfortable),
         }
     }
 }
--- a/crates/wasabipoint_policy/tests/engine_plan.rs
+++ b/crates/wasabipoint_policy/tests/engine_plan.rs
@@ -259,6 +259,25 @@
     assert!(changes.iter().all(|c| c.load != ModelName::new("rare")));
 }
 
+/// Pattern: a busy model on engines with sixteen slots. Guards against an engine whose slots are all
+/// taken, so that requests wait there, before a further replica is thought of.
+#[test]
+fn an_engine_without_free_slots_is_crowded() {
+    let models = [
+        model("busy", 13.0, 0),
+        model("rare1", 0.5, 0),
+        model("rare2", 0.4, 0),
+        model("rare3", 0.6, 0),
+    ];
+    let engines = [
+        engine("e1", &["busy", "rare1"]),
+        engine("e2", &["rare2", "rare3"]),
+    ];
+    let changes = plan_engine_changes(&models, &engines, 16, STORE).changes;
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].load, ModelName::new("busy"));
+}
+
 /// Pattern: the same, while requests wait for another rare model. Guards against an engine that
 /// goes to the rare model and leaves the crowd waiting for seconds more.
 #[test]
