Weigh reports of load by their age, and draw between equal endpoints

Cause: an entry process took a report older than 3 s for an idle endpoint, and the lowest id among equals. With many entries each hears of an endpoint seldom, so all took the same first one: in a simulation of 70 entries before 6 endpoints the busiest got 2.28 times the mean and the last a tenth of it (30 entries 1.26, 6 entries 1.06). Failed before: many_entries_spread_over_the_endpoints_of_a_model with the old choice in its place. Change: a pure module of the policy crate. A report fades towards the mean of all endpoints, in which one idle endpoint counts, and equals within 5% of the slots are drawn.

--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -240,6 +240,7 @@
             model: self.facts.model.as_ref(),
             parts: &self.facts.prompt_parts,
             tried: &self.progress.tried,
+            draw: rand::random(),
         }
     }
 
--- a/crates/wasabipoint_entry/src/forward/endpoints.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use wasabipoint_kernel::{EndpointId, FailureDomain, Incarnation, ModelName, ServiceName};
+use wasabipoint_policy::{LoadBelief, choose_least, mean_load};
 use wasabipoint_rpc::EndpointView;
 
 use super::dialect::ReportedLoad;
@@ -17,9 +18,6 @@
 /// Time for which an endpoint that could not be connected to is reported, in milliseconds.
 const UNREACHABLE_MS: u64 = 1_500;
 
-/// Time after which a reported load says nothing any more, in milliseconds.
-const LOAD_AGE_MS: u64 = 3_000;
-
 /// Load, as a share of the slots, that a request in another failure domain has to save.
 const REMOTE_COST: f64 = 0.03;
 
@@ -33,8 +31,7 @@
 struct Known {
     view: EndpointView,
     own: u32,
-    others: u32,
-    reported_ms: u64,
+    belief: LoadBelief,
     avoid_until_ms: u64,
     unreachable_until_ms: u64,
     missing: BTreeMap<ModelName, u64>,
@@ -52,6 +49,8 @@
     pub parts: &'a [(u64, u64)],
     /// Endpoints that were tried already.
     pub tried: &'a BTreeSet<EndpointId>,
+    /// A random number that decides between equal endpoints.
+    pub draw: u64,
 }
 
 /// The endpoint chosen for a request.
@@ -98,8 +97,7 @@
             let known = Known {
                 view: view.clone(),
                 own: 0,
-                others: 0,
-                reported_ms: 0,
+                belief: LoadBelief::default(),
                 avoid_until_ms: 0,
                 unreachable_until_ms: 0,
                 missing: BTreeMap::new(),
@@ -109,29 +107,35 @@
         }
     }
 
-    /// Chooses the endpoint with the least load among those that can serve a request. Endpoints
-    /// that failed a moment ago are used only when there is no other.
+    /// Chooses an endpoint with the least load among those that can serve a request. Endpoints that
+    /// failed a moment ago are used only when there is no other.
     pub fn choose(&self, need: &Need<'_>, now_ms: u64) -> Option<Choice> {
-        let mut best: Option<(bool, f64, &Known)> = None;
-        let mut candidates = 0;
-        for known in self.candidates(need, now_ms) {
-            candidates += 1;
-            let is_avoided = known.avoid_until_ms > now_ms;
-            let cost = self.cost(known, need, now_ms);
-            if best
-                .as_ref()
-                .is_none_or(|(avoided, least, _)| (is_avoided, cost) < (*avoided, *least))
-            {
-                best = Some((is_avoided, cost, known));
-            }
+        let able: Vec<&Known> = self.candidates(need, now_ms).collect();
+        let sound = able.iter().filter(|known| known.avoid_until_ms <= now_ms);
+        let mut candidates: Vec<&Known> = sound.copied().collect();
+        if candidates.is_empty() {
+            candidates.clone_from(&able);
         }
-        best.map(|(_, _, known)| Choice {
+        let mean = self.mean_load(need.service, now_ms);
+        let costs = candidates.iter();
+        let costs: Vec<f64> = costs
+            .map(|known| self.cost(known, need, mean, now_ms))
+            .collect();
+        let known = candidates[choose_least(&costs, need.draw)?];
+        Some(Choice {
             endpoint: known.view.clone(),
-            load: load_of(known, now_ms),
-            candidates,
+            load: load_of(known, mean, now_ms).round() as u32,
+            candidates: able.len(),
         })
     }
 
+    /// Returns the mean of the requests of others over the endpoints of a service.
+    fn mean_load(&self, service: &ServiceName, now_ms: u64) -> f64 {
+        let known = self.known.values();
+        let beliefs = known.filter(|known| known.view.service == *service);
+        mean_load(beliefs.map(|known| &known.belief), now_ms)
+    }
+
     fn candidates(&self, need: &Need<'_>, now_ms: u64) -> impl Iterator<Item = &Known> {
         self.known.values().filter(move |known| {
             let view = &known.view;
@@ -148,9 +152,9 @@
         })
     }
 
-    fn cost(&self, known: &Known, need: &Need<'_>, now_ms: u64) -> f64 {
+    fn cost(&self, known: &Known, need: &Need<'_>, mean: f64, now_ms: u64) -> f64 {
         let slots = f64::from(known.view.concurrency.max(1));
-        let mut cost = f64::from(load_of(known, now_ms)) / slots;
+        let mut cost = load_of(known, mean, now_ms) / slots;
         if known.view.failure_domain != self.failure_domain {
             cost += REMOTE_COST;
         }
@@ -181,12 +185,14 @@
             model: Some(model),
             parts: &[],
             tried: &BTreeSet::new(),
+            draw: 0,
         };
+        let mean = self.mean_load(service, now_ms);
         let mut holders: Vec<_> = self
             .candidates(&need, now_ms)
-            .map(|known| (load_of(known, now_ms), known.view.endpoint.clone()))
+            .map(|known| (load_of(known, mean, now_ms), known.view.endpoint.clone()))
             .collect();
-        holders.sort();
+        holders.sort_by(|one, other| one.0.total_cmp(&other.0).then_with(|| one.1.cmp(&other.1)));
         holders.into_iter().map(|(_, id)| id).collect()
     }
 
@@ -225,8 +231,8 @@
         now_ms: u64,
     ) {
         if let Some(known) = self.same(endpoint, incarnation) {
-            known.others = (load.running + load.waiting).saturating_sub(known.own);
-            known.reported_ms = now_ms;
+            let total = load.running + load.waiting;
+            known.belief.report(total, known.own, now_ms);
             known.avoid_until_ms = 0;
             known.unreachable_until_ms = 0;
         }
@@ -293,8 +299,6 @@
     }
 }
 
-fn load_of(known: &Known, now_ms: u64) -> u32 {
-    let is_fresh = known.reported_ms > 0 && now_ms.saturating_sub(known.reported_ms) < LOAD_AGE_MS;
-    let others = if is_fresh { known.others } else { 0 };
-    known.own + others
+fn load_of(known: &Known, mean: f64, now_ms: u64) -> f64 {
+    f64::from(known.own) + known.belief.others(mean, now_ms)
 }
--- a/crates/wasabipoint_entry/tests/forward_policies.rs
+++ b/crates/wasabipoint_entry/tests/forward_policies.rs
@@ -59,6 +59,7 @@
             model: Some(&self.model),
             parts: &self.parts,
             tried: &self.tried,
+            draw: 0,
         }
     }
 
--- a/crates/wasabipoint_policy/src/lib.rs
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod engine_demand;
 mod engine_plan;
+mod load_belief;
 mod load_forecast;
 mod placement;
 mod routing;
@@ -18,6 +19,7 @@
     ChangeCause, Deferral, EngineChange, EngineHolding, EnginePlan, ModelLoad, StoreBudget,
     plan_engine_changes,
 };
+pub use load_belief::{LoadBelief, choose_least, mean_load};
 pub use load_forecast::{EngineForecast, LoadForecast, LoadTimes};
 pub use placement::{
     DemandSample, EndpointCapacity, GrantState, GrantView, LoadOption, ModelView,
