Keep the draw among equals below the price of another failure domain

Cause: equals within 5% of the slots included endpoints in other failure domains, which cost 3%. Failed before: only_equals_are_drawn with the narrower case; tests of forwarding that ask the nearer endpoint first were left to the draw.

--- a/crates/wasabipoint_policy/src/load_belief.rs
+++ b/crates/wasabipoint_policy/src/load_belief.rs
@@ -7,8 +7,9 @@
 /// Time constant with which a report loses its weight against the mean of all endpoints.
 const REPORT_DECAY_MS: f64 = 2_000.0;
 
-/// Difference in load, as a share of the slots, below which endpoints count as equal.
-const EQUAL_SHARE: f64 = 0.05;
+/// Difference in load, as a share of the slots, below which endpoints count as equal. A request in
+/// another failure domain costs more than that.
+const EQUAL_SHARE: f64 = 0.02;
 
 /// Requests of others at an endpoint, as its last response told.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
