Leave a silent endpoint only for another one

Cause: an idempotent request whose endpoint was silent for three objectives was given up, also when no other endpoint had its model. Change: at the end of the silence the request looks for another endpoint, and waits on if there is none.

--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -213,7 +213,16 @@
         let forwarder = &self.forwarder;
         let dialect = forwarder.dialect.as_ref();
         let exchange = begin_exchange(&forwarder.pool, dialect, &self.outgoing, endpoint, &facts);
-        timeout_at(self.silence_limit(), exchange).await
+        tokio::pin!(exchange);
+        if let Ok(begun) = timeout_at(self.silence_limit(), exchange.as_mut()).await {
+            return Ok(begun);
+        }
+        // The endpoint may only be slow. Without another one that can take the request, what it works
+        // on is all that the caller can get.
+        if self.choose().is_some() {
+            return timeout_at(Instant::now(), exchange).await;
+        }
+        timeout_at(self.deadline, exchange).await
     }
 
     /// Returns when a silent endpoint is given up.
