Ask endpoints that refused a request once more after a moment

Failed before: an_endpoint_without_room_is_asked_again_a_moment_later. Change: after 150 ms, or news of the fleet, the endpoints are asked again, within three refusals, the budget of repeats and the caller's patience.

--- a/crates/wasabipoint_entry/src/forward/call/wait.rs
+++ b/crates/wasabipoint_entry/src/forward/call/wait.rs
@@ -31,6 +31,9 @@
 /// When a refused request for an adapter may come back. Changes of engines take about as long.
 const ADAPTER_RETRY: Duration = Duration::from_millis(1_500);
 
+/// Pause before endpoints that refused a request are asked once more.
+const REFUSED_PAUSE: Duration = Duration::from_millis(150);
+
 /// Time beyond twice its expected duration after which a load counts as overdue.
 const OVERDUE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -80,6 +83,11 @@
             if Instant::now() >= self.deadline {
                 return Err(self.late());
             }
+            if self.may_ask_again() {
+                let _ = timeout_at(Instant::now() + REFUSED_PAUSE, changed.changed()).await;
+                self.progress.tried.clear();
+                continue;
+            }
             let Some(model) = &model else {
                 return Err(self.refuse("no endpoint of the service is available"));
             };
@@ -143,6 +151,17 @@
         }
     }
 
+    /// Tells whether the endpoints that were tried can be asked once more: one of them has only just
+    /// had no room, or began to change what it holds, and the request has not run.
+    fn may_ask_again(&self) -> bool {
+        let progress = &self.progress;
+        progress.refusals > 0
+            && progress.runs == 0
+            && !progress.tried.is_empty()
+            && !self.forwarder.is_draining()
+            && Instant::now() + REFUSED_PAUSE < self.patience()
+    }
+
     /// Waits for the end of the change that keeps the engines with the model from loading an
     /// adapter, or refuses a request that cannot wait that long.
     async fn await_change(
--- a/crates/wasabipoint_entry/tests/forward_sockets.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets.rs
@@ -79,6 +79,47 @@
     assert_eq!(fixture.call("once", "a1").await.unwrap().status(), 200);
 }
 
+/// Guards against a refusal to the caller because the only endpoint had no room at one moment, and
+/// against one that is asked again and again.
+#[tokio::test]
+async fn an_endpoint_without_room_is_asked_again_a_moment_later() {
+    let steps = vec![
+        Step::Send(not_run("a1")),
+        Step::Send(whole("a1", "good")),
+        Step::Send(not_run("a2")),
+        Step::Send(not_run("a2")),
+        Step::Send(not_run("a2")),
+        Step::Send(not_run("a2")),
+    ];
+    let only = Endpoint::start(steps).await;
+    let fixture = Fixture::start(Some(view(&[&only]))).await;
+    assert_eq!(fixture.call("once", "a1").await.unwrap().status(), 200);
+    assert_eq!(only.arrivals(), 2);
+    assert_eq!(fixture.call("once", "a2").await.unwrap().status(), 503);
+    assert!(only.arrivals() <= 5, "{}", only.arrivals());
+}
+
+/// Guards against work of a slow endpoint that is given up although no other one can take it.
+#[tokio::test]
+async fn a_slow_endpoint_without_another_is_waited_for() {
+    let pause = Duration::from_millis(1_800);
+    let answer = Step::SendWithPause(String::new(), pause, whole("a1", "good"));
+    let only = Endpoint::start(vec![answer]).await;
+    let fixture = Fixture::start(Some(view(&[&only]))).await;
+    assert_eq!(fixture.call("safe", "a1").await.unwrap().status(), 200);
+    assert_eq!(only.arrivals(), 1);
+}
+
+/// Guards against an idempotent request that waits for a dead endpoint beside a sound one.
+#[tokio::test]
+async fn a_silent_endpoint_is_left_for_another() {
+    let (closed, _is_closed) = oneshot::channel();
+    let silent = Endpoint::start(vec![Step::Silence(closed)]).await;
+    let sound = Endpoint::start(vec![Step::Send(whole("a1", "good"))]).await;
+    let fixture = Fixture::start(Some(view(&[&silent, &sound]))).await;
+    assert_eq!(fixture.call("safe", "a1").await.unwrap().status(), 200);
+}
+
 /// Guards against a stream that breaks off though another endpoint can continue it, and against
 /// events that come twice or in part.
 #[tokio::test]
