--- a/crates/wasabipoint_policy/tests/load_belief.rs
+++ b/crates/wasabipoint_policy/tests/load_belief.rs
@@ -105,10 +105,19 @@
 /// Guards against a draw that goes to a busier endpoint.
 #[test]
 fn only_equals_are_drawn() {
-    let costs = [0.50, 0.10, 0.11, 0.30];
+    let costs = [0.50, 0.10, 0.12, 0.30];
     for draw in 0..10 {
         let chosen = choose_least(&costs, draw);
         assert!(matches!(chosen, Some(1 | 2)), "{chosen:?}");
     }
     assert_eq!(choose_least(&[], 3), None);
 }
+
+/// Guards against a draw that sends requests to another failure domain, which costs 3% of the slots,
+/// while an endpoint in the own one is as idle.
+#[test]
+fn the_price_of_another_failure_domain_is_never_drawn_away() {
+    for draw in 0..10 {
+        assert_eq!(choose_least(&[0.13, 0.10], draw), Some(1));
+    }
+}
