Log the prompt parts and events of requests whose response broke

'routing: attempt failed' and 'routing: stream aborted' now contain the ids of the prompt parts and the number of chunks that completed events. No logic is changed.

--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -71,6 +71,8 @@
     executions: u32,
     refusals: u32,
     connect_failures: u32,
+    /// Chunks from the current endpoint that completed at least one event.
+    events: u32,
 }
 
 /// Counts a request as demand for its model until dropped.
@@ -158,6 +160,7 @@
             let selected = self.find_endpoint().await?;
             let endpoint = selected.endpoint.clone();
             self.attempts.tried.insert(endpoint.id.clone());
+            self.attempts.events = 0;
             let in_flight = self.track_in_flight(&selected);
             let exchange = self.send_attempt(&endpoint).await;
             self.log_attempt(&selected, &exchange);
@@ -340,7 +343,8 @@
         info!(self.forwarder.logger, "routing: attempt failed";
             "request" => &self.metadata.request_id, "endpoint" => %endpoint.id,
             "incarnation" => endpoint.incarnation.0, "detail" => detail,
-            "runs" => self.attempts.executions, "is_repeated" => can_retry);
+            "runs" => self.attempts.executions, "is_repeated" => can_retry,
+            "events" => self.attempts.events, "parts" => self.parts_for_log());
         can_retry
     }
 
--- a/crates/wasabipoint_entry/src/forward/call/records.rs
+++ b/crates/wasabipoint_entry/src/forward/call/records.rs
@@ -119,6 +119,14 @@
         self.forwarder.metrics.count_outcome("broken_off");
         warn!(self.forwarder.logger, "routing: stream aborted";
             "request" => &self.metadata.request_id, "endpoint" => %endpoint.id,
-            "detail" => detail, "elapsed_ms" => self.arrived_at.elapsed().as_millis() as u64);
+            "detail" => detail, "elapsed_ms" => self.arrived_at.elapsed().as_millis() as u64,
+            "events" => self.attempts.events, "parts" => self.parts_for_log());
+    }
+
+    /// Returns the ids of the request's prompt parts in order, in hexadecimal, separated by commas.
+    pub(super) fn parts_for_log(&self) -> String {
+        let parts = self.metadata.prompt_parts.iter();
+        let ids: Vec<String> = parts.map(|(part, _)| format!("{part:x}")).collect();
+        ids.join(",")
     }
 }
--- a/crates/wasabipoint_entry/src/forward/call/relay.rs
+++ b/crates/wasabipoint_entry/src/forward/call/relay.rs
@@ -44,6 +44,7 @@
                 relayed = relay_chunk(&mut active.started, &mut events, &sender) => match relayed {
                     Ok(RelayedChunk::PartialEvent) => continue,
                     Ok(RelayedChunk::CompleteEvents) => {
+                        self.attempts.events += 1;
                         timing.record_event(Instant::now());
                         continue;
                     }
--- a/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
@@ -20,8 +20,8 @@
 use wasabipoint_http::{ClientError, HttpClient};
 use wasabipoint_kernel::{
     CallerLimits, CustomerId, Deployment, EndpointId, EntryId, FailureDomain, ForwardCustomer,
-    ForwardRoute, ForwardService, Incarnation, KeyDigester, RateUnit, RouteName, RunPolicy,
-    ServiceName,
+    ForwardRoute, ForwardService, Incarnation, KeyDigester, ModelName, RateUnit, RouteName,
+    RunPolicy, ServiceName,
 };
 use wasabipoint_rpc::{
     ClaimOutcome, ClaimRequest, ControlError, EndpointKind, EndpointView, EntryDirective,
@@ -39,6 +39,8 @@
         Some(RequestMetadata {
             request_id: text("id")?,
             key: text("key"),
+            model: text("model").map(ModelName::new),
+            prompt_parts: text("parts").map_or(Vec::new(), |parts| parse_parts(&parts)),
             ..RequestMetadata::default()
         })
     }
@@ -61,6 +63,18 @@
     }
 }
 
+/// Parses prompt parts that are written as `ID:TOKENS` with a hexadecimal id, separated by commas.
+fn parse_parts(text: &str) -> Vec<(u64, u64)> {
+    let parts = text.split(',').map(|part| {
+        let (id, tokens) = part.split_once(':').unwrap();
+        (
+            u64::from_str_radix(id, 16).unwrap(),
+            tokens.parse().unwrap(),
+        )
+    });
+    parts.collect()
+}
+
 /// Control stub that serves a fixed fleet view, or none.
 pub(crate) struct StaticControl {
     fleet_view: Option<FleetView>,
--- a/crates/wasabipoint_entry/tests/forward_sockets/records.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/records.rs
@@ -199,3 +199,32 @@
         })
         .await;
 }
+
+/// Guards against records of requests at a crashed endpoint that cannot be told apart: which of them
+/// had received events, and which prompt parts they share.
+#[tokio::test]
+async fn a_broken_response_is_logged_with_its_prompt_parts_and_events() {
+    let event = "id: 1\ndata: x\n\n";
+    let first = Endpoint::start(vec![ScriptStep::SendAndClose(chunked_response(
+        "a1",
+        &[event],
+        false,
+    ))])
+    .await;
+    let output = LogOutput::default();
+    output
+        .run_with_logger(async |logger| {
+            let fixture = Fixture::start_logged(Some(fleet_view(&[&first])), logger).await;
+            let mut request = fixture.build_request("stream", "a1");
+            let parts = "5c1e:800,91bd:410".parse().unwrap();
+            request.headers_mut().insert("parts", parts);
+            let fetched = fixture.client.fetch(request, 1_024, RESPONSE_TIMEOUT).await;
+            assert!(fetched.is_err());
+        })
+        .await;
+    let record = output.record("a1", "routing: stream aborted");
+    assert_eq!(
+        (&record["parts"], &record["events"]),
+        (&Value::from("5c1e,91bd"), &Value::from(1))
+    );
+}
