Add a failing test of a prompt part that crashes engines

Three forwarding entry processes, a control member and eight engines; a part in the middle of otherwise shared prompts crashes each engine that begins a response to it.

--- /dev/null
+++ b/crates/wasabipoint_testbed/tests/forwarding/engine.rs
@@ -0,0 +1,175 @@
+//! Engines on loopback that crash when they begin to write a response to a certain prompt part.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::watch;
+use wasabipoint_kernel::{EndpointId, FailureDomain, Incarnation, ModelName, ServiceName};
+use wasabipoint_rpc::{EndpointKind, EndpointView};
+
+/// Name of the service that the engines provide.
+pub(crate) const SERVICE: &str = "engines";
+
+/// The model that every engine has loaded.
+pub(crate) const MODEL: &str = "m1";
+
+/// Time from a crash of an engine until it accepts connections again.
+const RESTART_TIME: Duration = Duration::from_millis(700);
+
+/// Number of events of a response, and the interval between them.
+const EVENTS: u64 = 12;
+const EVENT_INTERVAL: Duration = Duration::from_millis(15);
+
+/// An engine that keeps its address over restarts.
+pub(crate) struct Engine {
+    id: EndpointId,
+    address: SocketAddr,
+    incarnation: AtomicU64,
+    deadly_part: Mutex<Option<String>>,
+    /// Requests with the deadly part that arrived.
+    pub(crate) deadly_arrivals: AtomicU32,
+    pub(crate) crashes: AtomicU32,
+    /// Number of crashes; a change closes all connections.
+    crash_sender: watch::Sender<u32>,
+}
+
+impl Engine {
+    pub(crate) fn start(index: usize) -> Arc<Self> {
+        let socket = bind("127.0.0.1:0".parse().unwrap());
+        let engine = Arc::new(Self {
+            id: EndpointId::new(format!("engine-{index}")),
+            address: socket.local_addr().unwrap(),
+            incarnation: AtomicU64::new(1),
+            deadly_part: Mutex::new(None),
+            deadly_arrivals: AtomicU32::new(0),
+            crashes: AtomicU32::new(0),
+            crash_sender: watch::Sender::new(0),
+        });
+        tokio::spawn(Arc::clone(&engine).run(socket));
+        engine
+    }
+
+    /// Makes the engine crash on requests with a prompt part, given in hexadecimal.
+    pub(crate) fn crash_on(&self, part: &str) {
+        *self.deadly_part.lock().unwrap() = Some(part.to_owned());
+    }
+
+    /// Closes all connections and restarts the engine, whatever it serves.
+    pub(crate) fn crash(&self) {
+        self.crashes.fetch_add(1, Ordering::Relaxed);
+        self.crash_sender.send_modify(|crashes| *crashes += 1);
+    }
+
+    pub(crate) fn view(&self) -> EndpointView {
+        EndpointView {
+            id: self.id.clone(),
+            incarnation: Incarnation(self.incarnation.load(Ordering::Relaxed)),
+            address: self.address,
+            failure_domain: FailureDomain::new("here"),
+            kind: EndpointKind::Engine,
+            service: ServiceName::new(SERVICE),
+            models: vec![ModelName::new(MODEL)],
+            concurrency: 16,
+            is_leaving: false,
+        }
+    }
+
+    async fn run(self: Arc<Self>, mut socket: TcpSocket) {
+        loop {
+            // Bound before the listener closes, so that no other socket receives the port.
+            let next_socket = bind(self.address);
+            let listener = socket.listen(64).unwrap();
+            let mut crashed = self.crash_sender.subscribe();
+            loop {
+                tokio::select! {
+                    accepted = listener.accept() => {
+                        let (stream, _) = accepted.unwrap();
+                        tokio::spawn(Arc::clone(&self).serve(stream));
+                    }
+                    _ = crashed.changed() => break,
+                }
+            }
+            drop(listener);
+            tokio::time::sleep(RESTART_TIME).await;
+            self.incarnation.fetch_add(1, Ordering::Relaxed);
+            socket = next_socket;
+        }
+    }
+
+    async fn serve(self: Arc<Self>, mut stream: TcpStream) {
+        let mut crashed = self.crash_sender.subscribe();
+        tokio::select! {
+            _ = crashed.changed() => {}
+            () = self.serve_requests(&mut stream) => {}
+        }
+        // An engine that crashes leaves its connections reset.
+        let _ = stream.set_zero_linger();
+    }
+
+    async fn serve_requests(&self, stream: &mut TcpStream) {
+        while let Some(head) = read_head(stream).await {
+            if self.respond(stream, &head).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn respond(&self, stream: &mut TcpStream, head: &str) -> std::io::Result<()> {
+        let id = header(head, "id").unwrap();
+        let text = format!("HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n");
+        stream.write_all(text.as_bytes()).await?;
+        let deadly_part = self.deadly_part.lock().unwrap().clone();
+        let parts = header(head, "parts").unwrap_or_default();
+        if deadly_part.is_some_and(|deadly| parts.contains(&format!("{deadly}:"))) {
+            self.deadly_arrivals.fetch_add(1, Ordering::Relaxed);
+            tokio::time::sleep(EVENT_INTERVAL).await;
+            self.crash();
+            std::future::pending::<()>().await;
+        }
+        for event in 1..=EVENTS {
+            tokio::time::sleep(EVENT_INTERVAL).await;
+            let event = format!("id: {event}\ndata: x\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            stream.write_all(chunk.as_bytes()).await?;
+        }
+        stream.write_all(b"0\r\n\r\n").await
+    }
+}
+
+/// Binds a socket. Several may be bound to one address as long as at most one of them listens.
+fn bind(address: SocketAddr) -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_reuseport(true).unwrap();
+    socket.bind(address).unwrap();
+    socket
+}
+
+/// Reads a request with a body of known length and returns its head in lower case.
+async fn read_head(stream: &mut TcpStream) -> Option<String> {
+    let mut received = Vec::new();
+    loop {
+        let end = received.windows(4).position(|end| end == b"\r\n\r\n");
+        if let Some(end) = end {
+            let head = String::from_utf8_lossy(&received[..end]).to_lowercase();
+            let length: usize =
+                header(&head, "content-length").map_or(0, |length| length.parse().unwrap());
+            if received.len() >= end + 4 + length {
+                return Some(head);
+            }
+        }
+        let mut buffer = [0; 2_048];
+        match stream.read(&mut buffer).await {
+            Ok(count) if count > 0 => received.extend_from_slice(&buffer[..count]),
+            _ => return None,
+        }
+    }
+}
+
+fn header(head: &str, name: &str) -> Option<String> {
+    let mut lines = head.lines();
+    lines.find_map(|line| Some(line.strip_prefix(name)?.strip_prefix(": ")?.to_owned()))
+}
--- /dev/null
+++ b/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
@@ -0,0 +1,383 @@
+//! A control member, forwarding entry processes and engines on loopback.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::{HeaderMap, Request, StatusCode, request, response};
+use slog::{Discard, Logger, o};
+use tokio::net::{TcpListener, TcpStream};
+use wasabipoint_control::{
+    CommandAnswer, ControlConfig, ControlServer, EndpointDirectory, EngineCommand, EngineCommander,
+    EngineState, PlatformIntegration, RateAllowance,
+};
+use wasabipoint_entry::{
+    ForwardConfig, ForwardDialect, ForwardMetadata, Forwarder, RequestMetadata, ResponseMetadata,
+    RpcControlLink,
+};
+use wasabipoint_http::HttpClient;
+use wasabipoint_kernel::{
+    CallerLimits, Deployment, EndpointId, EngineModel, EngineSpec, EntryId, FailureDomain,
+    ForwardRoute, ForwardService, Incarnation, MemberId, ModelName, RouteName, RunPolicy,
+    ServiceName,
+};
+use wasabipoint_rpc::EndpointView;
+
+use super::engine::{Engine, MODEL, SERVICE};
+
+/// Time limit for one step of a test.
+pub(crate) const STEP_TIMEOUT: Duration = Duration::from_secs(30);
+
+const OPERATOR_TOKEN: &str = "operator";
+
+/// Dialect with short header names.
+struct TestDialect;
+
+impl ForwardDialect for TestDialect {
+    fn read_request(&self, head: &request::Parts) -> Option<RequestMetadata> {
+        let text = |name: &str| Some(head.headers.get(name)?.to_str().ok()?.to_owned());
+        Some(RequestMetadata {
+            request_id: text("id")?,
+            model: text("model").map(ModelName::new),
+            prompt_parts: text("parts").map_or(Vec::new(), |parts| parse_parts(&parts)),
+            ..RequestMetadata::default()
+        })
+    }
+
+    fn write_request(&self, headers: &mut HeaderMap, metadata: &ForwardMetadata<'_>) {
+        if let Some(id) = metadata.last_event_id {
+            headers.insert("last-event-id", id.into());
+        }
+    }
+
+    fn read_response(&self, head: &response::Parts, _: &EndpointId) -> ResponseMetadata {
+        let text = |name: &str| Some(head.headers.get(name)?.to_str().ok()?.to_owned());
+        ResponseMetadata {
+            request_id: text("id"),
+            is_not_run: text("not-run").is_some(),
+            is_signed: true,
+            ..ResponseMetadata::default()
+        }
+    }
+}
+
+/// Parses prompt parts that are written as `ID:TOKENS` with a hexadecimal id, separated by commas.
+fn parse_parts(text: &str) -> Vec<(u64, u64)> {
+    let parts = text.split(',').map(|part| {
+        let (id, tokens) = part.split_once(':').unwrap();
+        (
+            u64::from_str_radix(id, 16).unwrap(),
+            tokens.parse().unwrap(),
+        )
+    });
+    parts.collect()
+}
+
+/// Lists the engines as they are.
+struct EngineDirectory(Vec<Arc<Engine>>);
+
+impl EndpointDirectory for EngineDirectory {
+    fn list(&self) -> BoxFuture<'_, Result<Vec<EndpointView>, String>> {
+        let engines = self.0.iter().map(|engine| engine.view());
+        Box::pin(std::future::ready(Ok(engines.collect())))
+    }
+}
+
+/// Reports an engine as in its listed state if it can be connected to.
+struct ConnectingCommander;
+
+impl EngineCommander for ConnectingCommander {
+    fn state(&self, endpoint: &EndpointView) -> BoxFuture<'_, Result<EngineState, String>> {
+        let (address, models) = (endpoint.address, endpoint.models.clone());
+        Box::pin(async move {
+            let connected = TcpStream::connect(address).await;
+            connected.map_err(|error| error.to_string())?;
+            Ok(EngineState {
+                local_models: models.clone(),
+                models,
+                is_busy: false,
+                sequence: 0,
+            })
+        })
+    }
+
+    fn command(
+        &self,
+        _: &EndpointView,
+        _: &EngineCommand,
+    ) -> BoxFuture<'_, Result<CommandAnswer, String>> {
+        Box::pin(std::future::ready(Ok(CommandAnswer::Rejected)))
+    }
+}
+
+fn deployment() -> Deployment {
+    let model = EngineModel {
+        name: ModelName::new(MODEL),
+        weights_mb: 100,
+        store_load_ms: 1_000,
+        disk_load_ms: 100,
+        adapter_count: 0,
+        adapter_mb: 0,
+    };
+    let engine = EngineSpec {
+        slots: 16,
+        cache_tokens: 100_000,
+        weights_mb: 100,
+        max_adapters: 1,
+        store_loads_per_1000_s: 1_000,
+        models: BTreeMap::from([(model.name.clone(), model)]),
+    };
+    let service = ForwardService {
+        name: ServiceName::new(SERVICE),
+        max_connections: 100,
+        engine: Some(engine),
+    };
+    let route = ForwardRoute {
+        name: RouteName::new("chat"),
+        host: "app.example".to_owned(),
+        path_prefix: "/".to_owned(),
+        run_policy: RunPolicy::ResumableStream,
+        timeout_ms: 10_000,
+        latency_objective_ms: 500,
+        max_gap_ms: 150,
+        priority: 0,
+        services: vec![(service.name.clone(), 1)],
+        max_attempts: 2,
+        is_public: true,
+        is_cacheable: true,
+    };
+    Deployment {
+        version: 1,
+        routes: vec![route],
+        services: BTreeMap::from([(service.name.clone(), service)]),
+        customers: BTreeMap::new(),
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1_024,
+            head_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        },
+    }
+}
+
+fn new_data_folder() -> PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let name = format!("forwarding-{}-{number}", std::process::id());
+    let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn discard_logger() -> Logger {
+    Logger::root(Discard, o!())
+}
+
+async fn start_control(engines: &[Arc<Engine>], members: usize) -> Vec<ControlServer> {
+    let mut listeners = Vec::new();
+    for _ in 0..members {
+        listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+    }
+    let ids = (1..).map(MemberId);
+    let addresses = listeners
+        .iter()
+        .map(|listener| listener.local_addr().unwrap());
+    let members: BTreeMap<MemberId, SocketAddr> = ids.zip(addresses).collect();
+    let mut servers = Vec::new();
+    for (member, listener) in members.keys().zip(listeners) {
+        let config = ControlConfig {
+            cluster: "test".to_owned(),
+            member: *member,
+            members: members.clone(),
+            is_joining: false,
+            uses_discovery: false,
+            rpc_listen: "127.0.0.1:0".parse().unwrap(),
+            http_listen: "127.0.0.1:0".parse().unwrap(),
+            data_folder: new_data_folder(),
+            failure_domain: "here".to_owned(),
+            key_secret: String::new(),
+            operator_token: OPERATOR_TOKEN.to_owned(),
+            platform_list: None,
+            tick_ms: 20,
+            snapshot_entries: 100,
+            slice_lifetime_ms: 1_000,
+            agent_silence: Duration::from_secs(5),
+            replace_after: Duration::from_secs(10),
+        };
+        let integration = PlatformIntegration {
+            directory: Arc::new(EngineDirectory(engines.to_vec())),
+            commander: Arc::new(ConnectingCommander),
+            command_lease: Duration::ZERO,
+            rate_allowance: RateAllowance::default(),
+            build_operator_api: |_, api| api,
+        };
+        let logger = discard_logger();
+        let started =
+            ControlServer::start_with_integration(config, listener, logger, Some(integration));
+        servers.push(started.await.unwrap());
+    }
+    servers
+}
+
+/// An entry process and the addresses that it serves.
+pub(crate) struct Entry {
+    address: SocketAddr,
+    status_address: SocketAddr,
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Control members, entry processes and engines, and a client for them.
+pub(crate) struct Fleet {
+    pub(crate) control: Vec<ControlServer>,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) engines: Vec<Arc<Engine>>,
+    client: HttpClient,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every entry process serves.
+    pub(crate) async fn start(members: usize, entries: usize, engines: usize) -> Self {
+        let engines: Vec<_> = (0..engines).map(Engine::start).collect();
+        let control = start_control(&engines, members).await;
+        let mut fleet = Self {
+            control,
+            entries: Vec::new(),
+            engines,
+            client: HttpClient::without_pool(STEP_TIMEOUT),
+        };
+        fleet.apply_deployment().await;
+        for _ in 0..entries {
+            fleet.add_entry().await;
+        }
+        fleet
+    }
+
+    async fn apply_deployment(&self) {
+        let applied = async {
+            loop {
+                for member in &self.control {
+                    let store = member.deployment_store();
+                    if store.apply(Vec::new(), deployment()).await.is_ok() {
+                        return;
+                    }
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(STEP_TIMEOUT, applied).await.unwrap();
+    }
+
+    /// Starts another entry process, waits until it is ready and returns its index.
+    pub(crate) async fn add_entry(&mut self) -> usize {
+        let index = self.entries.len();
+        let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let status = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let config = ForwardConfig {
+            entry: EntryId::new(format!("entry-{index}")),
+            listen: callers.local_addr().unwrap(),
+            status_listen: status.local_addr().unwrap(),
+            ready_path: "/ready",
+            failure_domain: FailureDomain::new("here"),
+            key_secret: String::new(),
+            grace: Duration::from_secs(2),
+        };
+        let (address, status_address) = (config.listen, config.status_listen);
+        let members: Vec<SocketAddr> = self
+            .control
+            .iter()
+            .map(ControlServer::rpc_address)
+            .collect();
+        let forwarder = Arc::new(Forwarder::new(
+            config,
+            Incarnation(1),
+            Arc::new(TestDialect),
+            Arc::new(RpcControlLink::new(&members)),
+            discard_logger(),
+        ));
+        let task = tokio::spawn(async move {
+            forwarder
+                .run_on(callers, status, std::future::pending())
+                .await;
+        });
+        self.entries.push(Entry {
+            address,
+            status_address,
+            task,
+        });
+        let ready = async {
+            while !self.is_ready(index).await {
+                tokio::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        tokio::time::timeout(STEP_TIMEOUT, ready).await.unwrap();
+        index
+    }
+
+    async fn is_ready(&self, entry: usize) -> bool {
+        let uri = format!("http://{}/ready", self.entries[entry].status_address);
+        let request = Request::get(uri).body(Bytes::new()).unwrap();
+        let fetched = self.client.fetch(request, 1_024, STEP_TIMEOUT).await;
+        fetched.is_ok_and(|response| response.status().is_success())
+    }
+
+    /// Sends a request with prompt parts through an entry process. Returns `None` if its response
+    /// broke off.
+    pub(crate) async fn send(&self, entry: usize, parts: &str) -> Option<http::Response<Bytes>> {
+        static NEXT_REQUEST: AtomicU32 = AtomicU32::new(0);
+        let id = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
+        let request = Request::post(format!("http://{}/chat", self.entries[entry].address))
+            .header("host", "app.example")
+            .header("id", id.to_string())
+            .header("model", MODEL)
+            .header("parts", parts)
+            .body(Bytes::from_static(b"prompt"))
+            .unwrap();
+        self.client.fetch(request, 65_536, STEP_TIMEOUT).await.ok()
+    }
+
+    /// Repeats a sound request until it is served.
+    pub(crate) async fn send_until_served(&self, entry: usize, parts: &str) {
+        let served = async {
+            loop {
+                let response = self.send(entry, parts).await;
+                if response.is_some_and(|response| response.status() == StatusCode::OK) {
+                    return;
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        };
+        tokio::time::timeout(STEP_TIMEOUT, served).await.unwrap();
+    }
+
+    pub(crate) fn crash_on(&self, part: &str) {
+        for engine in &self.engines {
+            engine.crash_on(part);
+        }
+    }
+
+    /// Returns the number of requests with the deadly part that arrived at engines.
+    pub(crate) fn deadly_arrivals(&self) -> u32 {
+        let engines = self.engines.iter();
+        let arrivals = engines.map(|engine| engine.deadly_arrivals.load(Ordering::Relaxed));
+        arrivals.sum()
+    }
+
+    /// Returns the number of crashes of all engines.
+    pub(crate) fn crashes(&self) -> u32 {
+        let engines = self.engines.iter();
+        engines
+            .map(|engine| engine.crashes.load(Ordering::Relaxed))
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/wasabipoint_testbed/tests/forwarding/main.rs
@@ -0,0 +1,8 @@
+//! Forwarding entry processes and control members with engines that fail in ways that only the
+//! whole fleet can recognize.
+
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod engine;
+mod fixture;
+mod quarantine;
