Do not complete an unframed stream that has no events

A stream may come with neither a length nor chunks and end with its connection. When its engine crashed at the first event, the caller received an empty response that looked complete, and the prompt counted as answered, which cleared a part that crashes engines.

Such a stream is broken now, like one that ends inside an event. Streams with a length or chunks end as before.

an_unframed_stream_without_events_is_not_complete failed before; the two other new tests (a clean end completes an unframed response, a reset does not) passed before and guard what the change must keep.

--- a/crates/wasabipoint_entry/src/forward/call/relay.rs
+++ b/crates/wasabipoint_entry/src/forward/call/relay.rs
@@ -35,13 +35,14 @@
         let mut events = EventSplitter::default();
         let mut timing = StreamTiming::default();
         loop {
+            let has_events = self.attempts.events > 0;
             let failure = tokio::select! {
                 biased;
                 () = sender.closed() => {
                     self.log_caller_disconnected(&active.in_flight.endpoint);
                     return;
                 }
-                relayed = relay_chunk(&mut active.started, &mut events, &sender) => match relayed {
+                relayed = relay_chunk(&mut active.started, &mut events, has_events, &sender) => match relayed {
                     Ok(RelayedChunk::PartialEvent) => continue,
                     Ok(RelayedChunk::CompleteEvents) => {
                         self.record_events();
@@ -110,10 +111,12 @@
     EndOfStream,
 }
 
-/// Reads the next chunk and relays the events that it completes.
+/// Reads the next chunk and relays the events that it completes. `has_events` tells whether the
+/// endpoint has already sent some.
 async fn relay_chunk(
     started: &mut StartedResponse,
     events: &mut EventSplitter,
+    has_events: bool,
     sender: &mpsc::Sender<Option<Bytes>>,
 ) -> Result<RelayedChunk, ResponseFailure> {
     let Some(chunk) = started.next_chunk().await? else {
@@ -121,6 +124,11 @@
             let detail = "the stream ended inside an event";
             return Err(ResponseFailure::ConnectionLost(detail.to_owned()));
         }
+        // Without chunks and a length, the crash of an engine looks like the end of its stream.
+        if !has_events && !started.has_framed_body() {
+            let detail = "the stream ended before its first event";
+            return Err(ResponseFailure::ConnectionLost(detail.to_owned()));
+        }
         // A closed channel means that the caller disconnected, which `relay_events` detects.
         let _ = sender.send(None).await;
         return Ok(RelayedChunk::EndOfStream);
--- a/crates/wasabipoint_entry/tests/forward_sockets.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets.rs
@@ -8,6 +8,8 @@
 mod fixture;
 #[path = "forward_sockets/records.rs"]
 mod records;
+#[path = "forward_sockets/unframed.rs"]
+mod unframed;
 
 use std::time::Duration;
 
--- a/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
@@ -119,6 +119,8 @@
     Send(String),
     /// Sends the bytes and closes the connection.
     SendAndClose(String),
+    /// Sends the bytes and, after they were read, resets the connection.
+    SendAndReset(String),
     /// Sends the first bytes, then the rest after a pause.
     SendWithPause(String, Duration, String),
     /// Closes the connection.
@@ -194,6 +196,12 @@
                 stream.write_all(text.as_bytes()).await.unwrap();
                 return;
             }
+            ScriptStep::SendAndReset(text) => {
+                stream.write_all(text.as_bytes()).await.unwrap();
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                stream.set_zero_linger().unwrap();
+                return;
+            }
             ScriptStep::Endless(first, repeated, closed) => {
                 let mut next = stream.write_all(first.as_bytes()).await;
                 while next.is_ok() {
