--- a/crates/wasabipoint_entry/src/forward.rs
+++ b/crates/wasabipoint_entry/src/forward.rs
@@ -38,7 +38,7 @@
 
 pub use budget::RetryBudget;
 pub use dialect::{
-    ForwardDialect, ForwardMetadata, ReportedLoad, RequestMetadata, ResponseMetadata,
+    ForwardDialect, ForwardMetadata, ReportedLoad, RequestLimit, RequestMetadata, ResponseMetadata,
 };
 pub use endpoints::{Endpoints, SelectedEndpoint, SelectionCriteria};
 pub use events::EventSplitter;
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -181,6 +181,7 @@
                     self.attempts.executions += 1;
                     self.settle_reservation();
                     self.record_endpoint_load(&endpoint, &started.metadata);
+                    self.record_named_limit(&endpoint, &started.metadata);
                     return Ok(ActiveExchange { started, in_flight });
                 }
                 Ok(ExchangeOutcome::NotSent(_)) => {
@@ -192,6 +193,7 @@
                 }
                 Ok(ExchangeOutcome::NotRun { status, metadata }) => {
                     self.attempts.refusals += 1;
+                    self.record_named_limit(&endpoint, &metadata);
                     self.record_refusal(&endpoint, status, &metadata);
                     if self.attempts.refusals >= MAX_REFUSALS || !self.try_take_retry() {
                         return Err(self.unavailable_refusal("the endpoints are full"));
@@ -311,6 +313,22 @@
         }
     }
 
+    /// Records the limit on requests that a response names, or that it names none.
+    fn record_named_limit(&self, endpoint: &EndpointView, metadata: &super::ResponseMetadata) {
+        if metadata.is_wrong_endpoint {
+            return;
+        }
+        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+        let limit = metadata.request_limit;
+        let mut state = self.forwarder.lock();
+        if state.endpoints.record_limit(id, incarnation, limit) {
+            drop(state);
+            info!(self.forwarder.logger, "routing: request limit of an endpoint changed";
+                "request" => &self.metadata.request_id, "endpoint" => %id,
+                "incarnation" => incarnation.0, "limit" => ?limit);
+        }
+    }
+
     fn record_refusal(
         &self,
         endpoint: &EndpointView,
--- a/crates/wasabipoint_entry/src/forward/dialect.rs
+++ b/crates/wasabipoint_entry/src/forward/dialect.rs
@@ -57,8 +57,20 @@
     pub slots: u32,
 }
 
+/// What a response says about the number of requests that its endpoint accepts.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub enum RequestLimit {
+    /// The response names no limit, so that none is in force.
+    #[default]
+    None,
+    /// The endpoint accepts this number of requests per second from all entry processes together.
+    PerSecond(f64),
+    /// The limit cannot be read; an earlier one stays in force.
+    Unreadable,
+}
+
 /// Metadata read from the headers of an endpoint's response.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseMetadata {
     /// Id of the request that the response belongs to.
     pub request_id: Option<String>,
@@ -70,6 +82,8 @@
     pub is_signed: bool,
     /// Load that the endpoint reports.
     pub load: Option<ReportedLoad>,
+    /// Limit on requests that the endpoint names.
+    pub request_limit: RequestLimit,
     /// How long the endpoint keeps an idle connection open, in seconds.
     pub keep_alive_s: Option<u64>,
 }
--- a/crates/wasabipoint_entry/src/forward/endpoints.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints.rs
@@ -6,7 +6,7 @@
 use wasabipoint_policy::{LoadEstimate, choose_lowest_cost, mean_load};
 use wasabipoint_rpc::EndpointView;
 
-use super::dialect::ReportedLoad;
+use super::dialect::{ReportedLoad, RequestLimit};
 
 /// Time that an endpoint is avoided after a failure, in milliseconds.
 const AVOIDANCE_MS: u64 = 1_500;
@@ -38,6 +38,8 @@
     avoid_until_ms: u64,
     unreachable_until_ms: u64,
     missing_until_ms: BTreeMap<ModelName, u64>,
+    /// Limit in requests per second that the endpoint named last.
+    limit_per_s: Option<f64>,
     /// Time of last use in milliseconds, by model and id of the prompt part.
     cached_parts: HashMap<(ModelName, u64), u64>,
 }
@@ -106,6 +108,7 @@
                 avoid_until_ms: 0,
                 unreachable_until_ms: 0,
                 missing_until_ms: BTreeMap::new(),
+                limit_per_s: None,
                 cached_parts: HashMap::new(),
             };
             self.states.insert(id.clone(), state);
@@ -267,6 +270,24 @@
         }
     }
 
+    /// Records the limit that an endpoint names. Returns whether it changed.
+    pub fn record_limit(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        limit: RequestLimit,
+    ) -> bool {
+        let limit_per_s = match limit {
+            RequestLimit::None => None,
+            RequestLimit::PerSecond(limit_per_s) => Some(limit_per_s),
+            RequestLimit::Unreadable => return false,
+        };
+        let Some(state) = self.state_mut(endpoint, incarnation) else {
+            return false;
+        };
+        std::mem::replace(&mut state.limit_per_s, limit_per_s) != limit_per_s
+    }
+
     /// Avoids an endpoint for `AVOIDANCE_MS`.
     pub fn avoid(&mut self, endpoint: &EndpointId, incarnation: Incarnation, now_ms: u64) {
         if let Some(state) = self.state_mut(endpoint, incarnation) {
