--- a/crates/wasabipoint_testbed/tests/forwarding/engine.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/engine.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -33,6 +33,10 @@
     /// Requests with the deadly part that arrived.
     pub(crate) deadly_arrivals: AtomicU32,
     pub(crate) crashes: AtomicU32,
+    /// Limit in requests per second that the engine names in its responses.
+    limit_per_s: Mutex<Option<f64>>,
+    /// Arrival times of all requests.
+    arrivals: Mutex<Vec<Instant>>,
     /// Number of crashes; a change closes all connections.
     crash_sender: watch::Sender<u32>,
 }
@@ -47,6 +51,8 @@
             deadly_part: Mutex::new(None),
             deadly_arrivals: AtomicU32::new(0),
             crashes: AtomicU32::new(0),
+            limit_per_s: Mutex::new(None),
+            arrivals: Mutex::new(Vec::new()),
             crash_sender: watch::Sender::new(0),
         });
         tokio::spawn(Arc::clone(&engine).run(socket));
@@ -64,6 +70,26 @@
         self.crash_sender.send_modify(|crashes| *crashes += 1);
     }
 
+    /// Makes the engine name a limit in its responses, or none.
+    pub(crate) fn name_limit(&self, limit_per_s: Option<f64>) {
+        *self.limit_per_s.lock().unwrap() = limit_per_s;
+    }
+
+    /// Returns the highest number of requests that arrived within any window of this length after
+    /// `start`.
+    pub(crate) fn most_arrivals(&self, start: Instant, window: Duration) -> usize {
+        let arrivals = self.arrivals.lock().unwrap();
+        let since_start: Vec<Instant> =
+            arrivals.iter().copied().filter(|at| *at >= start).collect();
+        let in_window = |first: &Instant| {
+            let in_window = since_start
+                .iter()
+                .filter(|at| *at >= first && **at - *first < window);
+            in_window.count()
+        };
+        since_start.iter().map(in_window).max().unwrap_or(0)
+    }
+
     pub(crate) fn view(&self) -> EndpointView {
         EndpointView {
             id: self.id.clone(),
@@ -119,8 +145,12 @@
     }
 
     async fn respond(&self, stream: &mut TcpStream, head: &str) -> std::io::Result<()> {
+        self.arrivals.lock().unwrap().push(Instant::now());
         let id = header(head, "id").unwrap();
-        let text = format!("HTTP/1.1 200 OK\r\nid: {id}\r\ntransfer-encoding: chunked\r\n\r\n");
+        let limit_per_s = *self.limit_per_s.lock().unwrap();
+        let limit = limit_per_s.map_or(String::new(), |limit| format!("limit: {limit}\r\n"));
+        let text =
+            format!("HTTP/1.1 200 OK\r\nid: {id}\r\n{limit}transfer-encoding: chunked\r\n\r\n");
         stream.write_all(text.as_bytes()).await?;
         let deadly_part = self.deadly_part.lock().unwrap().clone();
         let parts = header(head, "parts").unwrap_or_default();
--- a/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
@@ -18,8 +18,8 @@
     EngineState, PlatformIntegration, RateAllowance,
 };
 use wasabipoint_entry::{
-    ForwardConfig, ForwardDialect, ForwardMetadata, Forwarder, RequestMetadata, ResponseMetadata,
-    RpcControlLink,
+    ForwardConfig, ForwardDialect, ForwardMetadata, Forwarder, RequestLimit, RequestMetadata,
+    ResponseMetadata, RpcControlLink,
 };
 use wasabipoint_http::HttpClient;
 use wasabipoint_kernel::{
@@ -62,6 +62,9 @@
             request_id: text("id"),
             is_not_run: text("not-run").is_some(),
             is_signed: true,
+            request_limit: text("limit").map_or(RequestLimit::None, |limit| {
+                RequestLimit::PerSecond(limit.parse().unwrap())
+            }),
             ..ResponseMetadata::default()
         }
     }
--- a/crates/wasabipoint_testbed/tests/forwarding/main.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/main.rs
@@ -5,4 +5,5 @@
 
 mod engine;
 mod fixture;
+mod limits;
 mod quarantine;
