Keep to the request limits that endpoints name, fleet-wide

Cause: no process read the limit, and the choice of an endpoint had no place for one that binds the sum over all entry processes.

Entry processes report what a response named, or that it named nothing, to the leader; the newest response decides. The leader deals out permissions for single requests at the rate of the limit, to those that ask for them; they expire after a second, so that the sum holds in any window whatever the number of processes, and demand that moves is followed. Each attempt uses one: first tries, retries and resumptions. An endpoint without a permission is not selected; if only limits prevent a request, it waits for a permission or another replica, or is refused at once with the time at which the limit allows it. Without a leader each process uses its equal share. Engines with less limit than demand do not count as replicas in the plan, so that their models are loaded elsewhere. A limit ends with the response that names none and with the endpoint's incarnation.

--- a/crates/wasabipoint_control/src/engines/planner.rs
+++ b/crates/wasabipoint_control/src/engines/planner.rs
@@ -180,11 +180,9 @@
     endpoints: &[EndpointView],
 ) -> Vec<PlannedChange> {
     let changes = control.with_leader_state(term, |leader| {
-        let unreachable = leader.unreachable_endpoints();
-        let is_reachable = |endpoint: &&EndpointView| {
-            !unreachable.contains_key(&(endpoint.id.clone(), endpoint.incarnation))
-        };
-        let endpoints: Vec<EndpointView> = endpoints.iter().filter(is_reachable).cloned().collect();
+        let is_usable = leader.usable_endpoints();
+        let usable = endpoints.iter().filter(|endpoint| is_usable(endpoint));
+        let endpoints: Vec<EndpointView> = usable.cloned().collect();
         let endpoints = endpoints.as_slice();
         let demand = sum_by_base_model(leader.demand());
         let models = model_loads(leader, spec, endpoints, &demand);
@@ -242,23 +240,20 @@
 }
 
 impl ControlContext {
-    /// Estimates the time until models are ready, for each of the given ones that no reachable
-    /// engine has loaded.
+    /// Estimates the time until models are ready, for each of the given ones that no usable engine
+    /// has loaded.
     pub(crate) fn estimate_loads(&self, term: u64, names: &[ModelName]) -> Vec<ColdEstimate> {
         self.with_leader_state(term, |leader| {
-            let unreachable = leader.unreachable_endpoints();
+            let is_usable = leader.usable_endpoints();
             self.member.read(|state| {
                 let Some(deployment) = &state.view.deployment else {
                     return Vec::new();
                 };
                 let endpoints = state.view.endpoints.values();
-                let reachable: Vec<&EndpointView> = endpoints
-                    .filter(|endpoint| {
-                        let key = (endpoint.id.clone(), endpoint.incarnation);
-                        !endpoint.is_leaving && !unreachable.contains_key(&key)
-                    })
+                let usable: Vec<&EndpointView> = endpoints
+                    .filter(|endpoint| !endpoint.is_leaving && is_usable(endpoint))
                     .collect();
-                let loaded: HashSet<&ModelName> = reachable
+                let loaded: HashSet<&ModelName> = usable
                     .iter()
                     .flat_map(|endpoint| &endpoint.models)
                     .collect();
@@ -269,7 +264,7 @@
                 if not_loaded.is_empty() {
                     return Vec::new();
                 }
-                let ids = reachable.iter().map(|endpoint| &endpoint.id);
+                let ids = usable.iter().map(|endpoint| &endpoint.id);
                 let forecast = leader.engines.forecast(ids);
                 let estimates = not_loaded.into_iter().filter_map(|name| {
                     let ready_in = estimate_load(&leader.engines, &forecast, deployment, name)?;
--- a/crates/wasabipoint_control/src/leader_state.rs
+++ b/crates/wasabipoint_control/src/leader_state.rs
@@ -6,9 +6,10 @@
 
 use tokio::time::Instant;
 use wasabipoint_kernel::{EndpointId, EntryId, FencingToken, Incarnation, ModelName};
-use wasabipoint_rpc::{AgentReport, CheckpointTier, EntryReport};
+use wasabipoint_rpc::{AgentReport, CheckpointTier, EndpointView, EntryReport};
 
 use crate::engines::EngineTracker;
+use crate::limits::EndpointLimits;
 use crate::placement::{DecisionRecord, LoadTimeEstimator, StoreRateLimiter};
 use crate::quarantine::PromptTracker;
 
@@ -73,6 +74,8 @@
     pub(crate) store_limiter: StoreRateLimiter,
     /// Engines that execute the commands of the leader.
     pub(crate) engines: EngineTracker,
+    /// Limits on requests that endpoints named.
+    pub(crate) limits: EndpointLimits,
     /// Evidence about prompt parts that may crash engines.
     pub(crate) prompts: PromptTracker,
     bounds: SilenceBounds,
@@ -97,6 +100,7 @@
             load_times: LoadTimeEstimator::default(),
             store_limiter: StoreRateLimiter::new(now),
             engines: EngineTracker::new(),
+            limits: EndpointLimits::new(),
             prompts: PromptTracker::new(term),
             bounds,
             checkpoint_tiers: BTreeMap::new(),
@@ -217,6 +221,24 @@
         counts
     }
 
+    /// Returns the number of entry processes that report.
+    pub(crate) fn reporting_entries(&self) -> u32 {
+        let entries = self.entries.values();
+        let reporting = entries.filter(|entry| entry.received_at.elapsed() <= ENTRY_REPORT_TIMEOUT);
+        reporting.count() as u32
+    }
+
+    /// Returns whether an endpoint can serve the requests that its models attract: entry processes
+    /// can connect to it, and it names no limit below what they want to send.
+    pub(crate) fn usable_endpoints(&self) -> impl Fn(&EndpointView) -> bool + use<> {
+        let unreachable = self.unreachable_endpoints();
+        let limited = self.limits.binding();
+        move |endpoint| {
+            let key = (endpoint.id.clone(), endpoint.incarnation);
+            !unreachable.contains_key(&key) && !limited.contains(&key)
+        }
+    }
+
     /// Returns the time since an agent's last report, or since the start of the term if there was
     /// none.
     fn silence(&self, endpoint: &EndpointId, incarnation: Incarnation) -> Duration {
--- a/crates/wasabipoint_control/src/lib.rs
+++ b/crates/wasabipoint_control/src/lib.rs
@@ -8,6 +8,7 @@
 mod engines;
 mod identity;
 mod leader_state;
+mod limits;
 mod member;
 mod membership;
 mod metrics;
--- a/crates/wasabipoint_control/src/rpc.rs
+++ b/crates/wasabipoint_control/src/rpc.rs
@@ -333,6 +333,7 @@
         let now_ms = log_time.map_err(|error| control.member.refusal_for(error))?;
         let draining = report.draining_endpoints.clone();
         let prompts = control.record_prompt_report(term, &report);
+        let limits = control.record_limit_report(term, &report);
         let reported_models: Vec<_> = report
             .demand
             .iter()
@@ -381,6 +382,9 @@
             cold_estimates,
             next_report_ms: REPORT_INTERVAL_MS,
             prompts,
+            limits,
+            entry_processes: control
+                .with_leader_state(term, |leader_state| leader_state.reporting_entries()),
         })
     }
 
--- a/crates/wasabipoint_control/tests/cluster/fixture.rs
+++ b/crates/wasabipoint_control/tests/cluster/fixture.rs
@@ -204,6 +204,7 @@
         draining_endpoints: Vec::new(),
         unreachable_endpoints: Vec::new(),
         prompts: PromptReport::default(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/wasabipoint_entry/src/forward.rs
+++ b/crates/wasabipoint_entry/src/forward.rs
@@ -473,6 +473,12 @@
         }
     }
 
+    /// Returns the time until control expects a model to be loaded, as far as it is known.
+    fn known_load_time(&self, model: &ModelName) -> Option<Duration> {
+        let (ready_at, _) = self.lock().load_times.get(model).copied()?;
+        Some(ready_at.saturating_duration_since(Instant::now()))
+    }
+
     /// Returns the time until control expects a model to be loaded, `None` without an estimate.
     /// Sends a report first unless the known estimate is recent.
     async fn fetch_load_time(&self, model: &ModelName) -> Option<Duration> {
@@ -483,9 +489,7 @@
             return Some(ready_at.saturating_duration_since(Instant::now()));
         }
         self.send_report(false).await;
-        let state = self.lock();
-        let (ready_at, _) = state.load_times.get(model)?;
-        Some(ready_at.saturating_duration_since(Instant::now()))
+        self.known_load_time(model)
     }
 
     /// Sends a demand report, but skips an empty one if `was_idle`. Returns whether the demand is
@@ -493,14 +497,17 @@
     async fn send_report(&self, was_idle: bool) -> bool {
         let mut sequence = self.report_sequence.lock().await;
         let now_ms = self.clock.now_ms();
-        let (demand, unreachable, prompts) = {
+        let (demand, unreachable, prompts, limits) = {
             let mut state = self.lock();
             let unreachable = state.endpoints.unreachable(now_ms);
             let demand = state.demand.take_report();
-            if demand.is_empty() && was_idle && !state.prompts.has_news() {
+            let has_news = state.prompts.has_news() || state.endpoints.has_limits();
+            if demand.is_empty() && was_idle && !has_news {
                 return true;
             }
-            (demand, unreachable, state.prompts.take_report(now_ms))
+            let prompts = state.prompts.take_report(now_ms);
+            let limits = state.endpoints.take_limit_reports(now_ms);
+            (demand, unreachable, prompts, limits)
         };
         let is_idle = demand.is_empty();
         *sequence += 1;
@@ -513,6 +520,7 @@
             draining_endpoints: Vec::new(),
             unreachable_endpoints: unreachable,
             prompts,
+            limits,
         };
         drop(sequence);
         // A failed report is not repeated; the next one follows.
@@ -525,9 +533,25 @@
             });
             let mut state = self.lock();
             state.load_times = times.collect();
+            let received_ms = self.clock.now_ms();
+            let (changed_limits, may_send) = state.endpoints.apply_limits(
+                &directive.limits,
+                directive.entry_processes,
+                now_ms,
+                received_ms,
+            );
             if state.prompts.apply_directive(directive.prompts) {
                 self.report_requested.notify_one();
             }
+            drop(state);
+            for endpoint in changed_limits {
+                info!(self.logger, "routing: request limit of an endpoint learnt from control";
+                    "endpoint" => %endpoint);
+            }
+            if may_send {
+                // Wakes requests that wait for a permission.
+                self.fleet_changed.send_modify(|_| {});
+            }
         }
         is_idle
     }
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -280,6 +280,13 @@
         state.endpoints.select(&self.selection_criteria(), now_ms)
     }
 
+    /// Selects an endpoint for the next attempt and uses the permission that its limit requires.
+    fn take_endpoint(&self) -> Option<SelectedEndpoint> {
+        let mut state = self.forwarder.lock();
+        let now_ms = self.forwarder.clock.now_ms();
+        state.endpoints.take(&self.selection_criteria(), now_ms)
+    }
+
     fn selection_criteria(&self) -> SelectionCriteria<'_> {
         SelectionCriteria {
             service: &self.service,
@@ -320,9 +327,11 @@
         }
         let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
         let limit = metadata.request_limit;
+        let now_ms = self.forwarder.clock.now_ms();
         let mut state = self.forwarder.lock();
-        if state.endpoints.record_limit(id, incarnation, limit) {
+        if state.endpoints.record_limit(id, incarnation, limit, now_ms) {
             drop(state);
+            self.forwarder.report_requested.notify_one();
             info!(self.forwarder.logger, "routing: request limit of an endpoint changed";
                 "request" => &self.metadata.request_id, "endpoint" => %id,
                 "incarnation" => incarnation.0, "limit" => ?limit);
--- a/crates/wasabipoint_entry/src/forward/call/wait.rs
+++ b/crates/wasabipoint_entry/src/forward/call/wait.rs
@@ -37,6 +37,9 @@
 /// Delay before a request is sent again to endpoints that refused it.
 const REFUSED_RETRY_DELAY: Duration = Duration::from_millis(150);
 
+/// Interval at which a waiting request asks for a permission to be sent to an endpoint with a limit.
+const PERMISSION_REQUEST_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Margin added to twice the expected duration of a load before the load counts as overdue.
 const OVERDUE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -65,6 +68,13 @@
     model: &'a ModelName,
 }
 
+impl<'a> WaitGuard<'a> {
+    fn new(forwarder: &'a Forwarder, model: &'a ModelName) -> Self {
+        forwarder.lock().demand.begin_wait(model);
+        Self { forwarder, model }
+    }
+}
+
 impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
         self.forwarder.lock().demand.end_wait(self.model);
@@ -82,12 +92,20 @@
         let mut overdue_at: Option<Instant> = None;
         loop {
             fleet_changed.borrow_and_update();
-            if let Some(selected) = self.select_endpoint() {
+            if let Some(selected) = self.take_endpoint() {
                 return Ok(selected);
             }
             if Instant::now() >= self.deadline {
                 return Err(self.timeout_refusal());
             }
+            if let Some(ready_in) = self.permission_ready_in() {
+                if let (None, Some(model)) = (&wait_guard, &model) {
+                    wait_guard = Some(WaitGuard::new(&forwarder, model));
+                }
+                self.wait_for_permission(ready_in, &mut fleet_changed)
+                    .await?;
+                continue;
+            }
             if self.can_retry_refused() {
                 let _ = timeout_at(
                     Instant::now() + REFUSED_RETRY_DELAY,
@@ -128,11 +146,7 @@
                 }
             }
             if wait_guard.is_none() {
-                forwarder.lock().demand.begin_wait(model);
-                wait_guard = Some(WaitGuard {
-                    forwarder: &forwarder,
-                    model,
-                });
+                wait_guard = Some(WaitGuard::new(&forwarder, model));
             }
             let ready_in = forwarder.fetch_load_time(model).await;
             if fleet_changed.has_changed().unwrap_or(false) {
@@ -172,6 +186,43 @@
         }
     }
 
+    /// Returns the time until a limit is expected to allow the request, if only limits of endpoints
+    /// prevent it.
+    fn permission_ready_in(&self) -> Option<Duration> {
+        let state = self.forwarder.lock();
+        let now_ms = self.forwarder.clock.now_ms();
+        let criteria = self.selection_criteria();
+        let ready_in_ms = state.endpoints.permission_ready_in_ms(&criteria, now_ms)?;
+        Some(Duration::from_millis(ready_in_ms))
+    }
+
+    /// Waits for a permission to send the request to an endpoint with a limit, or for another
+    /// endpoint. Refuses the request if neither is expected in time.
+    async fn wait_for_permission(
+        &self,
+        permission_in: Duration,
+        fleet_changed: &mut watch::Receiver<u64>,
+    ) -> Result<(), Refusal> {
+        let forwarder = &self.forwarder;
+        forwarder.report_requested.notify_one();
+        let load_in = match &self.metadata.model {
+            Some(model) => forwarder.known_load_time(model),
+            None => None,
+        };
+        let ready_in = load_in.map_or(permission_in, |load_in| load_in.min(permission_in));
+        let remaining = self
+            .wait_deadline()
+            .saturating_duration_since(Instant::now());
+        if forwarder.is_draining() || ready_in >= remaining.mul_f64(MAX_LOAD_WAIT_RATIO) {
+            let refusal = self.unavailable_refusal("the endpoints are at their request limits");
+            return Err(refusal.with_retry_after(ready_in));
+        }
+        let limit = Instant::now() + PERMISSION_REQUEST_INTERVAL.min(remaining);
+        // On timeout the permission is requested again.
+        let _ = timeout_at(limit, fleet_changed.changed()).await;
+        Ok(())
+    }
+
     /// Returns whether the endpoints that were tried can be tried again: one of them refused the
     /// request because it was full or was changing its loaded models, and the request has not run.
     fn can_retry_refused(&self) -> bool {
@@ -216,11 +267,11 @@
 
     /// Returns the refusal of a request whose model will not be loaded in time.
     fn model_not_loaded_refusal(&self, ready_in: Option<Duration>) -> Refusal {
-        let mut refusal = self.unavailable_refusal("the model is not loaded in time");
-        if let (Some(ready_in), Some(_)) = (ready_in, refusal.retry_after_ms) {
-            refusal.retry_after_ms = Some(ready_in.as_millis() as u64);
+        let refusal = self.unavailable_refusal("the model is not loaded in time");
+        match ready_in {
+            Some(ready_in) => refusal.with_retry_after(ready_in),
+            None => refusal,
         }
-        refusal
     }
 
     fn has_endpoint_with_model(&self, model: &ModelName) -> bool {
--- a/crates/wasabipoint_entry/src/forward/endpoints.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints.rs
@@ -1,12 +1,14 @@
 //! Endpoint state as observed by one entry process, and endpoint selection.
 
+mod limits;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use wasabipoint_kernel::{EndpointId, FailureDomain, Incarnation, ModelName, ServiceName};
-use wasabipoint_policy::{LoadEstimate, choose_lowest_cost, mean_load};
+use wasabipoint_policy::{LoadEstimate, RequestAllowance, choose_lowest_cost, mean_load};
 use wasabipoint_rpc::EndpointView;
 
-use super::dialect::{ReportedLoad, RequestLimit};
+use super::dialect::ReportedLoad;
 
 /// Time that an endpoint is avoided after a failure, in milliseconds.
 const AVOIDANCE_MS: u64 = 1_500;
@@ -18,6 +20,9 @@
 /// Time that an endpoint is reported as unreachable after a failed connection, in milliseconds.
 const UNREACHABLE_REPORT_MS: u64 = 1_500;
 
+/// Number of entry processes that are presumed to share a limit before the leader gives the number.
+const MAX_PRESUMED_ENTRIES: u32 = 100;
+
 /// Additional cost of an endpoint in another failure domain, as a share of its slots. It is
 /// selected only if its load is lower by more than this.
 const REMOTE_DOMAIN_COST: f64 = 0.03;
@@ -38,8 +43,8 @@
     avoid_until_ms: u64,
     unreachable_until_ms: u64,
     missing_until_ms: BTreeMap<ModelName, u64>,
-    /// Limit in requests per second that the endpoint named last.
-    limit_per_s: Option<f64>,
+    /// Permissions to send requests, if the endpoint named a limit.
+    allowance: Option<RequestAllowance>,
     /// Time of last use in milliseconds, by model and id of the prompt part.
     cached_parts: HashMap<(ModelName, u64), u64>,
 }
@@ -75,6 +80,16 @@
 pub struct Endpoints {
     failure_domain: FailureDomain,
     states: BTreeMap<EndpointId, EndpointState>,
+    /// Number of entry processes that share the limits of endpoints.
+    entry_processes: u32,
+}
+
+impl EndpointState {
+    /// Returns whether a limit that the endpoint named allows another request now.
+    fn can_send(&self, entry_processes: u32, now_ms: u64) -> bool {
+        let allowance = self.allowance.as_ref();
+        allowance.is_none_or(|allowance| allowance.can_send(entry_processes, now_ms))
+    }
 }
 
 impl Endpoints {
@@ -83,6 +98,7 @@
         Self {
             failure_domain,
             states: BTreeMap::new(),
+            entry_processes: MAX_PRESUMED_ENTRIES,
         }
     }
 
@@ -108,21 +124,24 @@
                 avoid_until_ms: 0,
                 unreachable_until_ms: 0,
                 missing_until_ms: BTreeMap::new(),
-                limit_per_s: None,
+                allowance: None,
                 cached_parts: HashMap::new(),
             };
             self.states.insert(id.clone(), state);
         }
     }
 
-    /// Selects the endpoint with the lowest cost among those that can serve a request. Endpoints
-    /// that failed recently are used only if there is no other.
+    /// Selects the endpoint with the lowest cost among those that can serve a request and whose limit
+    /// allows it. Endpoints that failed recently are used only if there is no other.
     pub fn select(
         &self,
         criteria: &SelectionCriteria<'_>,
         now_ms: u64,
     ) -> Option<SelectedEndpoint> {
-        let eligible: Vec<&EndpointState> = self.eligible_endpoints(criteria, now_ms).collect();
+        let eligible: Vec<&EndpointState> = self
+            .eligible_endpoints(criteria, now_ms)
+            .filter(|state| state.can_send(self.entry_processes, now_ms))
+            .collect();
         let healthy = eligible
             .iter()
             .filter(|state| state.avoid_until_ms <= now_ms);
@@ -270,24 +289,6 @@
         }
     }
 
-    /// Records the limit that an endpoint names. Returns whether it changed.
-    pub fn record_limit(
-        &mut self,
-        endpoint: &EndpointId,
-        incarnation: Incarnation,
-        limit: RequestLimit,
-    ) -> bool {
-        let limit_per_s = match limit {
-            RequestLimit::None => None,
-            RequestLimit::PerSecond(limit_per_s) => Some(limit_per_s),
-            RequestLimit::Unreadable => return false,
-        };
-        let Some(state) = self.state_mut(endpoint, incarnation) else {
-            return false;
-        };
-        std::mem::replace(&mut state.limit_per_s, limit_per_s) != limit_per_s
-    }
-
     /// Avoids an endpoint for `AVOIDANCE_MS`.
     pub fn avoid(&mut self, endpoint: &EndpointId, incarnation: Incarnation, now_ms: u64) {
         if let Some(state) = self.state_mut(endpoint, incarnation) {
--- /dev/null
+++ b/crates/wasabipoint_entry/src/forward/endpoints/limits.rs
@@ -0,0 +1,189 @@
+//! Limits that endpoints name, and the permissions of this entry process to send requests to them.
+
+use wasabipoint_kernel::{EndpointId, Incarnation};
+use wasabipoint_policy::{NamedLimit, PermissionGrant, RequestAllowance};
+use wasabipoint_rpc::{LimitDirective, LimitReport};
+
+use super::{EndpointState, Endpoints, SelectedEndpoint, SelectionCriteria, estimated_load};
+use crate::forward::dialect::RequestLimit;
+
+/// Time for which the end of a limit is reported, in milliseconds.
+const LIFTED_LIMIT_TTL_MS: u64 = 10_000;
+
+impl Endpoints {
+    /// Selects an endpoint and uses the permission that its limit requires. Counts the permissions
+    /// that the request would have needed at endpoints with less load.
+    pub fn take(
+        &mut self,
+        criteria: &SelectionCriteria<'_>,
+        now_ms: u64,
+    ) -> Option<SelectedEndpoint> {
+        let selected = self.select(criteria, now_ms);
+        self.count_wanted(criteria, selected.as_ref(), now_ms);
+        let selected = selected?;
+        let entry_processes = self.entry_processes;
+        let state = self.states.get_mut(&selected.endpoint.id)?;
+        if let Some(allowance) = &mut state.allowance {
+            allowance.take(entry_processes, now_ms);
+        }
+        Some(selected)
+    }
+
+    fn count_wanted(
+        &mut self,
+        criteria: &SelectionCriteria<'_>,
+        selected: Option<&SelectedEndpoint>,
+        now_ms: u64,
+    ) {
+        let mean = self.mean_load(criteria.service, now_ms);
+        let wanted: Vec<EndpointId> = self
+            .limited_endpoints(criteria, now_ms)
+            .filter(|state| {
+                let load = estimated_load(state, mean, now_ms);
+                selected.is_none_or(|selected| load < f64::from(selected.load))
+            })
+            .map(|state| state.view.id.clone())
+            .collect();
+        for id in wanted {
+            let allowance = self
+                .states
+                .get_mut(&id)
+                .and_then(|state| state.allowance.as_mut());
+            if let Some(allowance) = allowance {
+                allowance.want();
+            }
+        }
+    }
+
+    /// Returns the endpoints that could serve a request if their limit allowed it.
+    fn limited_endpoints(
+        &self,
+        criteria: &SelectionCriteria<'_>,
+        now_ms: u64,
+    ) -> impl Iterator<Item = &EndpointState> {
+        let entry_processes = self.entry_processes;
+        self.eligible_endpoints(criteria, now_ms)
+            .filter(move |state| !state.can_send(entry_processes, now_ms))
+    }
+
+    /// Returns the time in milliseconds until the limit of an endpoint is expected to allow a
+    /// request, or `None` if no limit prevents it.
+    pub fn permission_ready_in_ms(
+        &self,
+        criteria: &SelectionCriteria<'_>,
+        now_ms: u64,
+    ) -> Option<u64> {
+        let limited = self.limited_endpoints(criteria, now_ms);
+        let ready_in_ms = limited.filter_map(|state| {
+            let allowance = state.allowance.as_ref()?;
+            Some(allowance.ready_in_ms(now_ms))
+        });
+        ready_in_ms.min()
+    }
+
+    /// Records the limit that the head of a response names, or that it names none. Returns whether
+    /// the limit changed.
+    pub fn record_limit(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        limit: RequestLimit,
+        now_ms: u64,
+    ) -> bool {
+        let rate_per_s = match limit {
+            RequestLimit::None => None,
+            RequestLimit::PerSecond(rate_per_s) => Some(rate_per_s),
+            RequestLimit::Unreadable => return false,
+        };
+        let at_ms = now_ms;
+        let named = NamedLimit { rate_per_s, at_ms };
+        self.record_named(endpoint, incarnation, named, now_ms)
+    }
+
+    fn record_named(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        named: NamedLimit,
+        now_ms: u64,
+    ) -> bool {
+        let Some(state) = self.state_mut(endpoint, incarnation) else {
+            return false;
+        };
+        match &mut state.allowance {
+            Some(allowance) => allowance.record_named(named),
+            None if named.rate_per_s.is_none() => false,
+            None => {
+                state.allowance = Some(RequestAllowance::new(named, now_ms));
+                true
+            }
+        }
+    }
+
+    /// Returns the limits to report to the leader, with the permissions to request.
+    pub fn take_limit_reports(&mut self, now_ms: u64) -> Vec<LimitReport> {
+        let mut reports = Vec::new();
+        for state in self.states.values_mut() {
+            let Some(allowance) = &mut state.allowance else {
+                continue;
+            };
+            let named = allowance.named();
+            let age_ms = now_ms.saturating_sub(named.at_ms);
+            if named.rate_per_s.is_none() && age_ms > LIFTED_LIMIT_TTL_MS {
+                state.allowance = None;
+                continue;
+            }
+            reports.push(LimitReport {
+                endpoint: state.view.id.clone(),
+                incarnation: state.view.incarnation,
+                limit_per_1000_s: named
+                    .rate_per_s
+                    .map(|rate_per_s| (rate_per_s * 1_000.0) as u64),
+                age_ms,
+                wanted: allowance.take_wanted(),
+            });
+        }
+        reports
+    }
+
+    /// Applies the leader's reply to a report that was sent at `sent_ms`. Returns the endpoints whose
+    /// limit changed, and whether requests that wait for a permission may be sent now.
+    pub fn apply_limits(
+        &mut self,
+        directives: &[LimitDirective],
+        entry_processes: u32,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> (Vec<EndpointId>, bool) {
+        self.entry_processes = entry_processes.max(1);
+        let (mut changed, mut has_permissions) = (Vec::new(), false);
+        for directive in directives {
+            let named = NamedLimit {
+                rate_per_s: directive
+                    .limit_per_1000_s
+                    .map(|limit| limit as f64 / 1_000.0),
+                at_ms: now_ms.saturating_sub(directive.age_ms),
+            };
+            let (endpoint, incarnation) = (&directive.endpoint, directive.incarnation);
+            if self.record_named(endpoint, incarnation, named, now_ms) {
+                changed.push(endpoint.clone());
+            }
+            let state = self.state_mut(endpoint, incarnation);
+            if let Some(allowance) = state.and_then(|state| state.allowance.as_mut()) {
+                let grant = PermissionGrant {
+                    permissions: directive.permissions,
+                    ready_in_ms: directive.ready_in_ms,
+                };
+                allowance.add(grant, sent_ms, now_ms);
+                has_permissions |= directive.permissions > 0;
+            }
+        }
+        let may_send = has_permissions || !changed.is_empty();
+        (changed, may_send)
+    }
+
+    /// Returns whether an endpoint named a limit, so that reports to the leader are due.
+    pub fn has_limits(&self) -> bool {
+        self.states.values().any(|state| state.allowance.is_some())
+    }
+}
--- a/crates/wasabipoint_entry/src/report.rs
+++ b/crates/wasabipoint_entry/src/report.rs
@@ -44,6 +44,7 @@
                 draining_endpoints,
                 unreachable_endpoints: Vec::new(),
                 prompts: PromptReport::default(),
+                limits: Vec::new(),
             };
             let interval_ms = match control.report(report).await {
                 Ok(directive) => {
--- a/crates/wasabipoint_entry/tests/entry/fake_control.rs
+++ b/crates/wasabipoint_entry/tests/entry/fake_control.rs
@@ -262,6 +262,8 @@
                 cold_estimates: state.cold_estimates.clone(),
                 next_report_ms: 1_000,
                 prompts: PromptDirective::default(),
+                limits: Vec::new(),
+                entry_processes: 1,
             })
         })
     }
--- a/crates/wasabipoint_entry/tests/forward_policies.rs
+++ b/crates/wasabipoint_entry/tests/forward_policies.rs
@@ -5,14 +5,14 @@
 
 use bytes::Bytes;
 use wasabipoint_entry::{
-    Endpoints, EventSplitter, ReportedLoad, RetryBudget, RouteTable, SelectionCriteria,
-    pick_service,
+    Endpoints, EventSplitter, ReportedLoad, RequestLimit, RetryBudget, RouteTable,
+    SelectionCriteria, pick_service,
 };
 use wasabipoint_kernel::{
     CallerLimits, Deployment, EndpointId, FailureDomain, ForwardRoute, Incarnation, ModelName,
     RouteName, RunPolicy, ServiceName,
 };
-use wasabipoint_rpc::{EndpointKind, EndpointView};
+use wasabipoint_rpc::{EndpointKind, EndpointView, LimitDirective};
 
 fn endpoint(name: &str, domain: &str, models: &[&str]) -> EndpointView {
     EndpointView {
@@ -289,3 +289,75 @@
     }
     assert_eq!(counts, BTreeMap::from([("few", 100), ("most", 900)]));
 }
+
+/// Returns the leader's reply about a limit of 1/s that was named at the time of the reply.
+fn limit_directive(endpoint: &EndpointView, permissions: u32) -> LimitDirective {
+    LimitDirective {
+        endpoint: endpoint.id.clone(),
+        incarnation: endpoint.incarnation,
+        limit_per_1000_s: Some(1_000),
+        age_ms: 0,
+        permissions,
+        ready_in_ms: 400,
+    }
+}
+
+/// Guards against requests to an endpoint whose limit is used up because it has the least load, and
+/// against permissions that are used twice.
+#[test]
+fn an_endpoint_with_a_limit_is_selected_only_with_a_permission() {
+    let limited = endpoint("limited", "here", &["m"]);
+    let mut endpoints = endpoints(&[limited.clone(), endpoint("other", "far", &["m"])]);
+    let request = RequestFixture::new("m");
+    let criteria = request.selection_criteria();
+    let take = |endpoints: &mut Endpoints, now_ms| {
+        let taken = endpoints.take(&criteria, now_ms)?;
+        Some(taken.endpoint.id.as_str().to_owned())
+    };
+    let limit = RequestLimit::PerSecond(1.0);
+    assert!(endpoints.record_limit(&limited.id, limited.incarnation, limit, 0));
+    assert_eq!(take(&mut endpoints, 10).as_deref(), Some("other"));
+    endpoints.apply_limits(&[limit_directive(&limited, 1)], 4, 10, 20);
+    assert_eq!(take(&mut endpoints, 30).as_deref(), Some("limited"));
+    assert_eq!(take(&mut endpoints, 40).as_deref(), Some("other"));
+    let ready_in_ms = endpoints.permission_ready_in_ms(&criteria, 40);
+    assert_eq!(ready_in_ms, Some(380));
+    assert!(endpoints.record_limit(&limited.id, limited.incarnation, RequestLimit::None, 50));
+    assert_eq!(take(&mut endpoints, 60).as_deref(), Some("limited"));
+}
+
+/// Guards against a process that ignores a limit which only others have heard of.
+#[test]
+fn a_limit_that_control_reports_binds_as_well() {
+    let only = endpoint("only", "here", &["m"]);
+    let mut endpoints = endpoints(std::slice::from_ref(&only));
+    let request = RequestFixture::new("m");
+    let (changed, may_send) = endpoints.apply_limits(&[limit_directive(&only, 0)], 4, 0, 10);
+    assert_eq!((changed, may_send), (vec![only.id.clone()], true));
+    assert_eq!(request.selected_endpoint(&endpoints, 20), None);
+    let mut next = endpoints.take_limit_reports(30);
+    assert_eq!(next.len(), 1);
+    assert_eq!(next.remove(0).limit_per_1000_s, Some(1_000));
+}
+
+/// Guards against a limit that binds another endpoint after its address or name was used again.
+#[test]
+fn a_limit_ends_with_the_incarnation_of_its_endpoint() {
+    let only = endpoint("only", "here", &["m"]);
+    let mut endpoints = endpoints(std::slice::from_ref(&only));
+    let request = RequestFixture::new("m");
+    endpoints.record_limit(&only.id, only.incarnation, RequestLimit::PerSecond(0.0), 0);
+    assert_eq!(request.selected_endpoint(&endpoints, 10), None);
+    let mut restarted = only.clone();
+    restarted.incarnation = Incarnation(2);
+    endpoints.update(&BTreeMap::from([(only.id.clone(), restarted)]));
+    assert_eq!(
+        request.selected_endpoint(&endpoints, 20).as_deref(),
+        Some("only")
+    );
+    endpoints.apply_limits(&[limit_directive(&only, 0)], 4, 20, 30);
+    assert_eq!(
+        request.selected_endpoint(&endpoints, 40).as_deref(),
+        Some("only")
+    );
+}
--- a/crates/wasabipoint_entry/tests/sockets.rs
+++ b/crates/wasabipoint_entry/tests/sockets.rs
@@ -61,6 +61,8 @@
             cold_estimates: Vec::new(),
             next_report_ms: 1_000,
             prompts: PromptDirective::default(),
+            limits: Vec::new(),
+            entry_processes: 1,
         })
     }
 
--- a/crates/wasabipoint_kernel/src/error.rs
+++ b/crates/wasabipoint_kernel/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use serde_json::json;
 
@@ -198,6 +199,15 @@
         self
     }
 
+    /// Replaces the time after which to retry, if the refusal has one.
+    #[must_use]
+    pub fn with_retry_after(mut self, retry_after: Duration) -> Self {
+        if let Some(retry_after_ms) = &mut self.retry_after_ms {
+            *retry_after_ms = retry_after.as_millis() as u64;
+        }
+        self
+    }
+
     /// Overrides whether the request was executed.
     #[must_use]
     pub fn with_run_state(mut self, run_state: RunState) -> Self {
--- a/crates/wasabipoint_policy/src/lib.rs
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -7,6 +7,7 @@
     reason = "distributed slices place their elements in a link section"
 )]
 
+mod endpoint_limit;
 mod engine_demand;
 mod engine_plan;
 mod load_estimate;
@@ -18,6 +19,9 @@
 mod routing;
 mod store_concurrency;
 
+pub use endpoint_limit::{
+    LimitDealer, NamedLimit, PERMISSION_LIFETIME_MS, PermissionGrant, RequestAllowance,
+};
 pub use engine_demand::EngineDemand;
 pub use engine_plan::{
     ChangeCause, Deferral, EngineChange, EnginePlan, EngineView, ModelLoad, StoreBudget,
--- a/crates/wasabipoint_rpc/src/entry.rs
+++ b/crates/wasabipoint_rpc/src/entry.rs
@@ -6,6 +6,7 @@
     CustomerId, EndpointId, EntryId, Incarnation, ModelName, RequestId, plain_data,
 };
 
+use crate::limit::{LimitDirective, LimitReport};
 use crate::prompt::{PromptDirective, PromptReport};
 
 plain_data! {
@@ -49,6 +50,8 @@
         pub unreachable_endpoints: Vec<(EndpointId, Incarnation)>,
         /// Evidence about prompt parts that may crash engines.
         pub prompts: PromptReport,
+        /// Limits that endpoints named.
+        pub limits: Vec<LimitReport>,
     }
 }
 
@@ -73,6 +76,10 @@
         pub next_report_ms: u64,
         /// Prompt parts about which the leader needs evidence.
         pub prompts: PromptDirective,
+        /// Limits that endpoints named, with permissions to send requests.
+        pub limits: Vec<LimitDirective>,
+        /// Number of entry processes that report.
+        pub entry_processes: u32,
     }
 }
 
--- a/crates/wasabipoint_rpc/src/lib.rs
+++ b/crates/wasabipoint_rpc/src/lib.rs
@@ -6,6 +6,7 @@
 mod entry;
 mod fleet;
 mod frame;
+mod limit;
 mod prompt;
 mod service;
 
@@ -25,6 +26,7 @@
     CacheEvent, DispatchRequest, FrameDecoder, FrameError, FramePayload, LoadReport, Outcome,
     OutcomeRequest, StoredResponse, StreamFrame, decode_message, encode_frame, encode_message,
 };
+pub use limit::{LimitDirective, LimitReport};
 pub use prompt::{
     AnsweredPart, EngineFailure, MAX_PARTS_PER_PROMPT, MAX_PROMPTS_PER_FAILURE,
     MAX_REPORTED_FAILURES, ProbeGrant, PromptDirective, PromptReport, QuarantineCause,
--- a/crates/wasabipoint_testbed/src/simulated_nodes.rs
+++ b/crates/wasabipoint_testbed/src/simulated_nodes.rs
@@ -196,6 +196,7 @@
                 draining_endpoints: Vec::new(),
                 unreachable_endpoints: Vec::new(),
                 prompts: PromptReport::default(),
+                limits: Vec::new(),
             };
             let rpc_result = self
                 .client
--- a/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
@@ -366,11 +366,16 @@
 
     /// Stops the control member that leads, and waits until another one does.
     pub(crate) async fn stop_leader(&mut self) {
-        let leader = self.wait_for_leader().await;
-        self.control.remove(leader).stop().await;
+        self.take_leader().await.stop().await;
         self.wait_for_leader().await;
     }
 
+    /// Removes the control member that leads from the fixture.
+    pub(crate) async fn take_leader(&mut self) -> ControlServer {
+        let leader = self.wait_for_leader().await;
+        self.control.remove(leader)
+    }
+
     async fn wait_for_leader(&self) -> usize {
         let found = async {
             loop {
--- a/crates/wasabipoint_testbed/tests/forwarding/limits.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/limits.rs
@@ -55,6 +55,9 @@
 async fn the_limit_of_an_endpoint_holds_for_all_entry_processes_together() {
     const LIMIT_PER_S: f64 = 1.0;
     let fleet = Fleet::start(1, 4, 3).await;
+    for entry in 0..4 {
+        fleet.send_until_served(entry, "a1:10,b1:10,c1:10").await;
+    }
     fleet.engines[0].name_limit(Some(LIMIT_PER_S));
     let start = Instant::now();
     let (served, refused) = send_requests(&fleet, start + ADOPTION_TIME + WINDOW).await;
@@ -65,3 +68,69 @@
     );
     assert!(served > 10 * refused, "{served} served, {refused} refused");
 }
+
+/// Guards against a small limit of which each entry process gets a useless share, and against
+/// requests that wait although no endpoint can serve them in time.
+#[tokio::test]
+async fn a_lone_endpoint_serves_what_its_limit_allows_and_the_rest_is_refused() {
+    const LIMIT_PER_S: f64 = 2.0;
+    let fleet = Fleet::start(1, 4, 1).await;
+    for entry in 0..4 {
+        fleet.send_until_served(entry, "a1:10,b1:10,c1:10").await;
+    }
+    fleet.engines[0].name_limit(Some(LIMIT_PER_S));
+    let start = Instant::now();
+    let (served, refused) = send_requests(&fleet, start + ADOPTION_TIME + WINDOW).await;
+    let arrivals = fleet.engines[0].most_arrivals(start + ADOPTION_TIME, WINDOW);
+    assert!(
+        arrivals <= allowed_arrivals(LIMIT_PER_S),
+        "{arrivals} arrivals"
+    );
+    let least = LIMIT_PER_S * WINDOW.as_secs_f64() / 2.0;
+    assert!(
+        arrivals as f64 >= least,
+        "{arrivals} arrivals of {served} served"
+    );
+    assert!(refused > 0);
+}
+
+/// Guards against a limit that outlasts its end, because no response is requested that no longer
+/// names it.
+#[tokio::test]
+async fn a_limit_ends_with_the_response_that_no_longer_names_it() {
+    let fleet = Fleet::start(1, 2, 1).await;
+    for entry in 0..2 {
+        fleet.send_until_served(entry, "a1:10,b1:10,c1:10").await;
+    }
+    fleet.engines[0].name_limit(Some(1.0));
+    send_requests(&fleet, Instant::now() + WINDOW / 4).await;
+    fleet.engines[0].name_limit(None);
+    for entry in 0..2 {
+        fleet.send_until_served(entry, "a1:10,b1:10,c1:10").await;
+    }
+    tokio::time::sleep(ADOPTION_TIME / 3).await;
+    let (served, refused) = send_requests(&fleet, Instant::now() + WINDOW / 4).await;
+    assert_eq!(refused, 0, "{served} served");
+}
+
+/// Guards against a new leader that deals out the whole limit again, and against entry processes
+/// that ignore it while none leads.
+#[tokio::test]
+async fn a_limit_holds_during_a_change_of_leader() {
+    const LIMIT_PER_S: f64 = 2.0;
+    let mut fleet = Fleet::start(3, 3, 2).await;
+    for entry in 0..3 {
+        fleet.send_until_served(entry, "a1:10,b1:10,c1:10").await;
+    }
+    fleet.engines[0].name_limit(Some(LIMIT_PER_S));
+    let start = Instant::now();
+    send_requests(&fleet, start + ADOPTION_TIME).await;
+    let leader = fleet.take_leader().await;
+    let end = Instant::now() + WINDOW + WINDOW / 2;
+    tokio::join!(leader.stop(), send_requests(&fleet, end));
+    let arrivals = fleet.engines[0].most_arrivals(start + ADOPTION_TIME, WINDOW);
+    assert!(
+        arrivals <= allowed_arrivals(LIMIT_PER_S),
+        "{arrivals} arrivals"
+    );
+}
