Announce the end of a connection whose request body was not read

Callers saw a request lost on a connection that had just served another one.

Cause: if a handler responded before the request body had been read, the HTTP library closed the connection after the response without saying so, and the caller sent its next request on it. What has arrived of the body is discarded now, and otherwise the response carries 'Connection: close'.

Evidence: a_response_before_the_end_of_the_body_keeps_or_announces_the_end_ of_its_connection failed before.

--- a/crates/wasabipoint_http/src/server.rs
+++ b/crates/wasabipoint_http/src/server.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use http::{Request, Response, StatusCode};
 use serde::Serialize;
 use socket2::{Domain, Protocol, Socket, Type};
@@ -268,27 +268,57 @@
     let handler = Arc::clone(handler);
     let task = runtime.spawn(async move { handler.handle(request).await });
     let mut task = AbortOnDrop(task);
-    let forward_body = async {
-        while let Some(frame) = incoming.frame().await {
-            let chunk = match frame {
-                Ok(Frame::Data(chunk)) => Ok(chunk),
-                Ok(Frame::Trailers(_)) => continue,
-                Err(_) => Err(BodyError::Incomplete),
-            };
-            if sender.send(chunk).await.is_err() {
-                break;
-            }
+    let mut is_body_read = false;
+    let response = tokio::select! {
+        response = &mut task.0 => response,
+        is_forwarded = forward_body(&mut incoming, sender) => {
+            is_body_read = is_forwarded;
+            (&mut task.0).await
         }
-        drop(sender);
-        // The end of the request body must not end the `select!` below; only the response does.
-        std::future::pending::<()>().await;
     };
-    tokio::select! {
-        response = &mut task.0 => response.unwrap_or_else(|_| {
-            refusal_response(&Refusal::new(ErrorKind::Internal, "the handler failed"))
-        }),
-        () = forward_body => unreachable!("forwarding the body never completes"),
+    let mut response = response.unwrap_or_else(|_| {
+        refusal_response(&Refusal::new(ErrorKind::Internal, "the handler failed"))
+    });
+    if !is_body_read && !discard_received(&mut incoming).await {
+        // The library closes the connection. A caller that is not told loses its next request.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    response
+}
+
+/// Passes a request body on to the handler. Returns whether all of it was read, which it is not if
+/// the handler stopped reading.
+async fn forward_body(
+    incoming: &mut xitca_web::body::RequestBody,
+    sender: mpsc::Sender<Result<Bytes, BodyError>>,
+) -> bool {
+    while let Some(frame) = incoming.frame().await {
+        let chunk = match frame {
+            Ok(Frame::Data(chunk)) => Ok(chunk),
+            Ok(Frame::Trailers(_)) => continue,
+            Err(_) => Err(BodyError::Incomplete),
+        };
+        if sender.send(chunk).await.is_err() {
+            return false;
+        }
     }
+    true
+}
+
+/// Discards the part of a request body that has arrived, and returns whether it was all of it.
+async fn discard_received(incoming: &mut xitca_web::body::RequestBody) -> bool {
+    let mut incoming = Pin::new(incoming);
+    std::future::poll_fn(|context| {
+        loop {
+            match incoming.as_mut().poll_frame(context) {
+                Poll::Ready(Some(Ok(_))) => {}
+                Poll::Ready(None) => return Poll::Ready(true),
+                Poll::Ready(Some(Err(_))) | Poll::Pending => return Poll::Ready(false),
+            }
+        }
+    })
+    .await
 }
 
 /// Aborts the handler when the worker drops the request because the caller disconnected.
--- a/crates/wasabipoint_http/tests/server.rs
+++ b/crates/wasabipoint_http/tests/server.rs
@@ -9,6 +9,8 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use wasabipoint_http::{
     BodyError, ClientError, HttpClient, HttpHandler, HttpRequest, HttpResponse, HttpServer,
@@ -159,3 +161,34 @@
     drop(body);
     setup.caller_disconnected.await.unwrap();
 }
+
+/// Reads a response head.
+async fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        assert_eq!(stream.read(&mut byte).await.unwrap(), 1, "{head:?}");
+        head.push(byte[0]);
+    }
+    String::from_utf8_lossy(&head).to_lowercase()
+}
+
+/// Guards against a connection that the server closes without saying so because a handler responded
+/// before it had read the body: the next request on the connection is lost.
+#[tokio::test]
+async fn a_response_before_the_end_of_the_body_keeps_or_announces_the_end_of_its_connection() {
+    let setup = start().await;
+    let address = setup.base_url.strip_prefix("http://").unwrap();
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    let request_head = "POST /none HTTP/1.1\r\nhost: x\r\ncontent-length: 4\r\n\r\n";
+    stream.write_all(request_head.as_bytes()).await.unwrap();
+    let head = read_head(&mut stream).await;
+    assert!(head.starts_with("http/1.1 404"), "{head}");
+    if head.contains("connection: close") {
+        return;
+    }
+    let next = format!("body{request_head}body");
+    stream.write_all(next.as_bytes()).await.unwrap();
+    let head = read_head(&mut stream).await;
+    assert!(head.starts_with("http/1.1 404"), "{head}");
+}
