Bound the reports that ask for permissions; split the exchange with control

Each request that waits for a permission triggered a report, up to 20 a second from each entry process, all handled by the leader.

--- a/crates/wasabipoint_entry/src/forward.rs
+++ b/crates/wasabipoint_entry/src/forward.rs
@@ -4,6 +4,7 @@
 mod body_buffer;
 mod budget;
 mod call;
+mod control;
 mod demand;
 mod dialect;
 mod endpoints;
@@ -26,7 +27,7 @@
 use http::{Request, Response, request};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -34,7 +35,7 @@
     CustomerId, EntryId, ErrorKind, FailureDomain, ForwardCustomer, ForwardRoute, Incarnation,
     KeyDigester, ModelName, MonotonicClock, RateUnit, Refusal,
 };
-use wasabipoint_rpc::{EntryReport, FleetUpdate, FleetView, WatchRequest};
+use wasabipoint_rpc::FleetView;
 
 pub use budget::RetryBudget;
 pub use dialect::{
@@ -56,25 +57,9 @@
 use response::{refusal_response, strip_hop_by_hop_headers};
 use server::{DrainSchedule, drain, listen, serve_callers, serve_status};
 
-/// Maximum time that control holds a watch call open, in milliseconds. An unresponsive connection
-/// to control delays updates by at most this plus the call's own timeout.
-const MAX_WATCH_WAIT_MS: u64 = 500;
-
-/// Delay before a failed watch call is repeated.
-const WATCH_RETRY_DELAY: Duration = Duration::from_millis(50);
-
-/// Interval between demand reports unless a request triggers one earlier.
-const REPORT_INTERVAL: Duration = Duration::from_millis(500);
-
-/// Minimum delay between two reports of the report task.
-const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(50);
-
 /// Interval at which idle connections are pruned.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Maximum age of a load time estimate that is used without another report to control.
-const MAX_LOAD_TIME_AGE: Duration = Duration::from_millis(700);
-
 /// Log sampling: one successful request in this many is logged; failed and refused ones always are.
 const LOG_SAMPLE_INTERVAL: u64 = 16;
 
@@ -120,6 +105,8 @@
     /// For each model that no endpoint holds: the time at which control expects it to be loaded,
     /// and the time of that estimate.
     load_times: HashMap<ModelName, (Instant, Instant)>,
+    /// When waiting requests last triggered a report that asks for permissions.
+    permissions_requested_at: Option<Instant>,
 }
 
 /// A forwarding entry process.
@@ -161,6 +148,7 @@
                 prompts: PromptMonitor::default(),
                 view: FleetView::new(),
                 load_times: HashMap::new(),
+                permissions_requested_at: None,
             }),
             quota: Arc::new(QuotaClient::new(config.entry.clone(), incarnation, clock)),
             digester: KeyDigester::new(&config.key_secret),
@@ -398,164 +386,6 @@
         }
     }
 
-    /// Watches the fleet view published by control and applies its updates.
-    async fn watch_control(self: Arc<Self>) {
-        let mut is_disconnected = true;
-        loop {
-            let known_revision = self.lock().view.revision;
-            let request = WatchRequest {
-                process_name: self.config.entry.as_str().to_owned(),
-                known_revision,
-                wait_ms: MAX_WATCH_WAIT_MS,
-            };
-            match self.control.watch(request).await {
-                Ok(reply) => {
-                    if std::mem::take(&mut is_disconnected) {
-                        info!(self.logger, "entry: control is reachable";
-                            "revision" => reply.revision);
-                    }
-                    self.apply_update(reply.revision, reply.update);
-                }
-                Err(error) => {
-                    if !std::mem::replace(&mut is_disconnected, true) {
-                        warn!(self.logger, "entry: control is not reachable";
-                            "known_revision" => known_revision, "error" => ?error);
-                    }
-                    tokio::time::sleep(WATCH_RETRY_DELAY).await;
-                }
-            }
-        }
-    }
-
-    fn apply_update(&self, revision: u64, update: FleetUpdate) {
-        let mut state = self.lock();
-        let known_version = state.view.deployment.as_ref().map(|known| known.version);
-        match update {
-            FleetUpdate::Delta(changes) => {
-                if changes.is_empty() && revision == state.view.revision {
-                    return;
-                }
-                for change in &changes {
-                    state.view.apply(change);
-                }
-            }
-            FleetUpdate::Snapshot(view) => {
-                // An older snapshot must not roll back the view that is already applied.
-                if view.revision < state.view.revision {
-                    return;
-                }
-                state.view = *view;
-            }
-        }
-        state.view.revision = revision;
-        let endpoint_views = state.view.endpoints.clone();
-        state.endpoints.update(&endpoint_views);
-        let version = state.view.deployment.as_ref().map(|known| known.version);
-        if version > known_version {
-            let deployment = state.view.deployment.clone();
-            let table = deployment.map(|deployment| Arc::new(RouteTable::new(deployment)));
-            *self.table.write().unwrap_or_else(PoisonError::into_inner) = table;
-            info!(self.logger, "entry: configuration applied"; "version" => version,
-                "before" => known_version, "revision" => revision);
-        }
-        drop(state);
-        self.fleet_changed.send_replace(revision);
-    }
-
-    /// Reports demand to control, periodically and on request.
-    async fn report_demand(self: Arc<Self>) {
-        let mut was_idle = true;
-        loop {
-            // On timeout the periodic report is due.
-            let _ = tokio::time::timeout(REPORT_INTERVAL, self.report_requested.notified()).await;
-            was_idle = self.send_report(was_idle).await;
-            tokio::time::sleep(MIN_REPORT_INTERVAL).await;
-        }
-    }
-
-    /// Returns the time until control expects a model to be loaded, as far as it is known.
-    fn known_load_time(&self, model: &ModelName) -> Option<Duration> {
-        let (ready_at, _) = self.lock().load_times.get(model).copied()?;
-        Some(ready_at.saturating_duration_since(Instant::now()))
-    }
-
-    /// Returns the time until control expects a model to be loaded, `None` without an estimate.
-    /// Sends a report first unless the known estimate is recent.
-    async fn fetch_load_time(&self, model: &ModelName) -> Option<Duration> {
-        let known = self.lock().load_times.get(model).copied();
-        if let Some((ready_at, _)) =
-            known.filter(|(_, reported_at)| reported_at.elapsed() < MAX_LOAD_TIME_AGE)
-        {
-            return Some(ready_at.saturating_duration_since(Instant::now()));
-        }
-        self.send_report(false).await;
-        self.known_load_time(model)
-    }
-
-    /// Sends a demand report, but skips an empty one if `was_idle`. Returns whether the demand is
-    /// empty.
-    async fn send_report(&self, was_idle: bool) -> bool {
-        let mut sequence = self.report_sequence.lock().await;
-        let now_ms = self.clock.now_ms();
-        let (demand, unreachable, prompts, limits) = {
-            let mut state = self.lock();
-            let unreachable = state.endpoints.unreachable(now_ms);
-            let demand = state.demand.take_report();
-            let has_news = state.prompts.has_news() || state.endpoints.has_limits();
-            if demand.is_empty() && was_idle && !has_news {
-                return true;
-            }
-            let prompts = state.prompts.take_report(now_ms);
-            let limits = state.endpoints.take_limit_reports(now_ms);
-            (demand, unreachable, prompts, limits)
-        };
-        let is_idle = demand.is_empty();
-        *sequence += 1;
-        let report = EntryReport {
-            entry: self.config.entry.clone(),
-            incarnation: self.incarnation,
-            sequence: *sequence,
-            address: self.config.listen,
-            demand,
-            draining_endpoints: Vec::new(),
-            unreachable_endpoints: unreachable,
-            prompts,
-            limits,
-        };
-        drop(sequence);
-        // A failed report is not repeated; the next one follows.
-        if let Ok(directive) = self.control.report(report).await {
-            let now = Instant::now();
-            let estimates = directive.cold_estimates.into_iter();
-            let times = estimates.map(|estimate| {
-                let ready_at = now + Duration::from_millis(estimate.ready_in_ms);
-                (estimate.model, (ready_at, now))
-            });
-            let mut state = self.lock();
-            state.load_times = times.collect();
-            let received_ms = self.clock.now_ms();
-            let (changed_limits, may_send) = state.endpoints.apply_limits(
-                &directive.limits,
-                directive.entry_processes,
-                now_ms,
-                received_ms,
-            );
-            if state.prompts.apply_directive(directive.prompts) {
-                self.report_requested.notify_one();
-            }
-            drop(state);
-            for endpoint in changed_limits {
-                info!(self.logger, "routing: request limit of an endpoint learnt from control";
-                    "endpoint" => %endpoint);
-            }
-            if may_send {
-                // Wakes requests that wait for a permission.
-                self.fleet_changed.send_modify(|_| {});
-            }
-        }
-        is_idle
-    }
-
     async fn prune_connections(self: Arc<Self>) {
         loop {
             tokio::time::sleep(PRUNE_INTERVAL).await;
--- a/crates/wasabipoint_entry/src/forward/call/wait.rs
+++ b/crates/wasabipoint_entry/src/forward/call/wait.rs
@@ -204,7 +204,7 @@
         fleet_changed: &mut watch::Receiver<u64>,
     ) -> Result<(), Refusal> {
         let forwarder = &self.forwarder;
-        forwarder.report_requested.notify_one();
+        forwarder.request_permissions();
         let load_in = match &self.metadata.model {
             Some(model) => forwarder.known_load_time(model),
             None => None,
--- a/crates/wasabipoint_entry/src/forward/endpoints/limits.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints/limits.rs
@@ -35,6 +35,9 @@
         selected: Option<&SelectedEndpoint>,
         now_ms: u64,
     ) {
+        if !self.has_limits() {
+            return;
+        }
         let mean = self.mean_load(criteria.service, now_ms);
         let wanted: Vec<EndpointId> = self
             .limited_endpoints(criteria, now_ms)
