--- a/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
@@ -8,72 +8,26 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use http::{HeaderMap, Request, request, response};
+use http::Request;
 use slog::{Discard, Logger, o};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
-use wasabipoint_entry::{
-    ControlLink, ForwardConfig, ForwardDialect, ForwardMetadata, Forwarder, RequestMetadata,
-    ResponseMetadata,
-};
+use wasabipoint_entry::{ControlLink, ForwardConfig, Forwarder};
 use wasabipoint_http::{ClientError, HttpClient};
 use wasabipoint_kernel::{
     CallerLimits, CustomerId, Deployment, EndpointId, EntryId, FailureDomain, ForwardCustomer,
-    ForwardRoute, ForwardService, Incarnation, KeyDigester, ModelName, RateUnit, RouteName,
-    RunPolicy, ServiceName,
+    ForwardRoute, ForwardService, Incarnation, KeyDigester, RateUnit, RouteName, RunPolicy,
+    ServiceName,
 };
 use wasabipoint_rpc::{
     ClaimOutcome, ClaimRequest, ControlError, EndpointKind, EndpointView, EntryDirective,
     EntryReport, FleetUpdate, FleetView, QuotaExchange, QuotaGrants, WatchReply, WatchRequest,
 };
 
-const KEY_SECRET: &str = "test";
-
-/// Dialect with short header names.
-struct TestDialect;
-
-impl ForwardDialect for TestDialect {
-    fn read_request(&self, head: &request::Parts) -> Option<RequestMetadata> {
-        let text = |name: &str| Some(head.headers.get(name)?.to_str().ok()?.to_owned());
-        Some(RequestMetadata {
-            request_id: text("id")?,
-            key: text("key"),
-            model: text("model").map(ModelName::new),
-            prompt_parts: text("parts").map_or(Vec::new(), |parts| parse_parts(&parts)),
-            ..RequestMetadata::default()
-        })
-    }
+use crate::test_dialect::TestDialect;
 
-    fn write_request(&self, headers: &mut HeaderMap, metadata: &ForwardMetadata<'_>) {
-        headers.remove("key");
-        if let Some(id) = metadata.last_event_id {
-            headers.insert("last-event-id", id.into());
-        }
-    }
-
-    fn read_response(&self, head: &response::Parts, _: &EndpointId) -> ResponseMetadata {
-        let text = |name: &str| Some(head.headers.get(name)?.to_str().ok()?.to_owned());
-        ResponseMetadata {
-            request_id: text("id"),
-            is_not_run: text("not-run").is_some(),
-            is_signed: true,
-            ..ResponseMetadata::default()
-        }
-    }
-}
-
-/// Parses prompt parts that are written as `ID:TOKENS` with a hexadecimal id, separated by commas.
-fn parse_parts(text: &str) -> Vec<(u64, u64)> {
-    let parts = text.split(',').map(|part| {
-        let (id, tokens) = part.split_once(':').unwrap();
-        (
-            u64::from_str_radix(id, 16).unwrap(),
-            tokens.parse().unwrap(),
-        )
-    });
-    parts.collect()
-}
+const KEY_SECRET: &str = "test";
 
 /// Control stub that serves a fixed fleet view, or none.
 pub(crate) struct StaticControl {
--- a/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use futures::future::BoxFuture;
-use http::{HeaderMap, Request, StatusCode, request, response};
+use http::{Request, StatusCode};
 use slog::{Discard, Logger, o};
 use tokio::net::{TcpListener, TcpStream};
 use wasabipoint_consensus::Role;
@@ -17,71 +17,22 @@
     CommandAnswer, ControlConfig, ControlServer, EndpointDirectory, EngineCommand, EngineCommander,
     EngineState, PlatformIntegration, RateAllowance,
 };
-use wasabipoint_entry::{
-    ForwardConfig, ForwardDialect, ForwardMetadata, Forwarder, RequestLimit, RequestMetadata,
-    ResponseMetadata, RpcControlLink,
-};
+use wasabipoint_entry::{ForwardConfig, Forwarder, RpcControlLink};
 use wasabipoint_http::HttpClient;
 use wasabipoint_kernel::{
-    CallerLimits, Deployment, EndpointId, EngineModel, EngineSpec, EntryId, FailureDomain,
-    ForwardRoute, ForwardService, Incarnation, MemberId, ModelName, RouteName, RunPolicy,
-    ServiceName,
+    CallerLimits, Deployment, EngineModel, EngineSpec, EntryId, FailureDomain, ForwardRoute,
+    ForwardService, Incarnation, MemberId, ModelName, RouteName, RunPolicy, ServiceName,
 };
 use wasabipoint_rpc::EndpointView;
 
 use super::engine::{Engine, MODEL, SERVICE};
+use super::test_dialect::TestDialect;
 
 /// Time limit for one step of a test.
 pub(crate) const STEP_TIMEOUT: Duration = Duration::from_secs(30);
 
 const OPERATOR_TOKEN: &str = "operator";
 
-/// Dialect with short header names.
-struct TestDialect;
-
-impl ForwardDialect for TestDialect {
-    fn read_request(&self, head: &request::Parts) -> Option<RequestMetadata> {
-        let text = |name: &str| Some(head.headers.get(name)?.to_str().ok()?.to_owned());
-        Some(RequestMetadata {
-            request_id: text("id")?,
-            model: text("model").map(ModelName::new),
-            prompt_parts: text("parts").map_or(Vec::new(), |parts| parse_parts(&parts)),
-            ..RequestMetadata::default()
-        })
-    }
-
-    fn write_request(&self, headers: &mut HeaderMap, metadata: &ForwardMetadata<'_>) {
-        if let Some(id) = metadata.last_event_id {
-            headers.insert("last-event-id", id.into());
-        }
-    }
-
-    fn read_response(&self, head: &response::Parts, _: &EndpointId) -> ResponseMetadata {
-        let text = |name: &str| Some(head.headers.get(name)?.to_str().ok()?.to_owned());
-        ResponseMetadata {
-            request_id: text("id"),
-            is_not_run: text("not-run").is_some(),
-            is_signed: true,
-            request_limit: text("limit").map_or(RequestLimit::None, |limit| {
-                RequestLimit::PerSecond(limit.parse().unwrap())
-            }),
-            ..ResponseMetadata::default()
-        }
-    }
-}
-
-/// Parses prompt parts that are written as `ID:TOKENS` with a hexadecimal id, separated by commas.
-fn parse_parts(text: &str) -> Vec<(u64, u64)> {
-    let parts = text.split(',').map(|part| {
-        let (id, tokens) = part.split_once(':').unwrap();
-        (
-            u64::from_str_radix(id, 16).unwrap(),
-            tokens.parse().unwrap(),
-        )
-    });
-    parts.collect()
-}
-
 /// Lists the engines as they are.
 struct EngineDirectory(Vec<Arc<Engine>>);
 
--- a/crates/wasabipoint_testbed/tests/forwarding/limits.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/limits.rs
@@ -12,6 +12,9 @@
 /// Window in which arrivals are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 
+/// Prompt parts of every request.
+const PROMPT: &str = "a1:10,b1:10,c1:10";
+
 /// Number of callers of each entry process.
 const CALLERS_PER_ENTRY: usize = 6;
 
@@ -31,7 +34,7 @@
         let entry = caller % fleet.entries.len();
         let (mut served, mut refused) = (0, 0);
         while Instant::now() < end {
-            if let Some(response) = fleet.send(entry, "a1:10,b1:10,c1:10").await {
+            if let Some(response) = fleet.send(entry, PROMPT).await {
                 match response.status() {
                     StatusCode::OK => served += 1,
                     StatusCode::SERVICE_UNAVAILABLE => {
@@ -50,14 +53,20 @@
     (served, counts.iter().map(|(_, refused)| refused).sum())
 }
 
+/// Starts a fleet whose entry processes have all served a request.
+async fn start_serving(members: usize, entries: usize, engines: usize) -> Fleet {
+    let fleet = Fleet::start(members, entries, engines).await;
+    for entry in 0..entries {
+        fleet.send_until_served(entry, PROMPT).await;
+    }
+    fleet
+}
+
 /// Guards against a limit that each entry process ignores, or applies to its own requests only.
 #[tokio::test]
 async fn the_limit_of_an_endpoint_holds_for_all_entry_processes_together() {
     const LIMIT_PER_S: f64 = 1.0;
-    let fleet = Fleet::start(1, 4, 3).await;
-    for entry in 0..4 {
-        fleet.send_until_served(entry, "a1:10,b1:10,c1:10").await;
-    }
+    let fleet = start_serving(1, 4, 3).await;
     fleet.engines[0].name_limit(Some(LIMIT_PER_S));
     let start = Instant::now();
     let (served, refused) = send_requests(&fleet, start + ADOPTION_TIME + WINDOW).await;
@@ -74,10 +83,7 @@
 #[tokio::test]
 async fn a_lone_endpoint_serves_what_its_limit_allows_and_the_rest_is_refused() {
     const LIMIT_PER_S: f64 = 2.0;
-    let fleet = Fleet::start(1, 4, 1).await;
-    for entry in 0..4 {
-        fleet.send_until_served(entry, "a1:10,b1:10,c1:10").await;
-    }
+    let fleet = start_serving(1, 4, 1).await;
     fleet.engines[0].name_limit(Some(LIMIT_PER_S));
     let start = Instant::now();
     let (served, refused) = send_requests(&fleet, start + ADOPTION_TIME + WINDOW).await;
@@ -98,15 +104,12 @@
 /// names it.
 #[tokio::test]
 async fn a_limit_ends_with_the_response_that_no_longer_names_it() {
-    let fleet = Fleet::start(1, 2, 1).await;
-    for entry in 0..2 {
-        fleet.send_until_served(entry, "a1:10,b1:10,c1:10").await;
-    }
+    let fleet = start_serving(1, 2, 1).await;
     fleet.engines[0].name_limit(Some(1.0));
     send_requests(&fleet, Instant::now() + WINDOW / 4).await;
     fleet.engines[0].name_limit(None);
     for entry in 0..2 {
-        fleet.send_until_served(entry, "a1:10,b1:10,c1:10").await;
+        fleet.send_until_served(entry, PROMPT).await;
     }
     tokio::time::sleep(ADOPTION_TIME / 3).await;
     let (served, refused) = send_requests(&fleet, Instant::now() + WINDOW / 4).await;
@@ -118,10 +121,7 @@
 #[tokio::test]
 async fn a_limit_holds_during_a_change_of_leader() {
     const LIMIT_PER_S: f64 = 2.0;
-    let mut fleet = Fleet::start(3, 3, 2).await;
-    for entry in 0..3 {
-        fleet.send_until_served(entry, "a1:10,b1:10,c1:10").await;
-    }
+    let mut fleet = start_serving(3, 3, 2).await;
     fleet.engines[0].name_limit(Some(LIMIT_PER_S));
     let start = Instant::now();
     send_requests(&fleet, start + ADOPTION_TIME).await;
--- a/crates/wasabipoint_testbed/tests/forwarding/main.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/main.rs
@@ -7,3 +7,5 @@
 mod fixture;
 mod limits;
 mod quarantine;
+#[path = "../../../wasabipoint_entry/tests/fixtures/test_dialect.rs"]
+mod test_dialect;
