Keep earlier broken connections out of the crash of an engine

If connections to an engine broke and the engine crashed seconds later, the prompts of both were recorded as one crash at the earlier time, so that the bystanders of the first failure weighed as much as the deadly part and could delay its verdict.

A failure without confirmation starts anew after 1 s, the time in which entry processes report one crash.

a_failure_before_the_crash_of_its_engine_is_not_part_of_the_crash failed before: no part was blamed after four crashes.

--- a/crates/wasabipoint_policy/src/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/src/prompt_suspicion.rs
@@ -34,6 +34,10 @@
 /// It exceeds the accuracy of the times that entry processes report.
 const SAME_EVENT_MS: u64 = 40;
 
+/// Time in which entry processes report that their connections to a crashed engine broke. Earlier
+/// failures of connections to it are not part of the crash. In milliseconds.
+const MAX_REPORT_SPREAD_MS: u64 = 1_000;
+
 /// Time after which a crash is no longer considered, in milliseconds.
 const MAX_EVIDENCE_AGE_MS: u64 = 120_000;
 
@@ -153,14 +157,17 @@
         at_ms: u64,
         now_ms: u64,
     ) {
-        let crash = self
-            .crashes
-            .entry((endpoint.clone(), incarnation))
-            .or_insert_with(|| Crash {
-                at_ms,
-                is_confirmed: false,
-                prompts: BTreeSet::new(),
-            });
+        let key = (endpoint.clone(), incarnation);
+        let is_earlier_failure =
+            |crash: &Crash| !crash.is_confirmed && at_ms > crash.at_ms + MAX_REPORT_SPREAD_MS;
+        if self.crashes.get(&key).is_some_and(is_earlier_failure) {
+            self.crashes.remove(&key);
+        }
+        let crash = self.crashes.entry(key).or_insert_with(|| Crash {
+            at_ms,
+            is_confirmed: false,
+            prompts: BTreeSet::new(),
+        });
         let shared = prompts.iter().filter(|parts| parts.len() > 1);
         for parts in shared {
             if crash.prompts.len() >= MAX_PROMPTS_PER_CRASH {
--- a/crates/wasabipoint_policy/tests/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/tests/prompt_suspicion.rs
@@ -167,6 +167,32 @@
     assert_eq!(reports.blamed(), Vec::<u64>::new());
 }
 
+/// Guards against prompts that broke with a connection and are blamed when their engine crashes long
+/// after.
+#[test]
+fn a_failure_before_the_crash_of_its_engine_is_not_part_of_the_crash() {
+    let mut reports = Reports::default();
+    for number in 0..4_u64 {
+        let at_ms = 10_000 + number * 5_000;
+        let bystander = [FIRST, SUBJECT, 200 + number];
+        let engine = reports.report_crash(at_ms, &[(number as usize, &bystander)]);
+        let deadly = [FIRST, DEADLY, 100 + number].map(PromptPartId).to_vec();
+        let crashed_ms = at_ms + 3_000;
+        reports.now_ms = crashed_ms;
+        reports.suspicion.record_crash(
+            &engine,
+            Incarnation(1),
+            &EntryId::new(format!("entry-{number}")),
+            &[deadly],
+            crashed_ms,
+            crashed_ms,
+        );
+        reports.suspicion.confirm(&engine, Incarnation(1));
+        reports.answer(FIRST, crashed_ms + 50);
+    }
+    assert_eq!(reports.blamed(), [DEADLY]);
+}
+
 /// Guards against a verdict that one entry process brings about alone, and against a part that is
 /// never blamed because all of its requests come to one process.
 #[test]
