Evaluate the evidence against prompt parts in one pass

Each round of the quarantine task compared every suspected part with every prompt on every crashed engine, and every report of an entry process triggered a round. With the bounds of the evidence (64 crashes, 128 prompts each, 1,024 parts) that is millions of comparisons per report, on a leader with a share of a core.

The evidence is collected in one pass over the prompts now, and rounds are at least 20 ms apart. The tests of the verdicts pass as before.

--- a/crates/wasabipoint_control/src/quarantine.rs
+++ b/crates/wasabipoint_control/src/quarantine.rs
@@ -24,6 +24,10 @@
 /// Interval between rounds without new evidence.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Delay from a notification to the round that it triggers, which bounds the rate of rounds: every
+/// report of an entry process may bring evidence.
+const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Confirms crashes, quarantines parts and schedules their probes while this member leads.
 pub(crate) async fn run_quarantine(
     control: Arc<ControlContext>,
@@ -32,7 +36,7 @@
     loop {
         tokio::select! {
             () = tokio::time::sleep(ROUND_INTERVAL) => {}
-            () = control.wake_quarantine.notified() => {}
+            () = control.wake_quarantine.notified() => tokio::time::sleep(MIN_ROUND_INTERVAL).await,
         }
         let Some(term) = control.member.leading_term() else {
             continue;
--- a/crates/wasabipoint_policy/src/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/src/prompt_suspicion.rs
@@ -145,6 +145,32 @@
     part: PromptPartId,
 }
 
+/// Occurrences of one part on crashed engines, in order of time.
+#[derive(Debug, Default)]
+struct Trace<'c> {
+    events: usize,
+    last_event_ms: Option<u64>,
+    position: usize,
+    /// The last parts of the prompts, which tell requests apart.
+    requests: BTreeSet<PromptPartId>,
+    entries: BTreeSet<&'c EntryId>,
+}
+
+impl<'c> Trace<'c> {
+    fn record(&mut self, crashed_ms: u64, position: usize, prompt: &'c SuspectPrompt) {
+        let is_same_event = self
+            .last_event_ms
+            .is_some_and(|last_ms| crashed_ms < last_ms + SAME_EVENT_MS);
+        if !is_same_event {
+            self.events += 1;
+            self.last_event_ms = Some(crashed_ms);
+        }
+        self.position = position;
+        self.requests.extend(prompt.parts.last());
+        self.entries.insert(&prompt.entry);
+    }
+}
+
 impl PromptSuspicion {
     /// Records prompts of an entry process that broke at an engine. Prompts of one part only are
     /// ignored, as are those beyond the limits.
@@ -297,17 +323,9 @@
         context: &VerdictContext<'_>,
         now_ms: u64,
     ) -> Option<Evidence> {
-        let candidates: BTreeSet<PromptPartId> = crashes
-            .iter()
-            .flat_map(|crash| &crash.prompts)
-            .flat_map(|prompt| shared_parts(&prompt.parts))
-            .collect();
-        let sufficient = candidates.iter().filter_map(|part| {
-            let suspect = self.suspects.get(part)?;
-            let is_reported = suspect.listed_revision <= context.reported_revision
-                || now_ms >= suspect.listed_ms + MAX_ANSWER_REPORT_MS;
-            let evidence = collect_evidence(*part, suspect, crashes, None);
-            (is_reported && is_sufficient(&evidence, context)).then_some(evidence)
+        let evidence = self.collect_evidence(crashes, None);
+        let sufficient = evidence.into_iter().filter(|evidence| {
+            self.is_reported(evidence.part, context, now_ms) && is_sufficient(evidence, context)
         });
         let leading = sufficient.filter(|evidence| {
             evidence.events >= MIN_CRASHES_ONCE_ANSWERED
@@ -316,16 +334,52 @@
         leading.max()
     }
 
+    /// Returns whether entry processes reported their answers to a part, or had the time to.
+    fn is_reported(&self, part: PromptPartId, context: &VerdictContext<'_>, now_ms: u64) -> bool {
+        self.suspects.get(&part).is_some_and(|suspect| {
+            suspect.listed_revision <= context.reported_revision
+                || now_ms >= suspect.listed_ms + MAX_ANSWER_REPORT_MS
+        })
+    }
+
     /// Returns the highest number of crashes that speak against another part which no engine
     /// answered, without the prompts that contain the given part as well.
     fn most_rival_events(&self, part: PromptPartId, crashes: &[&Crash]) -> usize {
-        let unanswered = self
-            .suspects
-            .iter()
-            .filter(|(rival, suspect)| **rival != part && suspect.answered_ms.is_none());
-        let events = unanswered
-            .map(|(rival, suspect)| collect_evidence(*rival, suspect, crashes, Some(part)).events);
-        events.max().unwrap_or(0)
+        let rivals = self.collect_evidence(crashes, Some(part));
+        let unanswered = rivals.iter().filter(|rival| rival.is_never_answered);
+        unanswered.map(|rival| rival.events).max().unwrap_or(0)
+    }
+
+    /// Collects the evidence against each part from the crashes since it was last answered. The
+    /// crashes are in order of time. Prompts that contain the part `without` are left out.
+    fn collect_evidence(&self, crashes: &[&Crash], without: Option<PromptPartId>) -> Vec<Evidence> {
+        let mut traces: BTreeMap<PromptPartId, Trace<'_>> = BTreeMap::new();
+        for crash in crashes {
+            for prompt in &crash.prompts {
+                if without.is_some_and(|without| prompt.contains(without)) {
+                    continue;
+                }
+                for (position, part) in shared_parts(&prompt.parts).enumerate() {
+                    let suspect = self.suspects.get(&part);
+                    if suspect.is_some_and(|suspect| suspect.answered_ms < Some(crash.at_ms)) {
+                        let trace = traces.entry(part).or_default();
+                        trace.record(crash.at_ms, position, prompt);
+                    }
+                }
+            }
+        }
+        let evidence = traces.into_iter().map(|(part, trace)| {
+            let suspect = self.suspects.get(&part);
+            Evidence {
+                is_never_answered: suspect.is_some_and(|suspect| suspect.answered_ms.is_none()),
+                position: trace.position,
+                events: trace.events,
+                requests: trace.requests.len(),
+                entries: trace.entries.len(),
+                part,
+            }
+        });
+        evidence.collect()
     }
 
     /// Lists a part as a suspect of a crash.
@@ -375,54 +429,6 @@
     prompts.find_map(|prompt| shared_parts(&prompt.parts).position(|shared| shared == part))
 }
 
-/// Collects the evidence against a part from the crashes since it was last answered, in order of
-/// time. Prompts that contain the part `without` are left out.
-fn collect_evidence(
-    part: PromptPartId,
-    suspect: &Suspect,
-    crashes: &[&Crash],
-    without: Option<PromptPartId>,
-) -> Evidence {
-    let mut events = 0;
-    let mut last_event_ms = None;
-    let mut position = 0;
-    let mut requests = BTreeSet::new();
-    let mut entries = BTreeSet::new();
-    for crash in crashes {
-        if suspect
-            .answered_ms
-            .is_some_and(|answered_ms| answered_ms >= crash.at_ms)
-        {
-            continue;
-        }
-        let prompts = crash.prompts.iter();
-        let with_part = prompts.filter(|prompt| {
-            prompt.contains(part) && !without.is_some_and(|without| prompt.contains(without))
-        });
-        let mut is_on_crashed_engine = false;
-        for prompt in with_part {
-            is_on_crashed_engine = true;
-            position = prompt.parts.iter().position(|p| *p == part).unwrap_or(0);
-            requests.insert(prompt.parts.last());
-            entries.insert(&prompt.entry);
-        }
-        let is_same_event =
-            last_event_ms.is_some_and(|last_ms| crash.at_ms < last_ms + SAME_EVENT_MS);
-        if is_on_crashed_engine && !is_same_event {
-            events += 1;
-            last_event_ms = Some(crash.at_ms);
-        }
-    }
-    Evidence {
-        is_never_answered: suspect.answered_ms.is_none(),
-        events,
-        requests: requests.len(),
-        position,
-        entries: entries.len(),
-        part,
-    }
-}
-
 fn is_sufficient(evidence: &Evidence, context: &VerdictContext<'_>) -> bool {
     let min_crashes = if evidence.is_never_answered {
         MIN_CRASHES
