Count each crash of an engine that came back under its name

A crash was recorded by endpoint and incarnation. An engine that restarts under its name crashes again before entry processes have learnt its new incarnation, so that several crashes by one part counted as one and its verdict came late.

Failures of one incarnation that are more than 1 s apart are different crashes now; an earlier failure without confirmation is still dropped.

crashes_of_an_engine_that_came_back_count_each failed before: no part was blamed after three crashes.

--- a/crates/wasabipoint_policy/src/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/src/prompt_suspicion.rs
@@ -34,9 +34,10 @@
 /// It exceeds the accuracy of the times that entry processes report.
 const SAME_EVENT_MS: u64 = 40;
 
-/// Time in which entry processes report that their connections to a crashed engine broke. Earlier
-/// failures of connections to it are not part of the crash. In milliseconds.
-const MAX_REPORT_SPREAD_MS: u64 = 1_000;
+/// Time within which connections to a crashed engine break, in milliseconds. Failures further apart
+/// are different ones: broken connections before a crash, or a crash of the engine's next
+/// incarnation, which entry processes do not know yet.
+const MAX_CRASH_SPREAD_MS: u64 = 1_000;
 
 /// Time after which a crash is no longer considered, in milliseconds.
 const MAX_EVIDENCE_AGE_MS: u64 = 120_000;
@@ -72,6 +73,8 @@
 /// A crash of one incarnation of an endpoint.
 #[derive(Debug)]
 struct Crash {
+    endpoint: EndpointId,
+    incarnation: Incarnation,
     at_ms: u64,
     /// Whether another process than the reporting one found that the endpoint has ended.
     is_confirmed: bool,
@@ -126,7 +129,7 @@
 /// Crashes of engines, the prompts on them, and the answers to their parts.
 #[derive(Debug, Default)]
 pub struct PromptSuspicion {
-    crashes: BTreeMap<(EndpointId, Incarnation), Crash>,
+    crashes: Vec<Crash>,
     suspects: BTreeMap<PromptPartId, Suspect>,
     revision: u64,
 }
@@ -183,17 +186,7 @@
         at_ms: u64,
         now_ms: u64,
     ) {
-        let key = (endpoint.clone(), incarnation);
-        let is_earlier_failure =
-            |crash: &Crash| !crash.is_confirmed && at_ms > crash.at_ms + MAX_REPORT_SPREAD_MS;
-        if self.crashes.get(&key).is_some_and(is_earlier_failure) {
-            self.crashes.remove(&key);
-        }
-        let crash = self.crashes.entry(key).or_insert_with(|| Crash {
-            at_ms,
-            is_confirmed: false,
-            prompts: BTreeSet::new(),
-        });
+        let crash = self.find_or_add_crash(endpoint, incarnation, at_ms);
         let shared = prompts.iter().filter(|parts| parts.len() > 1);
         for parts in shared {
             if crash.prompts.len() >= MAX_PROMPTS_PER_CRASH {
@@ -212,30 +205,65 @@
         }
     }
 
+    /// Returns the crash of an endpoint at about this time. An earlier failure that was not confirmed
+    /// is dropped.
+    fn find_or_add_crash(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        at_ms: u64,
+    ) -> &mut Crash {
+        let is_same_endpoint =
+            |crash: &Crash| crash.endpoint == *endpoint && crash.incarnation == incarnation;
+        self.crashes.retain(|crash| {
+            let is_earlier = at_ms > crash.at_ms + MAX_CRASH_SPREAD_MS;
+            crash.is_confirmed || !is_earlier || !is_same_endpoint(crash)
+        });
+        let known = self.crashes.iter().position(|crash| {
+            is_same_endpoint(crash) && crash.at_ms.abs_diff(at_ms) <= MAX_CRASH_SPREAD_MS
+        });
+        let index = known.unwrap_or_else(|| {
+            self.crashes.push(Crash {
+                endpoint: endpoint.clone(),
+                incarnation,
+                at_ms,
+                is_confirmed: false,
+                prompts: BTreeSet::new(),
+            });
+            self.crashes.len() - 1
+        });
+        &mut self.crashes[index]
+    }
+
     /// Drops the oldest crashes beyond the limit, those without confirmation first.
     fn drop_excess_crashes(&mut self) {
         while self.crashes.len() > MAX_CRASHES {
             let oldest = self
                 .crashes
                 .iter()
+                .enumerate()
                 .min_by_key(|(_, crash)| (crash.is_confirmed, crash.at_ms));
-            let Some(key) = oldest.map(|(key, _)| key.clone()) else {
+            let Some((index, _)) = oldest else {
                 break;
             };
-            self.crashes.remove(&key);
+            self.crashes.swap_remove(index);
         }
     }
 
     /// Returns the crashes that no second process has confirmed yet.
     pub fn unconfirmed(&self) -> impl Iterator<Item = (&EndpointId, Incarnation)> {
-        let crashes = self.crashes.iter().filter(|(_, crash)| !crash.is_confirmed);
-        crashes.map(|((endpoint, incarnation), _)| (endpoint, *incarnation))
+        let crashes = self.crashes.iter().filter(|crash| !crash.is_confirmed);
+        crashes.map(|crash| (&crash.endpoint, crash.incarnation))
     }
 
     /// Records that an endpoint was found to have ended. Returns the number of prompts that were on
     /// it, and of entry processes that reported them.
     pub fn confirm(&mut self, endpoint: &EndpointId, incarnation: Incarnation) -> (usize, usize) {
-        let Some(crash) = self.crashes.get_mut(&(endpoint.clone(), incarnation)) else {
+        let mut crashes = self.crashes.iter_mut();
+        let unconfirmed = crashes.find(|crash| {
+            !crash.is_confirmed && crash.endpoint == *endpoint && crash.incarnation == incarnation
+        });
+        let Some(crash) = unconfirmed else {
             return (0, 0);
         };
         crash.is_confirmed = true;
@@ -268,7 +296,7 @@
 
     /// Returns whether a crash after `since_ms` broke a prompt with the part.
     pub fn has_crashed_since(&self, part: PromptPartId, since_ms: u64) -> bool {
-        let crashes = self.crashes.values();
+        let crashes = self.crashes.iter();
         let mut recent = crashes.filter(|crash| crash.is_confirmed && crash.at_ms > since_ms);
         recent.any(|crash| position_in(crash, part).is_some())
     }
@@ -294,12 +322,12 @@
     /// suspicious first.
     pub fn verdicts(&mut self, context: &VerdictContext<'_>, now_ms: u64) -> Vec<PromptVerdict> {
         let oldest_ms = now_ms.saturating_sub(MAX_EVIDENCE_AGE_MS);
-        self.crashes.retain(|_, crash| crash.at_ms >= oldest_ms);
+        self.crashes.retain(|crash| crash.at_ms >= oldest_ms);
         self.suspects
             .retain(|_, suspect| suspect.crashed_ms >= oldest_ms);
         let mut unexplained: Vec<&Crash> = self
             .crashes
-            .values()
+            .iter()
             .filter(|crash| crash.is_confirmed && !is_explained(crash, context.quarantined))
             .collect();
         unexplained.sort_by_key(|crash| crash.at_ms);
--- a/crates/wasabipoint_policy/tests/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/tests/prompt_suspicion.rs
@@ -193,6 +193,30 @@
     assert_eq!(reports.blamed(), [DEADLY]);
 }
 
+/// Guards against crashes that count once because the engines were back under their names before the
+/// entry processes learnt of their new incarnations.
+#[test]
+fn crashes_of_an_engine_that_came_back_count_each() {
+    let mut reports = Reports::default();
+    for number in 0..3_u64 {
+        let deadly = [FIRST, DEADLY, 100 + number].map(PromptPartId).to_vec();
+        let crashed_ms = 10_000 + number * 2_000;
+        reports.now_ms = crashed_ms;
+        let engine = EndpointId::new("engine-1");
+        reports.suspicion.record_crash(
+            &engine,
+            Incarnation(1),
+            &EntryId::new(format!("entry-{number}")),
+            &[deadly],
+            crashed_ms,
+            crashed_ms,
+        );
+        reports.suspicion.confirm(&engine, Incarnation(1));
+        reports.answer(FIRST, crashed_ms + 50);
+    }
+    assert_eq!(reports.blamed(), [DEADLY]);
+}
+
 /// Guards against a verdict that one entry process brings about alone, and against a part that is
 /// never blamed because all of its requests come to one process.
 #[test]
