Count the crash by a retried request as an event of its own

Crashes within 40 ms count as one event, so that the loss of a rack blames no part. A request whose retry crashes the next engine within that time made five crashes look like two events; after them four more requests reached engines where three are allowed.

Crashes that share a request are separate events now: it was sent to the second engine after the first had crashed.

--- a/crates/wasabipoint_policy/src/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/src/prompt_suspicion.rs
@@ -30,8 +30,9 @@
 /// each crash is one request.
 const MIN_REQUESTS: usize = 2;
 
-/// Crashes closer together than this are one event, such as the loss of a rack, in milliseconds.
-/// It exceeds the accuracy of the times that entry processes report.
+/// Crashes closer together than this are one event, such as the loss of a rack, in milliseconds,
+/// unless a request was on both engines: it was sent to the second one after the first had crashed.
+/// The time exceeds the accuracy of the times that entry processes report.
 const SAME_EVENT_MS: u64 = 40;
 
 /// Time within which connections to a crashed engine break, in milliseconds. Failures further apart
@@ -148,29 +149,40 @@
     part: PromptPartId,
 }
 
-/// Occurrences of one part on crashed engines, in order of time.
+/// Occurrences of one part on one crashed engine.
+#[derive(Debug, Default)]
+struct Occurrence<'c> {
+    position: usize,
+    /// The last parts of the prompts, which tell requests apart.
+    requests: BTreeSet<PromptPartId>,
+    entries: BTreeSet<&'c EntryId>,
+}
+
+/// Occurrences of one part on all crashed engines, in order of time.
 #[derive(Debug, Default)]
 struct Trace<'c> {
     events: usize,
+    /// Time of the last event, and the requests of the last crash.
     last_event_ms: Option<u64>,
+    last_requests: BTreeSet<PromptPartId>,
     position: usize,
-    /// The last parts of the prompts, which tell requests apart.
     requests: BTreeSet<PromptPartId>,
     entries: BTreeSet<&'c EntryId>,
 }
 
 impl<'c> Trace<'c> {
-    fn record(&mut self, crashed_ms: u64, position: usize, prompt: &'c SuspectPrompt) {
-        let is_same_event = self
+    fn record(&mut self, crashed_ms: u64, occurrence: Occurrence<'c>) {
+        let is_close = self
             .last_event_ms
             .is_some_and(|last_ms| crashed_ms < last_ms + SAME_EVENT_MS);
-        if !is_same_event {
+        if !is_close || !self.last_requests.is_disjoint(&occurrence.requests) {
             self.events += 1;
             self.last_event_ms = Some(crashed_ms);
         }
-        self.position = position;
-        self.requests.extend(prompt.parts.last());
-        self.entries.insert(&prompt.entry);
+        self.position = occurrence.position;
+        self.requests.extend(&occurrence.requests);
+        self.entries.extend(occurrence.entries);
+        self.last_requests = occurrence.requests;
     }
 }
 
@@ -383,17 +395,9 @@
     fn collect_evidence(&self, crashes: &[&Crash], without: Option<PromptPartId>) -> Vec<Evidence> {
         let mut traces: BTreeMap<PromptPartId, Trace<'_>> = BTreeMap::new();
         for crash in crashes {
-            for prompt in &crash.prompts {
-                if without.is_some_and(|without| prompt.contains(without)) {
-                    continue;
-                }
-                for (position, part) in shared_parts(&prompt.parts).enumerate() {
-                    let suspect = self.suspects.get(&part);
-                    if suspect.is_some_and(|suspect| suspect.answered_ms < Some(crash.at_ms)) {
-                        let trace = traces.entry(part).or_default();
-                        trace.record(crash.at_ms, position, prompt);
-                    }
-                }
+            for (part, occurrence) in self.occurrences(crash, without) {
+                let trace = traces.entry(part).or_default();
+                trace.record(crash.at_ms, occurrence);
             }
         }
         let evidence = traces.into_iter().map(|(part, trace)| {
@@ -410,6 +414,31 @@
         evidence.collect()
     }
 
+    /// Returns the parts that were on a crashed engine and were not answered since.
+    fn occurrences<'c>(
+        &self,
+        crash: &'c Crash,
+        without: Option<PromptPartId>,
+    ) -> BTreeMap<PromptPartId, Occurrence<'c>> {
+        let mut occurrences: BTreeMap<PromptPartId, Occurrence<'c>> = BTreeMap::new();
+        for prompt in &crash.prompts {
+            if without.is_some_and(|without| prompt.contains(without)) {
+                continue;
+            }
+            for (position, part) in shared_parts(&prompt.parts).enumerate() {
+                let suspect = self.suspects.get(&part);
+                if suspect.is_none_or(|suspect| suspect.answered_ms >= Some(crash.at_ms)) {
+                    continue;
+                }
+                let occurrence = occurrences.entry(part).or_default();
+                occurrence.position = position;
+                occurrence.requests.extend(prompt.parts.last());
+                occurrence.entries.insert(&prompt.entry);
+            }
+        }
+        occurrences
+    }
+
     /// Lists a part as a suspect of a crash.
     fn list_suspect(&mut self, part: PromptPartId, crashed_ms: u64, now_ms: u64) {
         let (revision, is_full) = (self.revision, self.suspects.len() >= MAX_SUSPECTS);
--- a/crates/wasabipoint_policy/tests/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/tests/prompt_suspicion.rs
@@ -145,6 +145,21 @@
     assert_eq!(reports.blamed(), Vec::<u64>::new());
 }
 
+/// Guards against a burst that counts as one event: a request that is sent again crashes the next
+/// engine within milliseconds.
+#[test]
+fn the_crash_by_a_retry_is_an_event_of_its_own() {
+    let mut reports = Reports::default();
+    for number in 0..2 {
+        let at_ms = 1_000 + number * 200;
+        let deadly = [FIRST, DEADLY, 100 + number];
+        reports.crash(at_ms, &[(number as usize, &deadly)]);
+        reports.crash(at_ms + 16, &[(number as usize, &deadly)]);
+        reports.answer(FIRST, at_ms + 50);
+    }
+    assert_eq!(reports.blamed(), [DEADLY]);
+}
+
 /// Guards against a request that is blamed because it was sent again after crashes of other causes.
 #[test]
 fn a_bystander_that_is_sent_again_is_not_blamed() {
