Drop failures of engines that are not confirmed as crashes in time

A failure without confirmation was kept for two minutes. When its engine was replaced meanwhile, the directory confirmed it as a crash, and requests that had only lost a connection spoke against their prompt parts.

A failure is confirmed within 10 s of its first report or dropped.

a_failure_that_is_confirmed_late_is_no_crash failed before: five replaced engines quarantined a sound part.

--- a/crates/wasabipoint_policy/src/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/src/prompt_suspicion.rs
@@ -43,6 +43,10 @@
 /// Time after which a crash is no longer considered, in milliseconds.
 const MAX_EVIDENCE_AGE_MS: u64 = 120_000;
 
+/// Time after which a failure without confirmation is no longer considered, in milliseconds. A crashed
+/// engine stays in the directory for some seconds.
+const MAX_UNCONFIRMED_MS: u64 = 10_000;
+
 /// Maximum number of crashes that are kept; the oldest are dropped.
 const MAX_CRASHES: usize = 64;
 
@@ -77,6 +81,8 @@
     endpoint: EndpointId,
     incarnation: Incarnation,
     at_ms: u64,
+    /// Time at which the first report of it was received.
+    recorded_ms: u64,
     /// Whether another process than the reporting one found that the endpoint has ended.
     is_confirmed: bool,
     prompts: BTreeSet<SuspectPrompt>,
@@ -198,7 +204,7 @@
         at_ms: u64,
         now_ms: u64,
     ) {
-        let crash = self.find_or_add_crash(endpoint, incarnation, at_ms);
+        let crash = self.find_or_add_crash(endpoint, incarnation, at_ms, now_ms);
         let shared = prompts.iter().filter(|parts| parts.len() > 1);
         for parts in shared {
             if crash.prompts.len() >= MAX_PROMPTS_PER_CRASH {
@@ -224,6 +230,7 @@
         endpoint: &EndpointId,
         incarnation: Incarnation,
         at_ms: u64,
+        now_ms: u64,
     ) -> &mut Crash {
         let is_same_endpoint =
             |crash: &Crash| crash.endpoint == *endpoint && crash.incarnation == incarnation;
@@ -239,6 +246,7 @@
                 endpoint: endpoint.clone(),
                 incarnation,
                 at_ms,
+                recorded_ms: now_ms,
                 is_confirmed: false,
                 prompts: BTreeSet::new(),
             });
@@ -334,7 +342,10 @@
     /// suspicious first.
     pub fn verdicts(&mut self, context: &VerdictContext<'_>, now_ms: u64) -> Vec<PromptVerdict> {
         let oldest_ms = now_ms.saturating_sub(MAX_EVIDENCE_AGE_MS);
-        self.crashes.retain(|crash| crash.at_ms >= oldest_ms);
+        self.crashes.retain(|crash| {
+            let is_awaited = now_ms < crash.recorded_ms + MAX_UNCONFIRMED_MS;
+            crash.at_ms >= oldest_ms && (crash.is_confirmed || is_awaited)
+        });
         self.suspects
             .retain(|_, suspect| suspect.crashed_ms >= oldest_ms);
         let mut unexplained: Vec<&Crash> = self
--- a/crates/wasabipoint_policy/tests/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/tests/prompt_suspicion.rs
@@ -232,6 +232,21 @@
     assert_eq!(reports.blamed(), [DEADLY]);
 }
 
+/// Guards against broken connections that become crashes when their engines are replaced long after.
+#[test]
+fn a_failure_that_is_confirmed_late_is_no_crash() {
+    let mut reports = Reports::default();
+    for number in 0..5_u64 {
+        let at_ms = 10_000 + number * 20_000;
+        let prompt = [FIRST, SUBJECT, 100 + number];
+        let engine = reports.report_crash(at_ms, &[(number as usize % 4, &prompt)]);
+        reports.now_ms = at_ms + 15_000;
+        assert_eq!(reports.blamed(), Vec::<u64>::new());
+        reports.suspicion.confirm(&engine, Incarnation(1));
+    }
+    assert_eq!(reports.blamed(), Vec::<u64>::new());
+}
+
 /// Guards against a verdict that one entry process brings about alone, and against a part that is
 /// never blamed because all of its requests come to one process.
 #[test]
