--- a/crates/wasabipoint_control/src/quarantine.rs
+++ b/crates/wasabipoint_control/src/quarantine.rs
@@ -72,8 +72,9 @@
 /// Confirms the crashes that the endpoint directory or entry processes show, and queries the other
 /// engines. A report of one entry process may only mean that its connections broke.
 fn confirm_crashes(control: &Arc<ControlContext>, commander: &Arc<dyn EngineCommander>, term: u64) {
-    let unconfirmed = control.with_leader_state(term, |leader| leader.prompts.due_checks());
-    for (endpoint, incarnation) in unconfirmed {
+    let unconfirmed =
+        control.with_leader_state(term, |leader| leader.prompts.unconfirmed_crashes());
+    for (endpoint, incarnation, is_query_due) in unconfirmed {
         let view = control
             .member
             .read(|state| state.view.endpoints.get(&endpoint).cloned());
@@ -89,12 +90,14 @@
             confirm_crash(control, term, &endpoint, incarnation, "unreachable");
             continue;
         }
-        tokio::spawn(query_engine(
-            Arc::clone(control),
-            Arc::clone(commander),
-            term,
-            view,
-        ));
+        if is_query_due {
+            tokio::spawn(query_engine(
+                Arc::clone(control),
+                Arc::clone(commander),
+                term,
+                view,
+            ));
+        }
     }
 }
 
@@ -107,7 +110,6 @@
     let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
     match commander.state(&endpoint).await {
         Ok(_) => {
-            control.with_leader_state(term, |leader| leader.prompts.end_check(id, incarnation));
             info!(control.logger, "quarantine: an engine with broken requests responds";
                 "endpoint" => %id, "incarnation" => incarnation.0, "term" => term);
         }
--- a/crates/wasabipoint_control/src/quarantine/tracker.rs
+++ b/crates/wasabipoint_control/src/quarantine/tracker.rs
@@ -25,7 +25,11 @@
 const MAX_ENTRY_AGE: Duration = Duration::from_mins(1);
 
 /// Interval between two queries of an engine whose crash is not confirmed.
-const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+const QUERY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Maximum number of queries of an engine for one failure. An engine that responds either runs or is
+/// back already; then the directory shows its new incarnation.
+const MAX_QUERIES: u32 = 2;
 
 /// Maximum number of parts whose answers are reported at once.
 const MAX_LISTED_SUSPECTS: usize = 512;
@@ -54,6 +58,27 @@
     since_ms: u64,
 }
 
+/// Queries of an engine whose crash is not confirmed.
+#[derive(Debug, Default)]
+struct Queries {
+    count: u32,
+    last_at: Option<Instant>,
+}
+
+impl Queries {
+    fn is_due(&self) -> bool {
+        let is_pause_over = self
+            .last_at
+            .is_none_or(|last_at| last_at.elapsed() >= QUERY_INTERVAL);
+        self.count < MAX_QUERIES && is_pause_over
+    }
+
+    fn record(&mut self) {
+        self.count += 1;
+        self.last_at = Some(Instant::now());
+    }
+}
+
 /// Evidence, refused requests and probes of one term.
 #[derive(Debug)]
 pub(crate) struct PromptTracker {
@@ -63,8 +88,8 @@
     entries: BTreeMap<EntryId, EntryProgress>,
     refusals: BTreeMap<PromptPartId, Refusals>,
     probes: BTreeMap<PromptPartId, ObservedProbe>,
-    /// Time of the last query of each engine whose crash is not confirmed.
-    checked_at: BTreeMap<(EndpointId, Incarnation), Instant>,
+    /// Queries of each engine whose crash is not confirmed.
+    queries: BTreeMap<(EndpointId, Incarnation), Queries>,
 }
 
 impl PromptTracker {
@@ -76,7 +101,7 @@
             entries: BTreeMap::new(),
             refusals: BTreeMap::new(),
             probes: BTreeMap::new(),
-            checked_at: BTreeMap::new(),
+            queries: BTreeMap::new(),
         }
     }
 
@@ -158,29 +183,23 @@
         }
     }
 
-    /// Returns the crashes without confirmation whose engines are to be queried now.
-    pub(crate) fn due_checks(&mut self) -> Vec<(EndpointId, Incarnation)> {
+    /// Returns the crashes without confirmation, and whether their engines are to be queried now.
+    pub(crate) fn unconfirmed_crashes(&mut self) -> Vec<(EndpointId, Incarnation, bool)> {
         let unconfirmed: BTreeSet<(EndpointId, Incarnation)> = self
             .suspicion
             .unconfirmed()
             .map(|(endpoint, incarnation)| (endpoint.clone(), incarnation))
             .collect();
-        self.checked_at.retain(|key, _| unconfirmed.contains(key));
-        let is_due = |key: &(EndpointId, Incarnation)| {
-            let checked_at = self.checked_at.get(key);
-            checked_at.is_none_or(|checked_at| checked_at.elapsed() >= CHECK_INTERVAL)
-        };
-        let due: Vec<_> = unconfirmed.into_iter().filter(is_due).collect();
-        for key in &due {
-            self.checked_at.insert(key.clone(), Instant::now());
+        self.queries.retain(|key, _| unconfirmed.contains(key));
+        let mut crashes = Vec::new();
+        for key in unconfirmed {
+            let is_due = self.queries.get(&key).is_none_or(Queries::is_due);
+            if is_due {
+                self.queries.entry(key.clone()).or_default().record();
+            }
+            crashes.push((key.0, key.1, is_due));
         }
-        due
-    }
-
-    /// Records that an engine responded to a query.
-    pub(crate) fn end_check(&mut self, endpoint: &EndpointId, incarnation: Incarnation) {
-        let key = (endpoint.clone(), incarnation);
-        self.checked_at.insert(key, Instant::now());
+        crashes
     }
 
     /// Confirms a crash. Returns the number of prompts and of entry processes that reported them.
