--- a/crates/wasabipoint_entry/src/forward/endpoints/limits.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints/limits.rs
@@ -29,6 +29,8 @@
         Some(selected)
     }
 
+    /// Counts a permission as wanted at each endpoint whose limit prevents the request and which has
+    /// less load than the selected one.
     fn count_wanted(
         &mut self,
         criteria: &SelectionCriteria<'_>,
--- a/crates/wasabipoint_policy/src/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/src/prompt_suspicion.rs
@@ -141,7 +141,8 @@
     revision: u64,
 }
 
-/// Evidence against one part, from the crashes that no other part explains.
+/// Evidence against one part, from the crashes that no other part explains. Compared field by field,
+/// the strongest is the greatest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct Evidence {
     /// Whether no answer to the part is known.
