Add review case 4: two routes of one place are acknowledged

Cause: hosts are compared with their capitals when a configuration is checked, and without them when a request is routed.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -2,6 +2,7 @@
 //! repository root. Exits with 1 if a rule was broken, 0 if it held, 2 if the case couldn't run.
 
 mod fleet;
+mod host_case;
 mod http;
 mod late_answer;
 mod plain;
@@ -17,6 +18,7 @@
     let repository = std::env::current_dir().expect("the current folder exists");
     let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     let case = match name.as_str() {
+        "host-case" => host_case::run,
         "late-answer" => late_answer::run,
         "unreadable-entry" => unreadable_entry::run,
         _ => {
