Add review case 4: a machine lost at the first start stops the core

Cause: an initial member waits for every other one, and only a process at the same address can report its loss. The case of the hosts is now case 5.

--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -13,6 +13,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+const SIGHUP: i32 = 1;
 const SIGKILL: i32 = 9;
 
 /// Ids of the processes that were started and not yet waited for.
@@ -103,6 +104,8 @@
     pub platform: Arc<Platform>,
     platform_address: SocketAddr,
     processes: Vec<(String, Child)>,
+    /// Hosts of the three seeds.
+    seeds: [u8; 3],
 }
 
 /// The bounds of the sheet that the settings carry.
@@ -152,6 +155,7 @@
             platform,
             platform_address,
             processes: Vec::new(),
+            seeds: [1, 2, 3],
         }
     }
 
@@ -165,14 +169,20 @@
     }
 
     fn seeds(&self) -> String {
-        let seeds = (1..=CONTROLS).map(|host| format!("{}:{}", self.ip(host), self.control_port));
-        seeds.collect::<Vec<_>>().join(",")
+        let seeds = self.seeds.map(|host| format!("{}:{}", self.ip(host), self.control_port));
+        seeds.join(",")
     }
 
-    /// Starts the control process of a machine (1 to 3), with the template's settings.
+    /// Starts the control process of a machine (1 to 3, or 9 for a new one).
     pub fn start_control(&mut self, machine: u8, is_first: bool) {
+        let settings = self.control_settings(machine, is_first);
+        self.start(&format!("core-{machine}"), "wasabipoint-platform-control", &settings);
+    }
+
+    /// The settings of the template of a control process.
+    fn control_settings(&self, machine: u8, is_first: bool) -> String {
         let lease = if self.bounds.fencing_required { 0 } else { 3_000 };
-        let settings = format!(
+        format!(
             "[control]\nnode = core-{machine}\nfailure_domain = zone-{machine}\nseeds = {}\n\
              rpc_port = {}\nhttp_listen = {}:{}\nfirst_start = {}\ndata_folder = {}\n\
              directory = {}\ncommand_lease_ms = {lease}\nquota_window_s = 8\n\
@@ -184,13 +194,18 @@
             if is_first { "yes" } else { "no" },
             self.folder.join(format!("data-{machine}")).display(),
             self.platform_address,
-        );
-        self.start(&format!("core-{machine}"), "wasabipoint-platform-control", &settings);
+        )
     }
 
-    /// Starts the entry process of a machine (1 to 4), with the template's settings.
+    /// Starts the entry process of a machine (1 to 4).
     pub fn start_entry(&mut self, machine: u8) {
-        let settings = format!(
+        let settings = self.entry_settings(machine);
+        self.start(&format!("front-{machine}"), "wasabipoint-platform-entry", &settings);
+    }
+
+    /// The settings of the template of an entry process.
+    fn entry_settings(&self, machine: u8) -> String {
+        format!(
             "[entry]\nnode = front-{machine}\nfailure_domain = zone-{machine}\nseeds = {}\n\
              rpc_port = {}\nlisten = {}\nstatus_listen = {}:{}\ngrace_s = 8\n",
             self.seeds(),
@@ -198,8 +213,38 @@
             self.entry_address(machine),
             self.ip(CONTROLS + machine),
             self.ready_port,
-        );
-        self.start(&format!("front-{machine}"), "wasabipoint-platform-entry", &settings);
+        )
+    }
+
+    /// Loses a machine of the core for good.
+    pub fn lose_control(&mut self, machine: u8) {
+        let name = format!("core-{machine}");
+        let at = self.processes.iter().position(|(n, _)| *n == name).expect("it was started");
+        let (_, mut child) = self.processes.remove(at);
+        let _ = child.kill();
+        STARTED.lock().unwrap().retain(|id| *id != child.id());
+        let _ = child.wait();
+    }
+
+    /// Adds an empty machine in the place of a lost one, at another address, and tells it to all, as
+    /// the platform does: the settings name the new seed, and the processes get SIGHUP.
+    pub fn replace_control(&mut self, lost: u8, new: u8) {
+        for seed in self.seeds.iter_mut().filter(|seed| **seed == lost) {
+            *seed = new;
+        }
+        for (name, child) in &self.processes {
+            let (role, machine) = name.split_once('-').expect("a role and a number");
+            let machine = machine.parse().expect("a number");
+            let settings = match role {
+                "core" => self.control_settings(machine, false),
+                _ => self.entry_settings(machine),
+            };
+            let path = self.folder.join(format!("{name}.conf"));
+            fs::write(&path, settings).expect("settings are written");
+            // SAFETY: `kill` has no memory effects; the child was not waited for.
+            unsafe { kill(child.id() as i32, SIGHUP) };
+        }
+        self.start_control(new, false);
     }
 
     pub fn entry_address(&self, machine: u8) -> SocketAddr {
@@ -237,7 +282,8 @@
     /// Sends a configuration until it is acknowledged, as the operator does.
     pub fn put_config(&self, config: &str, limit: Duration) -> Result<(), String> {
         let deadline = Instant::now() + limit;
-        let mut machine = 1;
+        let mut turn = 0;
+        let mut machine = self.seeds[turn];
         let mut address = SocketAddr::from((self.ip(machine), self.control_port));
         let mut last = String::new();
         while Instant::now() < deadline {
@@ -261,7 +307,8 @@
                 Ok(answer) => last = answer.first_line,
                 Err(error) => last = error.to_string(),
             }
-            machine = machine % CONTROLS + 1;
+            turn = (turn + 1) % self.seeds.len();
+            machine = self.seeds[turn];
             address = (self.ip(machine), self.control_port).into();
             std::thread::sleep(RETRY);
         }
--- a/review/standin/host_case.rs
+++ b/review/standin/host_case.rs
@@ -1,5 +1,5 @@
 //! An invalid configuration is sent: two routes share a host and a prefix, and the host is written in
-//! capitals in one of them. See `review/4/claim.txt`.
+//! capitals in one of them. See `review/5/claim.txt`.
 
 use std::path::Path;
 use std::sync::Arc;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins and checks of the review's scripts: `review-case NAME FOLDER`, run in the
 //! repository root. Exits with 1 if a rule was broken, 0 if it held, 2 if the case couldn't run.
 
+mod first_start;
 mod fleet;
 mod host_case;
 mod http;
@@ -18,6 +19,7 @@
     let repository = std::env::current_dir().expect("the current folder exists");
     let has_trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
     let case = match name.as_str() {
+        "first-start" => first_start::run,
         "host-case" => host_case::run,
         "late-answer" => late_answer::run,
         "unreadable-entry" => unreadable_entry::run,
