Bound the log of control in bytes, so that it never fills its disk

Cause: a log was compacted after 512 entries, whatever their size. The compaction writes a new log of half the size beside the old one; with entries of 150 to 190 kB both do not fit on 128 MB. All members reach that entry together, and only the compaction itself would make room.

Change: a log is compacted after a number of entries or of bytes (snapshot_log_kb, 8 MB by default), and keeps at most half of that. If the new log finds no room, it is written without the kept entries. Unfinished files are removed at once and at the next start.

Failed before: large_entries_do_not_fill_the_disk, a_compaction_drops_kept_entries_that_have_no_room, unfinished_files_are_removed_at_start (run on without the new setting).

--- a/crates/wasabipoint_consensus/examples/figures.rs
+++ b/crates/wasabipoint_consensus/examples/figures.rs
@@ -89,6 +89,7 @@
             tick_ms: TICK_MS,
             // No snapshot is taken during a run, so that the log contains every commit.
             snapshot_entries: 1_000_000,
+            snapshot_log_bytes: u64::MAX,
         };
         let state_machine = Arc::new(Mutex::new(Counter::default()));
         let transport = Arc::new(MemberTransport {
@@ -208,6 +209,7 @@
         initial_members: vec![MemberId(1)],
         is_joining: false,
         trailing_entries: 0,
+        trailing_bytes: 0,
         seed: 1,
     };
     let mut core = Core::new(config, RecoveredState::default());
--- a/crates/wasabipoint_consensus/src/api.rs
+++ b/crates/wasabipoint_consensus/src/api.rs
@@ -66,8 +66,11 @@
     pub data_folder: PathBuf,
     /// Length of a tick in milliseconds. The election timeout is 10 to 20 ticks.
     pub tick_ms: u64,
-    /// Number of applied log entries between snapshots.
+    /// Number of applied log entries after which a snapshot replaces them.
     pub snapshot_entries: u64,
+    /// Size of applied log entries in bytes after which a snapshot replaces them. It bounds the log
+    /// on disk and in memory when entries are large.
+    pub snapshot_log_bytes: u64,
 }
 
 plain_data! {
--- a/crates/wasabipoint_consensus/src/core.rs
+++ b/crates/wasabipoint_consensus/src/core.rs
@@ -46,6 +46,8 @@
     pub is_joining: bool,
     /// Entries kept in the log before a snapshot, so that a slow member can catch up without one.
     pub trailing_entries: u64,
+    /// Maximum size of these entries in bytes.
+    pub trailing_bytes: u64,
     /// Seed of the election timeouts.
     pub seed: u64,
 }
@@ -95,6 +97,8 @@
     leader: Option<MemberId>,
     /// Index of the last committed entry.
     commit: u64,
+    /// Size of the committed entries after the latest snapshot.
+    committed_bytes_since_snapshot: u64,
     /// Ticks since the start.
     now: u64,
     /// Ticks since the election timer was reset.
@@ -144,6 +148,7 @@
             state: State::Follower,
             leader: None,
             commit,
+            committed_bytes_since_snapshot: 0,
             now: 0,
             election_elapsed: 0,
             election_timeout: 0,
@@ -346,6 +351,17 @@
         self.snapshot.as_ref().map_or(0, |s| s.index)
     }
 
+    /// Returns the size in bytes of the committed entries after the latest snapshot.
+    pub fn committed_bytes_since_snapshot(&self) -> u64 {
+        self.committed_bytes_since_snapshot
+    }
+
+    /// Returns the number and the size in bytes of the entries in the log.
+    pub fn log_size(&self) -> (usize, u64) {
+        let sizes = self.log.iter().map(|entry| entry.size() as u64);
+        sizes.fold((0, 0), |(count, bytes), size| (count + 1, bytes + size))
+    }
+
     /// Returns the current configuration.
     pub fn configuration(&self) -> &Configuration {
         let (_, configuration) = self.configurations.back().expect("there is always one");
@@ -368,8 +384,11 @@
             data,
         });
         self.snapshot = Some(Arc::clone(&snapshot));
+        let (entries, bytes) = (self.config.trailing_entries, self.config.trailing_bytes);
         self.log
-            .compact_to(index.saturating_sub(self.config.trailing_entries));
+            .compact_to(self.log.trailing_base(index, entries, bytes));
+        let remaining = self.log.range(index + 1..=self.commit);
+        self.committed_bytes_since_snapshot = remaining.map(|entry| entry.size() as u64).sum();
         self.write_snapshot(snapshot);
     }
 
@@ -517,6 +536,7 @@
                 .log
                 .get(next)
                 .expect("committed entries are in the log");
+            self.committed_bytes_since_snapshot += entry.size() as u64;
             self.effects.push(Effect::Apply(entry.clone()));
         }
         self.commit = self.commit.max(index);
--- a/crates/wasabipoint_consensus/src/core/follower.rs
+++ b/crates/wasabipoint_consensus/src/core/follower.rs
@@ -182,6 +182,7 @@
         self.configurations
             .push_back((index, snapshot.configuration.clone()));
         self.commit = index;
+        self.committed_bytes_since_snapshot = 0;
         self.snapshot = Some(Arc::clone(&snapshot));
         self.effects.push(Effect::Restore(Arc::clone(&snapshot)));
         self.write_snapshot(snapshot);
--- a/crates/wasabipoint_consensus/src/log.rs
+++ b/crates/wasabipoint_consensus/src/log.rs
@@ -1,6 +1,7 @@
 //! The in-memory log.
 
 use std::collections::VecDeque;
+use std::ops::RangeInclusive;
 
 use crate::entry::Entry;
 
@@ -55,6 +56,25 @@
         self.entries.iter()
     }
 
+    /// Iterates over the entries of a range of indexes that is in the log.
+    pub(crate) fn range(&self, indexes: RangeInclusive<u64>) -> impl Iterator<Item = &Entry> {
+        indexes.map(|index| self.get(index).expect("the range is in the log"))
+    }
+
+    /// Returns the base of a log that keeps the entries before and at an index, up to both limits.
+    pub(crate) fn trailing_base(&self, index: u64, max_entries: u64, max_bytes: u64) -> u64 {
+        let mut base = index;
+        let mut bytes = 0;
+        while let Some(entry) = self.get(base) {
+            bytes += entry.size() as u64;
+            if index - base >= max_entries || bytes > max_bytes {
+                break;
+            }
+            base -= 1;
+        }
+        base
+    }
+
     /// Copies entries from an index on, up to both limits. The first entry is copied even if it
     /// exceeds the size limit.
     pub(crate) fn batch(&self, from: u64, max_entries: usize, max_bytes: usize) -> Vec<Entry> {
--- a/crates/wasabipoint_consensus/src/replica.rs
+++ b/crates/wasabipoint_consensus/src/replica.rs
@@ -83,8 +83,9 @@
     let is_initial = config.initial_members.contains(&config.member);
     let detail = if config.cluster.is_empty() || config.cluster.contains(['\n', '\r']) {
         "the cluster name must be one non-empty line".to_owned()
-    } else if config.tick_ms == 0 || config.snapshot_entries == 0 {
-        "tick and snapshot interval must not be zero".to_owned()
+    } else if config.tick_ms == 0 || config.snapshot_entries == 0 || config.snapshot_log_bytes == 0
+    {
+        "tick and snapshot intervals must not be zero".to_owned()
     } else if !is_initial && !config.is_joining {
         format!(
             "member {} is not an initial member; it can only join as a learner",
@@ -126,6 +127,7 @@
         is_joining: config.is_joining,
         // Half an interval lets a member catch up without a snapshot after a short outage.
         trailing_entries: config.snapshot_entries / 2,
+        trailing_bytes: config.snapshot_log_bytes / 2,
         seed: rand::random(),
     }
 }
--- a/crates/wasabipoint_consensus/src/replica/driver.rs
+++ b/crates/wasabipoint_consensus/src/replica/driver.rs
@@ -344,11 +344,20 @@
 
     fn compact_if_due(&mut self) {
         let applied = self.core.commit_index();
-        if self.is_stopping || applied - self.core.snapshot_index() < self.config.snapshot_entries {
+        let entries = applied - self.core.snapshot_index();
+        let bytes = self.core.committed_bytes_since_snapshot();
+        let is_due =
+            entries >= self.config.snapshot_entries || bytes >= self.config.snapshot_log_bytes;
+        if self.is_stopping || !is_due {
             return;
         }
         let data = lock(&self.state_machine).snapshot();
+        let snapshot_bytes = data.len();
         self.core.compact(applied, SharedBytes::new(data));
+        let (kept_entries, kept_bytes) = self.core.log_size();
+        info!(self.logger, "consensus: compacted the log"; "index" => applied,
+            "entries" => entries, "bytes" => bytes, "snapshot_bytes" => snapshot_bytes,
+            "kept_entries" => kept_entries, "kept_bytes" => kept_bytes);
     }
 
     fn start_write(&mut self) {
@@ -437,7 +446,8 @@
             Err(error) if error.is_retryable && !is_shutting_down.load(Ordering::Relaxed) => {
                 if !std::mem::replace(&mut is_full, true) {
                     warn!(logger, "consensus: the disk is full, writes wait for room";
-                        "path" => %error.path.display(), "writes" => writes.len());
+                        "path" => %error.path.display(), "writes" => writes.len(),
+                        "log_bytes" => storage.log_bytes());
                 }
                 std::thread::sleep(FULL_DISK_RETRY_DELAY);
             }
--- a/crates/wasabipoint_consensus/src/storage.rs
+++ b/crates/wasabipoint_consensus/src/storage.rs
@@ -15,6 +15,7 @@
 
 use crate::api::StartError;
 use crate::entry::{Compaction, DiskId, Entry, HardState, RecoveredState, Snapshot, Write};
+use folder::remove_unfinished_file;
 pub use folder::{create_folder, replace_file, sync_folder};
 use identity::Identity;
 
@@ -96,6 +97,9 @@
         create_folder(folder)?;
         let lock = lock_folder(folder)?;
         let identity = open_identity(folder, cluster, member)?;
+        for file in [LOG_FILE, SNAPSHOT_FILE] {
+            remove_unfinished_file(folder, file)?;
+        }
         let snapshot = read_snapshot(&folder.join(SNAPSHOT_FILE))?;
         let path = folder.join(LOG_FILE);
         let bytes = fs::read(&path).map_err(start_error(&path))?;
@@ -123,7 +127,7 @@
             // Entries appended to the outdated log would be discarded together with it at the next
             // start.
             let (index, term) = (recovered.base_index, recovered.base_term);
-            storage.replace_log(index, term, recovered.hard_state.clone(), Vec::new())?;
+            storage.replace_log(index, term, &recovered.hard_state, &[])?;
         }
         let opened = OpenedStorage {
             disk: identity.disk,
@@ -189,26 +193,36 @@
         self.run_hook(&path).map_err(retryable_if_full)?;
         replace_file(&self.folder, SNAPSHOT_FILE, &encode_snapshot(compaction))?;
         let Compaction {
+            snapshot,
             hard_state,
             base_index,
             base_term,
             entries,
-            ..
-        } = compaction.clone();
-        self.replace_log(base_index, base_term, hard_state, entries)
+        } = compaction;
+        let replaced = self.replace_log(*base_index, *base_term, hard_state, entries);
+        let Err(DiskError {
+            is_retryable: true, ..
+        }) = replaced
+        else {
+            return replaced;
+        };
+        // The entries that the snapshot includes only help other members to catch up. Without them
+        // the new log may fit, and it frees the space of the old one.
+        let first = entries.partition_point(|entry| entry.index <= snapshot.index);
+        self.replace_log(snapshot.index, snapshot.term, hard_state, &entries[first..])
     }
 
     fn replace_log(
         &mut self,
         base_index: u64,
         base_term: u64,
-        hard_state: HardState,
-        entries: Vec<Entry>,
+        hard_state: &HardState,
+        entries: &[Entry],
     ) -> Result<(), DiskError> {
         let mut records = encode_base_record(base_index, base_term);
-        encode_record(&mut records, &Record::Hard(hard_state));
+        encode_record(&mut records, &Record::Hard(hard_state.clone()));
         for entry in entries {
-            encode_record(&mut records, &Record::Entry(entry));
+            encode_record(&mut records, &Record::Entry(entry.clone()));
         }
         let path = self.folder.join(LOG_FILE);
         self.run_hook(&path).map_err(retryable_if_full)?;
--- a/crates/wasabipoint_consensus/src/storage/folder.rs
+++ b/crates/wasabipoint_consensus/src/storage/folder.rs
@@ -1,8 +1,8 @@
 //! Crash-safe operations on files and folders.
 
 use std::fs::{self, File};
-use std::io::Write as _;
-use std::path::Path;
+use std::io::{ErrorKind, Write as _};
+use std::path::{Path, PathBuf};
 
 use super::{DiskError, disk_error, retryable_if_full};
 
@@ -34,19 +34,41 @@
     nonempty_parents.try_for_each(sync_folder)
 }
 
+fn temporary_path(folder: &Path, name: &str) -> PathBuf {
+    folder.join(format!("{name}.new"))
+}
+
+/// Removes what an interrupted [`replace_file`] left behind.
+///
+/// # Errors
+///
+/// Fails on an I/O error.
+pub(super) fn remove_unfinished_file(folder: &Path, name: &str) -> Result<(), DiskError> {
+    let temporary = temporary_path(folder, name);
+    match fs::remove_file(&temporary) {
+        Err(error) if error.kind() != ErrorKind::NotFound => Err(disk_error(&temporary)(error)),
+        _ => Ok(()),
+    }
+}
+
 /// Replaces a file atomically: a crash leaves either the old or the new content.
 ///
 /// # Errors
 ///
 /// Fails on an I/O error. Either the old or the new file may then be in place.
 pub fn replace_file(folder: &Path, name: &str, bytes: &[u8]) -> Result<File, DiskError> {
-    let temporary = folder.join(format!("{name}.new"));
+    let temporary = temporary_path(folder, name);
     let write = || {
         let mut file = File::create(&temporary)?;
         file.write_all(bytes)?;
         Ok(file)
     };
     let file = write()
+        .inspect_err(|_| {
+            // On a full disk the unfinished file takes the space that other writes need. If it
+            // cannot be removed, the next start removes it.
+            let _ = fs::remove_file(&temporary);
+        })
         .map_err(disk_error(&temporary))
         .map_err(retryable_if_full)?;
     let synced = file.sync_all();
--- a/crates/wasabipoint_consensus/tests/disk_fault.rs
+++ b/crates/wasabipoint_consensus/tests/disk_fault.rs
@@ -55,6 +55,7 @@
         data_folder: folder.clone(),
         tick_ms: 50,
         snapshot_entries: 1_000,
+        snapshot_log_bytes: 8 * 1_024 * 1_024,
     };
     let mut operations = 0;
     let hook = Box::new(move |_: &std::path::Path| {
--- a/crates/wasabipoint_consensus/tests/driver/cluster.rs
+++ b/crates/wasabipoint_consensus/tests/driver/cluster.rs
@@ -138,6 +138,7 @@
             data_folder: self.folder.join(id.to_string()),
             tick_ms: 50,
             snapshot_entries: 50,
+            snapshot_log_bytes: 8 * 1_024 * 1_024,
         };
         let state_machine = Arc::new(Mutex::new(ValueList::default()));
         let transport = Arc::new(MemberTransport {
--- a/crates/wasabipoint_consensus/tests/full_disk.rs
+++ b/crates/wasabipoint_consensus/tests/full_disk.rs
@@ -11,8 +11,9 @@
 
 use slog::{Discard, Logger, o};
 use wasabipoint_consensus::{
-    DiskHook, Entry, Payload, ProposeError, Replica, ReplicaConfig, ReplicaHandle, RestoreError,
-    SharedBytes, StateMachine, Storage, Transport, Write,
+    Compaction, Configuration, DiskHook, Entry, HardState, Payload, ProposeError, Replica,
+    ReplicaConfig, ReplicaHandle, RestoreError, SharedBytes, Snapshot, StateMachine, Storage,
+    Transport, Write,
 };
 use wasabipoint_kernel::MemberId;
 
@@ -73,9 +74,9 @@
     Ok(())
 }
 
-/// Starts the only member of a cluster with a disk hook.
-async fn start_with_hook(folder: &Folder, hook: DiskHook) -> ReplicaHandle {
-    let config = ReplicaConfig {
+/// Returns the configuration of the only member of a cluster.
+fn config(folder: &Folder) -> ReplicaConfig {
+    ReplicaConfig {
         cluster: "test".to_owned(),
         member: MemberId(1),
         initial_members: vec![MemberId(1)],
@@ -83,7 +84,16 @@
         data_folder: folder.0.clone(),
         tick_ms: 10,
         snapshot_entries: SNAPSHOT_ENTRIES,
-    };
+        snapshot_log_bytes: 8 * 1_024 * 1_024,
+    }
+}
+
+/// Starts the only member of a cluster with a disk hook.
+async fn start_with_hook(folder: &Folder, hook: DiskHook) -> ReplicaHandle {
+    start_replica(config(folder), hook).await
+}
+
+async fn start_replica(config: ReplicaConfig, hook: DiskHook) -> ReplicaHandle {
     let logger = Logger::root(Discard, o!());
     let state_machine = Arc::new(Mutex::new(ValueList::default()));
     let started =
@@ -209,12 +219,110 @@
     }
 }
 
-fn entry(index: u64) -> Write {
-    Write::Entry(Entry {
+/// Returns a hook for a disk of a fixed size on which the folder is the only user.
+fn limited_disk(folder: &Folder, capacity_bytes: u64) -> DiskHook {
+    let path = folder.0.clone();
+    Box::new(move |_: &Path| {
+        let files = std::fs::read_dir(&path)?;
+        let sizes = files.map(|file| file.and_then(|file| file.metadata()).map(|m| m.len()));
+        let used_bytes: u64 = sizes.sum::<io::Result<u64>>()?;
+        fail_if_full(used_bytes > capacity_bytes)
+    })
+}
+
+/// Guards against a member whose own log fills its disk: large entries reached the size of the disk
+/// long before the number after which a snapshot replaces them, and only that snapshot, which then
+/// found no room, would have freed the space.
+#[tokio::test]
+async fn large_entries_do_not_fill_the_disk() {
+    const COMMAND_BYTES: usize = 64 * 1_024;
+    const COMMANDS: u8 = 200;
+    let folder = Folder::new();
+    let config = ReplicaConfig {
+        snapshot_entries: 512,
+        snapshot_log_bytes: 1_024 * 1_024,
+        ..config(&folder)
+    };
+    // The log before and after a compaction and the new log have 3 MiB.
+    let handle = start_replica(config, limited_disk(&folder, 4 * 1_024 * 1_024)).await;
+    while handle.propose(vec![0]).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    for value in 1..=COMMANDS {
+        let proposed = handle.propose(vec![value; COMMAND_BYTES]);
+        let result = tokio::time::timeout(STEP_TIMEOUT, proposed).await;
+        result
+            .unwrap_or_else(|_| panic!("command {value} is never acknowledged"))
+            .unwrap();
+    }
+    handle.stop().await;
+    let stored = stored_values(&folder);
+    assert!((1..=COMMANDS).all(|value| stored.contains(&value)));
+}
+
+/// Guards against a full disk that stays full: the kept entries have no room in the new log, but
+/// the old log is larger than the new one would be without them.
+#[test]
+fn a_compaction_drops_kept_entries_that_have_no_room() {
+    let folder = Folder::new();
+    let (storage, _) = Storage::open(&folder.0, "test", MemberId(1)).unwrap();
+    let mut operation = 0;
+    // The batch appends to the log (write and sync), then replaces the snapshot and the log.
+    let mut storage = storage.with_hook(Box::new(move |_: &Path| {
+        operation += 1;
+        fail_if_full(operation == 4)
+    }));
+    storage.write(&[1, 2, 3].map(entry)).unwrap();
+    let compaction = Compaction {
+        snapshot: Arc::new(Snapshot {
+            index: 2,
+            term: 1,
+            configuration: Configuration::default(),
+            data: SharedBytes::new(vec![1, 2]),
+        }),
+        hard_state: HardState {
+            term: 1,
+            ..HardState::default()
+        },
+        base_index: 1,
+        base_term: 1,
+        entries: vec![log_entry(2), log_entry(3)],
+    };
+    storage
+        .write(&[Write::Snapshot(Box::new(compaction)), entry(4)])
+        .unwrap();
+    drop(storage);
+    let (_, opened) = Storage::open(&folder.0, "test", MemberId(1)).unwrap();
+    let recovered = opened.recovered;
+    assert_eq!((recovered.base_index, recovered.base_term), (2, 1));
+    assert_eq!(recovered.entries, [log_entry(3), log_entry(4)]);
+    assert_eq!(recovered.hard_state.term, 1);
+    assert_eq!(stored_values(&folder), [1, 2, 3, 4]);
+}
+
+/// Guards against space that an interrupted replacement of a file takes for ever.
+#[test]
+fn unfinished_files_are_removed_at_start() {
+    let folder = Folder::new();
+    drop(Storage::open(&folder.0, "test", MemberId(1)).unwrap());
+    let unfinished = ["log.new", "snapshot.new"].map(|name| folder.0.join(name));
+    for path in &unfinished {
+        std::fs::write(path, [0; 10]).unwrap();
+    }
+    drop(Storage::open(&folder.0, "test", MemberId(1)).unwrap());
+    assert!(unfinished.iter().all(|path| !path.exists()));
+}
+
+fn log_entry(index: u64) -> Entry {
+    Entry {
         index,
         term: 1,
         payload: Payload::Command(SharedBytes::new(vec![index as u8])),
-    })
+    }
+}
+
+fn entry(index: u64) -> Write {
+    Write::Entry(log_entry(index))
 }
 
 /// Guards against a retried write that leaves the failed one in the log, and against a failed sync
--- a/crates/wasabipoint_consensus/tests/schedules/simulation.rs
+++ b/crates/wasabipoint_consensus/tests/schedules/simulation.rs
@@ -167,6 +167,8 @@
             initial_members: (1..=self.initial_member_count).map(MemberId).collect(),
             is_joining: node.is_joining,
             trailing_entries: SNAPSHOT_ENTRIES / 2,
+            // Two to six entries of the simulation, whose commands have eight bytes.
+            trailing_bytes: 48 + (self.snapshot_padding % 100) as u64,
             seed,
         };
         node.register = Register::default();
--- a/crates/wasabipoint_consensus/tests/steps.rs
+++ b/crates/wasabipoint_consensus/tests/steps.rs
@@ -32,6 +32,7 @@
         initial_members: (1..=3).map(MemberId).collect(),
         is_joining: false,
         trailing_entries: 0,
+        trailing_bytes: 0,
         seed: 1,
     };
     let hard_state = HardState {
@@ -231,6 +232,7 @@
         initial_members: (1..=members).map(MemberId).collect(),
         is_joining: false,
         trailing_entries: 0,
+        trailing_bytes: 0,
         seed: 1,
     };
     Core::new(config, RecoveredState::default())
--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -34,6 +34,10 @@
 use crate::state::RateAllowance;
 use crate::state_machine::ControlStateMachine;
 
+/// Size of log entries between snapshots of a member on a platform. With the entries that are kept
+/// behind a snapshot and those in flight, log and snapshots need less than half of a disk of 128 MB.
+const SNAPSHOT_LOG_BYTES: u64 = 8 * 1_024 * 1_024;
+
 /// Configuration of a control member.
 #[derive(Debug, Clone)]
 pub struct ControlConfig {
@@ -66,6 +70,8 @@
     pub tick_ms: u64,
     /// Number of log entries between snapshots.
     pub snapshot_entries: u64,
+    /// Size of log entries between snapshots in bytes, if they reach it before their number.
+    pub snapshot_log_bytes: u64,
     /// Lifetime of a quota slice that an entry holds.
     pub slice_lifetime_ms: u64,
     /// Silence of an agent after which its grants are in doubt.
@@ -97,6 +103,7 @@
             platform_list: None,
             tick_ms: 50,
             snapshot_entries: 512,
+            snapshot_log_bytes: SNAPSHOT_LOG_BYTES,
             slice_lifetime_ms: 5_000,
             agent_silence: Duration::from_secs(5),
             replace_after: Duration::from_secs(10),
@@ -124,6 +131,7 @@
             platform_list: (platform_list != "none").then(|| platform_list.to_owned()),
             tick_ms: settings.integer("tick_ms"),
             snapshot_entries: settings.integer("snapshot_entries"),
+            snapshot_log_bytes: settings.integer("snapshot_log_kb") * 1_024,
             slice_lifetime_ms: settings.integer("slice_lifetime_ms"),
             agent_silence: settings.duration_ms("agent_silence_ms"),
             replace_after: settings.duration_ms("replace_after_ms"),
@@ -253,6 +261,7 @@
                 data_folder: config.data_folder.clone(),
                 tick_ms: config.tick_ms,
                 snapshot_entries: config.snapshot_entries,
+                snapshot_log_bytes: config.snapshot_log_bytes,
             },
             Arc::clone(&machine) as _,
             Arc::clone(&transport) as _,
--- a/crates/wasabipoint_control/tests/cluster/fixture.rs
+++ b/crates/wasabipoint_control/tests/cluster/fixture.rs
@@ -66,6 +66,7 @@
         platform_list: None,
         tick_ms: 20,
         snapshot_entries: 100,
+        snapshot_log_bytes: 8 * 1_024 * 1_024,
         slice_lifetime_ms: 1_000,
         agent_silence: Duration::from_secs(5),
         replace_after: Duration::from_secs(10),
--- a/crates/wasabipoint_kernel/src/settings/control.rs
+++ b/crates/wasabipoint_kernel/src/settings/control.rs
@@ -79,6 +79,15 @@
         "Number of log entries between snapshots.",
     )
     .with_default("4096"),
+    SettingSpec::new(
+        "snapshot_log_kb",
+        SettingForm::Integer {
+            min: 64,
+            max: 1_048_576,
+        },
+        "Size of log entries between snapshots in kilobytes, if they reach it before their number.",
+    )
+    .with_default("8192"),
     SettingSpec::new(
         "slice_lifetime_ms",
         SettingForm::Integer {
--- a/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
@@ -160,6 +160,7 @@
             platform_list: None,
             tick_ms: 20,
             snapshot_entries: 100,
+            snapshot_log_bytes: 8 * 1_024 * 1_024,
             slice_lifetime_ms: 1_000,
             agent_silence: Duration::from_secs(5),
             replace_after: Duration::from_secs(10),
