Refuse entries that a leader's stalled disk would leave in memory

Found on a path related to the full disks: a leader counted only uncommitted entries against its bound.

Change: entries that are not durable on the own disk count against the same bound of 16 MB.

Failed before: a_leader_with_a_stalled_disk_refuses_entries_beyond_a_bound (321 entries of 64 kB were accepted) and a_snapshot_replaces_the_writes_queued_before_it.

--- a/crates/wasabipoint_consensus/src/core.rs
+++ b/crates/wasabipoint_consensus/src/core.rs
@@ -29,9 +29,10 @@
 pub const MIN_ELECTION_TICKS: u64 = 10;
 /// Ticks between heartbeats. Short enough that several must be lost before an election starts.
 pub(crate) const HEARTBEAT_INTERVAL_TICKS: u64 = 2;
-/// Size of uncommitted entries above which a leader rejects proposals, so that a leader without a
-/// quorum does not exhaust its memory.
-const MAX_UNCOMMITTED_BYTES: usize = 16 * 1_024 * 1_024;
+/// Size of entries that are not committed, or not durable on the own disk, above which a leader
+/// rejects proposals, so that it does not exhaust its memory without a quorum or while its disk
+/// stalls.
+const MAX_PENDING_BYTES: usize = 16 * 1_024 * 1_024;
 
 /// Settings of [`Core`].
 #[derive(Debug, Clone)]
@@ -75,6 +76,15 @@
     Leader(LeaderState),
 }
 
+/// An appended entry that is not durable yet.
+#[derive(Debug)]
+struct PendingAppend {
+    /// The batch that writes the entry.
+    batch: u64,
+    index: u64,
+    bytes: usize,
+}
+
 /// One member's consensus state.
 #[derive(Debug)]
 pub struct Core {
@@ -107,8 +117,10 @@
     election_timeout: u64,
     /// Index of the last entry that this member stores durably.
     durable_index: u64,
-    /// Batch and index of each appended entry that is not durable yet.
-    pending_appends: VecDeque<(u64, u64)>,
+    /// Appended entries that are not durable yet.
+    pending_appends: VecDeque<PendingAppend>,
+    /// Size of these entries.
+    nondurable_bytes: usize,
     /// Writes of the open batch.
     writes: Vec<Write>,
     /// Number of the batch that collects the queued writes.
@@ -154,6 +166,7 @@
             election_timeout: 0,
             durable_index: log.last_index(),
             pending_appends: VecDeque::new(),
+            nondurable_bytes: 0,
             writes: Vec::new(),
             open_batch: 1,
             durable_batch: 0,
@@ -272,7 +285,7 @@
         let State::Leader(leader_state) = &self.state else {
             return Err(self.not_leader());
         };
-        if leader_state.uncommitted_bytes > MAX_UNCOMMITTED_BYTES {
+        if leader_state.uncommitted_bytes.max(self.nondurable_bytes) > MAX_PENDING_BYTES {
             return Err(ProposeError::Overloaded);
         }
         Ok(self.append(Payload::Command(command)))
@@ -298,8 +311,9 @@
     /// Records that a batch of writes and all earlier ones are durable.
     pub fn complete_writes(&mut self, batch: u64) {
         self.durable_batch = batch;
-        while let Some((_, last)) = self.pending_appends.pop_front_if(|(at, _)| *at <= batch) {
-            self.durable_index = self.durable_index.max(last);
+        while let Some(append) = self.pending_appends.pop_front_if(|a| a.batch <= batch) {
+            self.durable_index = self.durable_index.max(append.index);
+            self.nondurable_bytes -= append.bytes;
         }
         while let Some((_, message)) = self.deferred_messages.pop_front_if(|(at, _)| *at <= batch) {
             if message.to == self.config.member {
@@ -489,7 +503,10 @@
         self.writes.push(Write::Hard(self.hard_state.clone()));
     }
 
+    /// Queues the replacement of snapshot and log. It contains everything that the queued writes of
+    /// the open batch would make durable.
     fn write_snapshot(&mut self, snapshot: Arc<Snapshot>) {
+        self.writes.clear();
         let (base_index, base_term) = self.log.base();
         self.writes.push(Write::Snapshot(Box::new(Compaction {
             snapshot,
@@ -500,14 +517,22 @@
         })));
     }
 
+    fn push_pending_append(&mut self, index: u64, bytes: usize) {
+        self.nondurable_bytes += bytes;
+        self.pending_appends.push_back(PendingAppend {
+            batch: self.open_batch,
+            index,
+            bytes,
+        });
+    }
+
     /// Appends an entry to the log and queues its write.
     fn push_entry(&mut self, entry: Entry) {
         if let Payload::Configuration(configuration) = &entry.payload {
             self.configurations
                 .push_back((entry.index, configuration.clone()));
         }
-        self.pending_appends
-            .push_back((self.open_batch, entry.index));
+        self.push_pending_append(entry.index, entry.size());
         self.writes.push(Write::Entry(entry.clone()));
         self.log.push(entry);
     }
@@ -524,8 +549,8 @@
             self.configurations.pop_back();
         }
         self.durable_index = self.durable_index.min(index - 1);
-        for (_, last) in &mut self.pending_appends {
-            *last = (*last).min(index - 1);
+        for append in &mut self.pending_appends {
+            append.index = append.index.min(index - 1);
         }
     }
 
--- a/crates/wasabipoint_consensus/src/core/follower.rs
+++ b/crates/wasabipoint_consensus/src/core/follower.rs
@@ -176,7 +176,8 @@
         });
         self.durable_index = self.durable_index.min(self.commit);
         self.pending_appends.clear();
-        self.pending_appends.push_back((self.open_batch, index));
+        self.nondurable_bytes = 0;
+        self.push_pending_append(index, snapshot.data.len());
         self.log.reset(index, term);
         self.configurations.clear();
         self.configurations
--- a/crates/wasabipoint_consensus/tests/steps.rs
+++ b/crates/wasabipoint_consensus/tests/steps.rs
@@ -4,7 +4,7 @@
 
 use wasabipoint_consensus::{
     ChangeRefusal, Configuration, Core, CoreConfig, DiskId, Entry, HardState, MembershipChange,
-    Message, MessageBody, Payload, ProposeError, RecoveredState, SharedBytes,
+    Message, MessageBody, Payload, ProposeError, RecoveredState, SharedBytes, Write,
 };
 use wasabipoint_kernel::MemberId;
 
@@ -292,3 +292,61 @@
     core.record_lost_disk(MemberId(2));
     assert_eq!(core.configuration(), &configuration());
 }
+
+/// Guards against a leader that runs out of memory while its disk stalls: its followers commit what
+/// it proposes, so that a bound on uncommitted entries alone holds nothing back.
+#[test]
+fn a_leader_with_a_stalled_disk_refuses_entries_beyond_a_bound() {
+    const COMMAND_BYTES: usize = 64 * 1_024;
+    const MAX_HELD_BYTES: usize = 20 * 1_024 * 1_024;
+    let mut core = member(Vec::new());
+    elect(&mut core);
+    let mut accepted = 0;
+    let refused = loop {
+        match core.propose(SharedBytes::new(vec![0; COMMAND_BYTES])) {
+            Ok(match_index) => {
+                accepted += 1;
+                let term = core.term();
+                for from in [2, 3] {
+                    let body = MessageBody::AppendAccepted {
+                        match_index,
+                        round: 0,
+                    };
+                    receive(&mut core, from, term, body);
+                }
+                core.take_messages();
+                assert_eq!(core.commit_index(), match_index);
+            }
+            Err(error) => break error,
+        }
+        assert!(
+            accepted * COMMAND_BYTES <= MAX_HELD_BYTES,
+            "{accepted} entries wait for the disk"
+        );
+    };
+    assert!(matches!(refused, ProposeError::Overloaded), "{refused:?}");
+    complete_writes(&mut core);
+    core.propose(SharedBytes::new(vec![0; COMMAND_BYTES]))
+        .unwrap();
+}
+
+/// Guards against writes that a snapshot makes obsolete and that a stalled disk keeps in memory.
+#[test]
+fn a_snapshot_replaces_the_writes_queued_before_it() {
+    let mut core = member(Vec::new());
+    elect(&mut core);
+    let index = core.propose(SharedBytes::new(vec![1])).unwrap();
+    let term = core.term();
+    for from in [2, 3] {
+        let (match_index, round) = (index, 0);
+        let body = MessageBody::AppendAccepted { match_index, round };
+        receive(&mut core, from, term, body);
+    }
+    core.compact(index, SharedBytes::new(vec![1]));
+    core.propose(SharedBytes::new(vec![2])).unwrap();
+    let (_, writes) = core.take_writes().unwrap();
+    assert!(
+        matches!(writes[..], [Write::Snapshot(_), Write::Entry(_)]),
+        "{writes:?}"
+    );
+}
