--- a/crates/wasabipoint_consensus/tests/steps.rs
+++ b/crates/wasabipoint_consensus/tests/steps.rs
@@ -1,5 +1,7 @@
 //! Tests of single steps of the core whose order is relevant for safety.
 
+#![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
+
 use std::net::SocketAddr;
 
 use wasabipoint_consensus::{
--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -137,6 +137,19 @@
             replace_after: settings.duration_ms("replace_after_ms"),
         }
     }
+
+    fn replica_config(&self) -> ReplicaConfig {
+        ReplicaConfig {
+            cluster: self.cluster.clone(),
+            member: self.member,
+            initial_members: self.members.keys().copied().collect(),
+            is_joining: self.is_joining,
+            data_folder: self.data_folder.clone(),
+            tick_ms: self.tick_ms,
+            snapshot_entries: self.snapshot_entries,
+            snapshot_log_bytes: self.snapshot_log_bytes,
+        }
+    }
 }
 
 /// Error that prevents a control member from starting.
@@ -253,16 +266,7 @@
             logger.clone(),
         ));
         let replica = Replica::start(
-            ReplicaConfig {
-                cluster: config.cluster.clone(),
-                member: config.member,
-                initial_members: config.members.keys().copied().collect(),
-                is_joining: config.is_joining,
-                data_folder: config.data_folder.clone(),
-                tick_ms: config.tick_ms,
-                snapshot_entries: config.snapshot_entries,
-                snapshot_log_bytes: config.snapshot_log_bytes,
-            },
+            config.replica_config(),
             Arc::clone(&machine) as _,
             Arc::clone(&transport) as _,
             logger.clone(),
