Never send a request twice on one connection

Cause: an endpoint may write a refusal a second time, late, where the next response on its connection is due. A refused request returns to the same endpoints after 150 ms, the pool hands out the connection that was used last, and the request id, the only check, is the same. The copy was taken for the result of the request sent again, which ran meanwhile.

Change: connections are numbered, a request remembers those it was sent on, and an attempt takes another one. Connections of refusals still serve other requests. The record of an attempt names its connection.

Failed before, run on: a_late_copy_of_a_refusal_does_not_run_a_request_twice (answered by the third run), a_late_copy_of_a_refusal_does_not_refuse_a_request_that_runs (503 for a request that ran).

--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -24,6 +24,7 @@
 use super::dialect::{ForwardMetadata, RequestMetadata};
 use super::endpoints::{SelectedEndpoint, SelectionCriteria};
 use super::exchange::{ExchangeOutcome, OutgoingRequest, StartedResponse, begin_exchange};
+use super::pool::ConnectionId;
 use super::response::{ForwardBody, strip_hop_by_hop_headers};
 use crate::quota::Reservation;
 
@@ -70,6 +71,8 @@
 #[derive(Default)]
 pub(crate) struct AttemptHistory {
     tried: BTreeSet<EndpointId>,
+    /// Connections that the request was sent on. It is not sent on them again.
+    used_connections: BTreeSet<ConnectionId>,
     /// Attempts that ran or may have run at an endpoint.
     executions: u32,
     refusals: u32,
@@ -179,6 +182,9 @@
             match exchange {
                 Ok(ExchangeOutcome::Started(started)) => {
                     self.attempts.executions += 1;
+                    self.attempts
+                        .used_connections
+                        .insert(started.connection_id());
                     self.settle_reservation();
                     self.record_endpoint_load(&endpoint, &started.metadata);
                     self.record_named_limit(&endpoint, &started.metadata);
@@ -191,8 +197,13 @@
                         return Err(self.unavailable_refusal("no endpoint can be reached"));
                     }
                 }
-                Ok(ExchangeOutcome::NotRun { status, metadata }) => {
+                Ok(ExchangeOutcome::NotRun {
+                    status,
+                    metadata,
+                    connection,
+                }) => {
                     self.attempts.refusals += 1;
+                    self.attempts.used_connections.insert(connection);
                     self.record_named_limit(&endpoint, &metadata);
                     self.record_refusal(&endpoint, status, &metadata);
                     if self.attempts.refusals >= MAX_REFUSALS || !self.try_take_retry() {
@@ -248,6 +259,7 @@
             &self.outgoing,
             endpoint,
             &metadata,
+            &self.attempts.used_connections,
         );
         tokio::pin!(exchange);
         if let Ok(outcome) = timeout_at(self.failover_deadline(), exchange.as_mut()).await {
--- a/crates/wasabipoint_entry/src/forward/call/records.rs
+++ b/crates/wasabipoint_entry/src/forward/call/records.rs
@@ -36,6 +36,11 @@
         selected: &SelectedEndpoint,
         exchange: &Result<ExchangeOutcome, tokio::time::error::Elapsed>,
     ) {
+        let connection = match exchange {
+            Ok(ExchangeOutcome::Started(started)) => Some(started.connection_id().0),
+            Ok(ExchangeOutcome::NotRun { connection, .. }) => Some(connection.0),
+            _ => None,
+        };
         let outcome = match exchange {
             Ok(ExchangeOutcome::Started(started)) if started.head.status.is_success() => {
                 if !is_sampled(&self.metadata.request_id) {
@@ -58,6 +63,7 @@
             "model" => self.metadata.model.as_ref().map(ModelName::as_str),
             "endpoint" => %selected.endpoint.id,
             "incarnation" => selected.endpoint.incarnation.0,
+            "connection" => connection,
             "load" => selected.load, "candidates" => selected.candidates,
             "waited_ms" => self.arrived_at.elapsed().as_millis() as u64,
             "left_ms" => self.remaining_ms(), "outcome" => outcome);
--- a/crates/wasabipoint_entry/src/forward/exchange.rs
+++ b/crates/wasabipoint_entry/src/forward/exchange.rs
@@ -1,5 +1,8 @@
 //! One request/response exchange with one endpoint.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
@@ -8,8 +11,7 @@
 
 use super::body_buffer::{BodyBuffer, MAX_REFUSAL_BYTES};
 use super::dialect::{ForwardDialect, ForwardMetadata, ResponseMetadata};
-use super::pool::{Connection, Pool, SendError};
-use std::sync::Arc;
+use super::pool::{Connection, ConnectionId, Pool, SendError};
 
 /// Largest request body after which the connection is reused. A larger one may still be in transit
 /// when an early response is complete.
@@ -44,6 +46,7 @@
     NotRun {
         status: StatusCode,
         metadata: ResponseMetadata,
+        connection: ConnectionId,
     },
     /// The request was not sent.
     NotSent(String),
@@ -68,15 +71,17 @@
     }
 }
 
-/// Sends a request and waits for the response head.
+/// Sends a request on a connection that it was not sent on before, and waits for the response head.
 pub(crate) async fn begin_exchange(
     pool: &Arc<Pool>,
     dialect: &dyn ForwardDialect,
     outgoing: &OutgoingRequest,
     endpoint: &EndpointView,
     metadata: &ForwardMetadata<'_>,
+    used_connections: &BTreeSet<ConnectionId>,
 ) -> ExchangeOutcome {
-    let mut connection = match pool.acquire(endpoint.address).await {
+    let acquired = pool.acquire(endpoint.address, used_connections).await;
+    let mut connection = match acquired {
         Ok(connection) => connection,
         Err(SendError::NotSent(detail) | SendError::Interrupted(detail)) => {
             return ExchangeOutcome::NotSent(detail);
@@ -116,9 +121,14 @@
     };
     if started.metadata.is_not_run || started.head.status == StatusCode::MISDIRECTED_REQUEST {
         let (status, metadata) = (started.head.status, started.metadata.clone());
+        let connection = started.connection_id();
         // If the body cannot be read to its end, the connection is closed instead of reused.
         let _ = started.read_body_to_end(pool, MAX_REFUSAL_BYTES).await;
-        return ExchangeOutcome::NotRun { status, metadata };
+        return ExchangeOutcome::NotRun {
+            status,
+            metadata,
+            connection,
+        };
     }
     if started.head.status.is_success() && !started.metadata.is_signed {
         return ExchangeOutcome::Unknown(invalid("a success without a signature"));
@@ -131,6 +141,11 @@
 }
 
 impl StartedResponse {
+    /// Returns the connection that the request was sent on.
+    pub(crate) fn connection_id(&self) -> ConnectionId {
+        self.connection.id()
+    }
+
     /// Returns whether the end of the body can be told from the end of its connection, because its
     /// length is known or it is sent in chunks.
     pub(crate) fn has_framed_body(&self) -> bool {
--- a/crates/wasabipoint_entry/src/forward/pool.rs
+++ b/crates/wasabipoint_entry/src/forward/pool.rs
@@ -1,7 +1,8 @@
 //! Connection pool for endpoints.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -46,9 +47,14 @@
     Interrupted(String),
 }
 
+/// Identifies a connection within its pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct ConnectionId(pub(crate) u64);
+
 /// An HTTP/1 connection that carries one request at a time and closes when dropped.
 #[derive(Debug)]
 pub(crate) struct Connection {
+    id: ConnectionId,
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
@@ -87,6 +93,10 @@
         self.max_idle = Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN);
     }
 
+    pub(crate) fn id(&self) -> ConnectionId {
+        self.id
+    }
+
     fn is_usable(&self) -> bool {
         self.sender.is_ready() && self.last_used.elapsed() < self.max_idle
     }
@@ -96,6 +106,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     idle_connections: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
+    opened_connections: AtomicU64,
     body_budget: BodyBudget,
 }
 
@@ -105,27 +116,39 @@
         &self.body_budget
     }
 
-    /// Returns an idle connection, or a new one.
+    /// Returns an idle connection, or a new one. A request that is sent again excludes the
+    /// connections that it was sent on: a second copy of an earlier response may still arrive there,
+    /// with the same request id.
     pub(crate) async fn acquire(
         self: &Arc<Self>,
         address: SocketAddr,
+        excluded: &BTreeSet<ConnectionId>,
     ) -> Result<Connection, SendError> {
         // Lets the connection tasks process unexpected data on idle connections first, so that such
         // a connection is not reused.
         tokio::task::yield_now().await;
-        if let Some(connection) = self.take_idle(address) {
+        if let Some(connection) = self.take_idle(address, excluded) {
             return Ok(connection);
         }
-        open_connection(address).await
+        let id = self.opened_connections.fetch_add(1, Ordering::Relaxed);
+        open_connection(ConnectionId(id), address).await
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        excluded: &BTreeSet<ConnectionId>,
+    ) -> Option<Connection> {
         let mut idle_connections = self
             .idle_connections
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         let connections = idle_connections.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
+        for index in (0..connections.len()).rev() {
+            if excluded.contains(&connections[index].id) {
+                continue;
+            }
+            let connection = connections.remove(index);
             if connection.is_usable() {
                 return Some(connection);
             }
@@ -162,7 +185,7 @@
     }
 }
 
-async fn open_connection(address: SocketAddr) -> Result<Connection, SendError> {
+async fn open_connection(id: ConnectionId, address: SocketAddr) -> Result<Connection, SendError> {
     let not_sent = |detail: String| SendError::NotSent(detail);
     let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
     let stream = connected
@@ -176,6 +199,7 @@
     // Connection errors are reported through the pending request.
     let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
     Ok(Connection {
+        id,
         address,
         sender,
         task,
--- a/crates/wasabipoint_entry/tests/forward_sockets.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets.rs
@@ -121,6 +121,45 @@
     assert!(only.request_count() <= 5, "{}", only.request_count());
 }
 
+/// Guards against a late second copy of a refusal that is taken for the response to the same request
+/// sent again: an at-most-once request ran twice.
+#[tokio::test]
+async fn a_late_copy_of_a_refusal_does_not_run_a_request_twice() {
+    let steps = vec![
+        ScriptStep::SendWithLateCopy(not_run_response("a1")),
+        ScriptStep::Send(full_response("a1", "good")),
+        ScriptStep::Send(full_response("a1", "again")),
+    ];
+    let only = Endpoint::start(steps).await;
+    let fixture = Fixture::start(Some(fleet_view(&[&only]))).await;
+    let response = fixture.send_request("once", "a1").await.unwrap();
+    assert_eq!(
+        (response.status().as_u16(), &response.body()[..]),
+        (200, &b"good"[..])
+    );
+    assert_eq!(only.request_count(), 2);
+}
+
+/// Guards against a late second copy of a refusal that reaches the caller as "not run" although the
+/// endpoint runs the request: both endpoints were full, then the first one has room.
+#[tokio::test]
+async fn a_late_copy_of_a_refusal_does_not_refuse_a_request_that_runs() {
+    let first = Endpoint::start(vec![
+        ScriptStep::SendWithLateCopy(not_run_response("a1")),
+        ScriptStep::Send(full_response("a1", "good")),
+    ])
+    .await;
+    let second = Endpoint::start(vec![
+        ScriptStep::SendWithLateCopy(not_run_response("a1")),
+        ScriptStep::Send(full_response("a1", "good")),
+    ])
+    .await;
+    let fixture = Fixture::start(Some(fleet_view(&[&first, &second]))).await;
+    let response = fixture.send_request("once", "a1").await.unwrap();
+    assert_eq!(response.status(), 200);
+    assert_eq!(first.request_count() + second.request_count(), 3);
+}
+
 /// Guards against abandoning a slow endpoint although no other one can take the request.
 #[tokio::test]
 async fn a_slow_endpoint_without_alternative_is_awaited() {
--- a/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
@@ -71,6 +71,8 @@
 pub(crate) enum ScriptStep {
     /// Sends the bytes and keeps the connection open.
     Send(String),
+    /// Sends the bytes, and a second copy of them before the next response on this connection.
+    SendWithLateCopy(String),
     /// Sends the bytes and closes the connection.
     SendAndClose(String),
     /// Sends the bytes and, after they were read, resets the connection.
@@ -125,6 +127,7 @@
     request_heads: Arc<Mutex<Vec<String>>>,
 ) {
     let mut received = Vec::new();
+    let mut late_copy: Option<String> = None;
     loop {
         while !received.windows(4).any(|end| end == b"\r\n\r\n") {
             let mut buffer = [0; 4_096];
@@ -138,9 +141,16 @@
             .unwrap()
             .push(String::from_utf8_lossy(&received).into_owned());
         received.clear();
+        if let Some(copy) = late_copy.take() {
+            stream.write_all(copy.as_bytes()).await.unwrap();
+        }
         let step = steps.lock().unwrap().pop_front().unwrap();
         match step {
             ScriptStep::Send(text) => stream.write_all(text.as_bytes()).await.unwrap(),
+            ScriptStep::SendWithLateCopy(text) => {
+                stream.write_all(text.as_bytes()).await.unwrap();
+                late_copy = Some(text);
+            }
             ScriptStep::SendWithPause(first, pause, rest) => {
                 stream.write_all(first.as_bytes()).await.unwrap();
                 tokio::time::sleep(pause).await;
