Decode the entries of a list one by one, before anything reads them

Cause: a page was decoded into JSON values as a whole before its entries were. That refuses the page for an unpaired surrogate, bytes that are not UTF-8, a control character, a number out of range, or nesting in one entry. Entries with an unusable content became endpoints: port 0, an unspecified address, an id that fits no header, whose requests then named no expected endpoint.

Change: a page is split without reading its entries, and each is decoded alone; those that name no usable endpoint are counted, skipped and logged when their number changes. The list of VMs uses the same decoder.

Failed before, run on: an_unreadable_entry_hides_no_other (17 of 21 kinds of entries), unknown_fields_do_not_make_an_entry_unreadable, random_strings_hide_no_other_entry, and platform_list_removes_only_silent_endpoints with an odd entry.

--- a/crates/wasabipoint_control/src/directory.rs
+++ b/crates/wasabipoint_control/src/directory.rs
@@ -20,10 +20,28 @@
 /// Time limit for one poll.
 const POLL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The complete list of a directory.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct EndpointList {
+    /// Endpoints that are live or leaving.
+    pub endpoints: Vec<EndpointView>,
+    /// Number of entries that cannot be read. They name no endpoint.
+    pub unreadable_entries: usize,
+}
+
+impl From<Vec<EndpointView>> for EndpointList {
+    fn from(endpoints: Vec<EndpointView>) -> Self {
+        Self {
+            endpoints,
+            unreadable_entries: 0,
+        }
+    }
+}
+
 /// Source of the endpoints that are live or leaving.
 pub trait EndpointDirectory: Send + Sync + 'static {
     /// Returns the complete list, or the reason why it is unavailable.
-    fn list(&self) -> BoxFuture<'_, Result<Vec<EndpointView>, String>>;
+    fn list(&self) -> BoxFuture<'_, Result<EndpointList, String>>;
 }
 
 /// Polls the directory while this member leads and commits the differences.
@@ -34,6 +52,7 @@
     let mut interval = tokio::time::interval(POLL_INTERVAL);
     interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut is_unavailable = false;
+    let mut unreadable_entries = 0;
     loop {
         interval.tick().await;
         if control.member.leading_term().is_none() {
@@ -41,14 +60,20 @@
         }
         let polled = tokio::time::timeout(POLL_TIMEOUT, directory.list()).await;
         match polled.unwrap_or_else(|_| Err("the poll timed out".to_owned())) {
-            Ok(endpoints) => {
+            Ok(list) => {
+                let before = std::mem::replace(&mut unreadable_entries, list.unreadable_entries);
+                if before != unreadable_entries {
+                    warn!(control.logger, "control: entries of the endpoint directory cannot be read";
+                        "entries" => unreadable_entries, "before" => before,
+                        "readable" => list.endpoints.len());
+                }
                 if std::mem::take(&mut is_unavailable) {
                     info!(
                         control.logger,
                         "control: the endpoint directory is available again"
                     );
                 }
-                sync_endpoints(&control, endpoints).await;
+                sync_endpoints(&control, list.endpoints).await;
             }
             Err(detail) => {
                 if !std::mem::replace(&mut is_unavailable, true) {
--- a/crates/wasabipoint_control/src/lib.rs
+++ b/crates/wasabipoint_control/src/lib.rs
@@ -23,7 +23,7 @@
 mod stream;
 
 pub use deployment::{DeploymentStore, DeploymentStoreError};
-pub use directory::EndpointDirectory;
+pub use directory::{EndpointDirectory, EndpointList};
 pub use engines::{
     CommandAnswer, EngineCommand, EngineCommander, EngineLedger, EngineOperation, EngineState,
 };
--- a/crates/wasabipoint_control/src/platform.rs
+++ b/crates/wasabipoint_control/src/platform.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use http::Request;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 use slog::{info, warn};
 use tokio::time::MissedTickBehavior;
 use wasabipoint_http::HttpClient;
-use wasabipoint_kernel::VmId;
+use wasabipoint_kernel::{JsonDocument, VmId};
 
 use crate::context::ControlContext;
 use crate::leader_state::LeaderState;
@@ -24,9 +25,13 @@
 /// Largest accepted response body.
 const MAX_LIST_BYTES: usize = 4 * 1_024 * 1_024;
 
+/// Largest accepted entry of the list, in bytes.
+const MAX_ENTRY_BYTES: usize = 4 * 1_024;
+
 #[derive(Deserialize)]
-struct PlatformList {
-    vms: Vec<PlatformVm>,
+struct PlatformList<'a> {
+    #[serde(borrow)]
+    vms: Vec<&'a RawValue>,
 }
 
 #[derive(Deserialize)]
@@ -73,9 +78,16 @@
     if !response.status().is_success() {
         return Err(format!("status {}", response.status()));
     }
-    let list: PlatformList =
-        serde_json::from_slice(response.body()).map_err(|error| error.to_string())?;
+    decode_vm_states(response.body())
+}
+
+/// Decodes the list. Entries that cannot be read or have another state name no VM.
+fn decode_vm_states(body: &[u8]) -> Result<Vec<(VmId, VmState)>, String> {
+    let document = JsonDocument::new(body);
+    let list: PlatformList<'_> =
+        serde_json::from_str(document.text()).map_err(|error| error.to_string())?;
     let vm_states = list.vms.into_iter().filter_map(|vm| {
+        let vm: PlatformVm = document.decode_entry(vm, MAX_ENTRY_BYTES)?;
         let state = match vm.state.as_str() {
             "live" => VmState::Live,
             "leaving" => VmState::Leaving,
--- a/crates/wasabipoint_control/tests/cluster/faults.rs
+++ b/crates/wasabipoint_control/tests/cluster/faults.rs
@@ -25,7 +25,8 @@
 impl HttpHandler for FakePlatform {
     fn handle(&self, _: HttpRequest) -> Pin<Box<dyn Future<Output = HttpResponse> + Send + '_>> {
         let state = *self.state.lock().unwrap();
-        let vms = json!({"vms": [{"vm": "vm-1", "state": state}]});
+        // An entry that cannot be read must not hide the others.
+        let vms = json!({"vms": [{"vm": 7, "state": "live"}, {"vm": "vm-1", "state": state}]});
         Box::pin(async move { json_response(StatusCode::OK, &vms) })
     }
 }
--- a/crates/wasabipoint_control/tests/engine_changes.rs
+++ b/crates/wasabipoint_control/tests/engine_changes.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpListener;
 use wasabipoint_consensus::Role;
 use wasabipoint_control::{
-    CommandAnswer, ControlServer, EndpointDirectory, EngineCommand, EngineCommander,
+    CommandAnswer, ControlServer, EndpointDirectory, EndpointList, EngineCommand, EngineCommander,
     EngineOperation, EngineState, MemberIdentity,
 };
 use wasabipoint_kernel::{
@@ -96,8 +96,8 @@
 }
 
 impl EndpointDirectory for FakeEngines {
-    fn list(&self) -> BoxFuture<'_, Result<Vec<EndpointView>, String>> {
-        Box::pin(async { Ok(self.directory.lock().unwrap().clone()) })
+    fn list(&self) -> BoxFuture<'_, Result<EndpointList, String>> {
+        Box::pin(async { Ok(self.directory.lock().unwrap().clone().into()) })
     }
 }
 
--- a/crates/wasabipoint_control/tests/membership/vm.rs
+++ b/crates/wasabipoint_control/tests/membership/vm.rs
@@ -13,8 +13,8 @@
 use tokio::sync::watch;
 use wasabipoint_consensus::Role;
 use wasabipoint_control::{
-    CommandAnswer, ControlServer, EndpointDirectory, EngineCommand, EngineCommander, EngineState,
-    discard_identity, resolve_identity,
+    CommandAnswer, ControlServer, EndpointDirectory, EndpointList, EngineCommand, EngineCommander,
+    EngineState, discard_identity, resolve_identity,
 };
 use wasabipoint_kernel::{CallerLimits, Deployment};
 use wasabipoint_rpc::EndpointView;
@@ -28,8 +28,8 @@
 struct EmptyPlatform;
 
 impl EndpointDirectory for EmptyPlatform {
-    fn list(&self) -> BoxFuture<'_, Result<Vec<EndpointView>, String>> {
-        Box::pin(async { Ok(Vec::new()) })
+    fn list(&self) -> BoxFuture<'_, Result<EndpointList, String>> {
+        Box::pin(async { Ok(EndpointList::default()) })
     }
 }
 
--- a/crates/wasabipoint_kernel/src/lib.rs
+++ b/crates/wasabipoint_kernel/src/lib.rs
@@ -10,6 +10,7 @@
 mod id;
 mod ini_document;
 mod inventory;
+mod json_entries;
 mod key;
 mod log;
 mod metrics;
@@ -30,6 +31,7 @@
 };
 pub use ini_document::{IniDocument, IniEntry, IniSection, SettingError, SettingErrors};
 pub use inventory::{Adapter, Customer, Inventory, InventoryChange, Model};
+pub use json_entries::JsonDocument;
 pub use key::{KeyDigest, KeyDigester};
 pub use log::{build_logger, build_logger_to, build_stdout_logger};
 pub use metrics::Metrics;
--- a/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
@@ -14,8 +14,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use wasabipoint_consensus::Role;
 use wasabipoint_control::{
-    CommandAnswer, ControlConfig, ControlServer, EndpointDirectory, EngineCommand, EngineCommander,
-    EngineState, PlatformIntegration, RateAllowance,
+    CommandAnswer, ControlConfig, ControlServer, EndpointDirectory, EndpointList, EngineCommand,
+    EngineCommander, EngineState, PlatformIntegration, RateAllowance,
 };
 use wasabipoint_entry::{ForwardConfig, Forwarder, RpcControlLink};
 use wasabipoint_http::HttpClient;
@@ -37,9 +37,9 @@
 struct EngineDirectory(Vec<Arc<Engine>>);
 
 impl EndpointDirectory for EngineDirectory {
-    fn list(&self) -> BoxFuture<'_, Result<Vec<EndpointView>, String>> {
-        let engines = self.0.iter().map(|engine| engine.view());
-        Box::pin(std::future::ready(Ok(engines.collect())))
+    fn list(&self) -> BoxFuture<'_, Result<EndpointList, String>> {
+        let engines: Vec<_> = self.0.iter().map(|engine| engine.view()).collect();
+        Box::pin(std::future::ready(Ok(engines.into())))
     }
 }
 
