Continue a broken stream only with its next event

Here an error status already aborts the stream, but a success was relayed whatever it held.

Cause: a resumed stream was recognised by its status only.

Change: the response needs the content type of the first one, and its first event a higher id than the last one relayed. Otherwise the attempt has failed. A stream without event ids is not resumed once an event reached the caller.

Failed before, run on: a_success_without_events_does_not_complete_a_resumed_stream, a_stream_that_begins_again_is_aborted, a_stream_without_event_ids_is_not_resumed. Held before: an_error_when_resuming_aborts_the_stream_without_its_text.

--- a/crates/wasabipoint_entry/src/forward/call/relay.rs
+++ b/crates/wasabipoint_entry/src/forward/call/relay.rs
@@ -1,6 +1,7 @@
 //! Relays event streams from endpoints to callers and resumes interrupted ones.
 
 use bytes::Bytes;
+use http::header::CONTENT_TYPE;
 use http::{Response, StatusCode};
 use slog::warn;
 use tokio::sync::mpsc;
@@ -9,7 +10,7 @@
 
 use super::records::StreamTiming;
 use super::{ActiveExchange, Call};
-use crate::forward::events::EventSplitter;
+use crate::forward::events::{EventSplitter, NotResumed};
 use crate::forward::exchange::{ResponseFailure, StartedResponse};
 use crate::forward::response::{ForwardBody, strip_hop_by_hop_headers};
 
@@ -32,7 +33,9 @@
         mut active: ActiveExchange,
         sender: mpsc::Sender<Option<Bytes>>,
     ) {
+        let content_type = active.started.head.headers.get(CONTENT_TYPE).cloned();
         let mut events = EventSplitter::default();
+        let mut has_relayed_events = false;
         let mut timing = StreamTiming::default();
         loop {
             let has_events = self.attempts.events > 0;
@@ -45,6 +48,7 @@
                 relayed = relay_chunk(&mut active.started, &mut events, has_events, &sender) => match relayed {
                     Ok(RelayedChunk::PartialEvent) => continue,
                     Ok(RelayedChunk::CompleteEvents) => {
+                        has_relayed_events = true;
                         self.record_events();
                         timing.record_event(Instant::now());
                         continue;
@@ -70,27 +74,35 @@
             drop(active);
             self.avoid(&endpoint);
             self.record_failure(&endpoint, &failure);
-            let is_resumable = self.route.run_policy == RunPolicy::ResumableStream;
+            let last_event_id = events.last_id().or(self.metadata.last_event_id);
+            // Without an id, another endpoint would begin again with the first event.
+            let is_resumable = self.route.run_policy == RunPolicy::ResumableStream
+                && (last_event_id.is_some() || !has_relayed_events);
             if !is_resumable || !self.allow_retry(&endpoint, failure.detail()) {
                 self.log_stream_aborted(&endpoint, failure.detail());
                 return;
             }
-            events.discard_partial();
-            self.metadata.last_event_id = events.last_id().or(self.metadata.last_event_id);
+            events.resume_after(last_event_id);
+            self.metadata.last_event_id = last_event_id;
             let resumed = tokio::select! {
                 biased;
                 () = sender.closed() => return,
                 resumed = self.dispatch() => resumed,
             };
             match resumed {
-                Ok(next) if next.started.head.status == StatusCode::OK => active = next,
                 Ok(next) => {
-                    let detail = format!(
-                        "status {} when resuming the stream",
-                        next.started.head.status
-                    );
-                    self.log_stream_aborted(&endpoint, &detail);
-                    return;
+                    let head = &next.started.head;
+                    let is_same_type = head.headers.get(CONTENT_TYPE) == content_type.as_ref();
+                    if head.status != StatusCode::OK || !is_same_type {
+                        let detail = format!(
+                            "status {} and content type {:?} when resuming the stream",
+                            head.status.as_u16(),
+                            head.headers.get(CONTENT_TYPE)
+                        );
+                        self.log_stream_aborted(&next.in_flight.endpoint, &detail);
+                        return;
+                    }
+                    active = next;
                 }
                 Err(refusal) => {
                     self.log_stream_aborted(&endpoint, &refusal.detail);
@@ -133,7 +145,10 @@
         let _ = sender.send(None).await;
         return Ok(RelayedChunk::EndOfStream);
     };
-    let complete_events = events.push(chunk);
+    let complete_events = events.push(chunk).map_err(|NotResumed| {
+        let detail = "the resumed stream does not continue with its next event";
+        ResponseFailure::Invalid(detail.to_owned())
+    })?;
     if events.exceeds_event_limit() {
         return Err(ResponseFailure::Invalid("an event is too large".to_owned()));
     }
--- a/crates/wasabipoint_entry/tests/forward_policies.rs
+++ b/crates/wasabipoint_entry/tests/forward_policies.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use wasabipoint_entry::{
-    Endpoints, EventSplitter, ReportedLoad, RequestLimit, RetryBudget, RouteTable,
+    Endpoints, EventSplitter, NotResumed, ReportedLoad, RequestLimit, RetryBudget, RouteTable,
     SelectionCriteria, pick_service,
 };
 use wasabipoint_kernel::{
@@ -213,21 +213,24 @@
 /// endpoint.
 #[test]
 fn only_complete_events_are_passed_on() {
+    fn push(events: &mut EventSplitter, text: &'static str) -> Result<Bytes, NotResumed> {
+        events.push(Bytes::from(text))
+    }
     let mut events = EventSplitter::default();
-    assert_eq!(
-        events.push(Bytes::from("id: 1\ndata: a\n\nid: 2\nda")),
-        "id: 1\ndata: a\n\n"
-    );
+    let pushed = push(&mut events, "id: 1\ndata: a\n\nid: 2\nda");
+    assert_eq!(pushed, Ok("id: 1\ndata: a\n\n".into()));
     assert_eq!(events.last_id(), Some(1));
     assert!(events.has_partial());
-    assert_eq!(events.push(Bytes::from("ta: b\n\n")), "id: 2\ndata: b\n\n");
+    let pushed = push(&mut events, "ta: b\n\n");
+    assert_eq!(pushed, Ok("id: 2\ndata: b\n\n".into()));
     assert_eq!(events.last_id(), Some(2));
-    assert_eq!(events.push(Bytes::from("id: 3\nda")), "");
-    events.discard_partial();
-    assert_eq!(
-        events.push(Bytes::from("id: 3\ndata: c\n\n")),
-        "id: 3\ndata: c\n\n"
-    );
+    assert_eq!(push(&mut events, "id: 3\nda"), Ok("".into()));
+    events.resume_after(Some(2));
+    assert!(!events.has_partial());
+    let pushed = push(&mut events, "id: 3\ndata: c\n\n");
+    assert_eq!(pushed, Ok("id: 3\ndata: c\n\n".into()));
+    events.resume_after(Some(3));
+    assert_eq!(push(&mut events, "id: 3\ndata: c\n\n"), Err(NotResumed));
 }
 
 fn route(name: &str, prefix: &str, services: &[(&str, u32)]) -> ForwardRoute {
--- a/crates/wasabipoint_entry/tests/forward_sockets.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets.rs
@@ -8,6 +8,8 @@
 mod fixture;
 #[path = "forward_sockets/records.rs"]
 mod records;
+#[path = "forward_sockets/resumed.rs"]
+mod resumed;
 #[path = "fixtures/test_dialect.rs"]
 mod test_dialect;
 #[path = "forward_sockets/unframed.rs"]
