Stop using an endpoint that announces in a response that it leaves

New rule of the users: no request later than drain_ms after a machine passed on an answer with Server-Leaving. Nothing read that header; an endpoint left only when the platform's list said so.

The process that hears it stops choosing that incarnation at once, also for a request that selected it and was not sent yet. It is reported to the leader, which commits it to the fleet view: all entries learn of it, it survives a restart and a new leader, and a list that lags does not take it back. A 421 counts only if it names the endpoint, since another user of the address may answer.

--- a/crates/wasabipoint_control/src/directory.rs
+++ b/crates/wasabipoint_control/src/directory.rs
@@ -7,7 +7,7 @@
 use futures::future::BoxFuture;
 use slog::{info, warn};
 use tokio::time::MissedTickBehavior;
-use wasabipoint_kernel::EndpointId;
+use wasabipoint_kernel::{EndpointId, EntryId, Incarnation};
 use wasabipoint_rpc::EndpointView;
 
 use crate::context::ControlContext;
@@ -110,6 +110,39 @@
     commit_endpoint_changes(control, changes).await;
 }
 
+/// Commits that endpoints of the directory leave, as an entry process learnt from their responses.
+pub(crate) async fn mark_endpoints_leaving(
+    control: &ControlContext,
+    entry: &EntryId,
+    leaving: &[(EndpointId, Incarnation)],
+) {
+    let newly_leaving = control.member.read(|state| {
+        let known = leaving.iter().filter_map(|(id, incarnation)| {
+            let endpoint = state.view.endpoints.get(id)?;
+            let is_new = endpoint.incarnation == *incarnation && !endpoint.is_leaving;
+            is_new.then(|| EndpointView {
+                is_leaving: true,
+                ..endpoint.clone()
+            })
+        });
+        known.collect::<Vec<_>>()
+    });
+    if newly_leaving.is_empty() {
+        return;
+    }
+    for endpoint in &newly_leaving {
+        info!(control.logger, "control: endpoint announced that it leaves";
+            "endpoint" => %endpoint.id, "incarnation" => endpoint.incarnation.0,
+            "service" => %endpoint.service, "entry" => %entry);
+    }
+    let changes = EndpointChanges {
+        put: newly_leaving,
+        removed: Vec::new(),
+    };
+    commit_endpoint_changes(control, changes).await;
+    control.wake_engine_planner.notify_one();
+}
+
 /// Commits endpoint changes. A failure is only logged, since the next poll finds the same
 /// difference.
 pub(crate) async fn commit_endpoint_changes(control: &ControlContext, changes: EndpointChanges) {
@@ -126,8 +159,12 @@
 ) -> EndpointChanges {
     let mut put = Vec::new();
     let mut removed = known.clone();
-    for endpoint in listed {
+    for mut endpoint in listed {
         let before = removed.remove(&endpoint.id);
+        // The directory may not know yet that an endpoint leaves. An incarnation never returns.
+        endpoint.is_leaving |= before
+            .as_ref()
+            .is_some_and(|before| before.is_leaving && before.incarnation == endpoint.incarnation);
         if before.as_ref() != Some(&endpoint) {
             put.push(endpoint);
         }
--- a/crates/wasabipoint_control/src/rpc.rs
+++ b/crates/wasabipoint_control/src/rpc.rs
@@ -22,6 +22,7 @@
 };
 
 use crate::context::ControlContext;
+use crate::directory::mark_endpoints_leaving;
 use crate::peer::PEER_PREAMBLE;
 use crate::placement::estimate_cold_start_ms;
 use crate::state::{Command, CommandOutcome, ControlState, GrantPhase};
@@ -331,6 +332,7 @@
         let control = &self.control;
         let log_time = control.member.log_time_ms().await;
         let now_ms = log_time.map_err(|error| control.member.refusal_for(error))?;
+        let entry = report.entry.clone();
         let draining = report.draining_endpoints.clone();
         let prompts = control.record_prompt_report(term, &report);
         let limits = control.record_limit_report(term, &report);
@@ -366,6 +368,7 @@
             control.wake_placement.notify_one();
             control.wake_engine_planner.notify_one();
         }
+        mark_endpoints_leaving(control, &entry, &draining).await;
         for (endpoint, incarnation) in draining {
             let is_newly_draining = control.member.read(|state| {
                 let registration = state.fleet.endpoints.get(&endpoint);
--- a/crates/wasabipoint_entry/src/forward.rs
+++ b/crates/wasabipoint_entry/src/forward.rs
@@ -39,7 +39,8 @@
 
 pub use budget::RetryBudget;
 pub use dialect::{
-    ForwardDialect, ForwardMetadata, ReportedLoad, RequestLimit, RequestMetadata, ResponseMetadata,
+    ForwardDialect, ForwardMetadata, ReportedLoad, RequestLimit, RequestMetadata, Responder,
+    ResponseMetadata,
 };
 pub use endpoints::{Endpoints, SelectedEndpoint, SelectionCriteria};
 pub use events::{EventSplitter, NotResumed};
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -21,7 +21,7 @@
 
 use super::Forwarder;
 use super::body_buffer::MAX_BODY_BYTES;
-use super::dialect::{ForwardMetadata, RequestMetadata};
+use super::dialect::{ForwardMetadata, RequestMetadata, Responder};
 use super::endpoints::{SelectedEndpoint, SelectionCriteria};
 use super::exchange::{ExchangeOutcome, OutgoingRequest, StartedResponse, begin_exchange};
 use super::pool::ConnectionId;
@@ -188,8 +188,13 @@
                     self.settle_reservation();
                     self.record_endpoint_load(&endpoint, &started.metadata);
                     self.record_named_limit(&endpoint, &started.metadata);
+                    let status = started.head.status;
+                    self.record_announcement(&endpoint, status, &started.metadata);
                     return Ok(ActiveExchange { started, in_flight });
                 }
+                Ok(ExchangeOutcome::Withdrawn) => {
+                    self.attempts.tried.remove(&endpoint.id);
+                }
                 Ok(ExchangeOutcome::NotSent(_)) => {
                     self.record_unreachable(&endpoint);
                     self.attempts.connect_failures += 1;
@@ -205,6 +210,7 @@
                     self.attempts.refusals += 1;
                     self.attempts.used_connections.insert(connection);
                     self.record_named_limit(&endpoint, &metadata);
+                    self.record_announcement(&endpoint, status, &metadata);
                     self.record_refusal(&endpoint, status, &metadata);
                     if self.attempts.refusals >= MAX_REFUSALS || !self.try_take_retry() {
                         return Err(self.unavailable_refusal("the endpoints are full"));
@@ -260,6 +266,7 @@
             endpoint,
             &metadata,
             &self.attempts.used_connections,
+            || self.may_still_send(endpoint),
         );
         tokio::pin!(exchange);
         if let Ok(outcome) = timeout_at(self.failover_deadline(), exchange.as_mut()).await {
@@ -334,7 +341,7 @@
 
     /// Records the limit on requests that a response names, or that it names none.
     fn record_named_limit(&self, endpoint: &EndpointView, metadata: &super::ResponseMetadata) {
-        if metadata.is_wrong_endpoint {
+        if metadata.responder == Responder::Other {
             return;
         }
         let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
@@ -350,6 +357,45 @@
         }
     }
 
+    /// Records what a response announces about its endpoint. A response that may come from another
+    /// user of the address says nothing about it.
+    fn record_announcement(
+        &self,
+        endpoint: &EndpointView,
+        status: StatusCode,
+        metadata: &super::ResponseMetadata,
+    ) {
+        let is_from_endpoint = match metadata.responder {
+            Responder::Expected => true,
+            Responder::Unnamed => status != StatusCode::MISDIRECTED_REQUEST,
+            Responder::Other => false,
+        };
+        if !is_from_endpoint {
+            return;
+        }
+        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+        let mut state = self.forwarder.lock();
+        let change = state
+            .endpoints
+            .record_announcement(id, incarnation, metadata.announcement);
+        drop(state);
+        if change.has_begun_to_leave {
+            self.forwarder.metrics.count_announcement("leaving");
+            self.forwarder.report_requested.notify_one();
+            info!(self.forwarder.logger, "routing: endpoint announces that it leaves";
+                "request" => &self.metadata.request_id, "endpoint" => %id,
+                "incarnation" => incarnation.0, "status" => status.as_u16());
+        }
+    }
+
+    /// Returns whether an endpoint that was selected still accepts a request.
+    fn may_still_send(&self, endpoint: &EndpointView) -> bool {
+        let state = self.forwarder.lock();
+        state
+            .endpoints
+            .may_still_send(&endpoint.id, endpoint.incarnation)
+    }
+
     fn record_refusal(
         &self,
         endpoint: &EndpointView,
@@ -360,7 +406,7 @@
         let now_ms = self.forwarder.clock.now_ms();
         let mut state = self.forwarder.lock();
         let is_model_missing =
-            status == StatusCode::MISDIRECTED_REQUEST && !metadata.is_wrong_endpoint;
+            status == StatusCode::MISDIRECTED_REQUEST && metadata.responder != Responder::Other;
         match &self.metadata.model {
             Some(model) if is_model_missing => {
                 state
--- a/crates/wasabipoint_entry/src/forward/call/records.rs
+++ b/crates/wasabipoint_entry/src/forward/call/records.rs
@@ -54,6 +54,7 @@
             Ok(ExchangeOutcome::NotRun { status, .. }) => {
                 format!("not run, status {}", status.as_u16())
             }
+            Ok(ExchangeOutcome::Withdrawn) => "withdrawn".to_owned(),
             Ok(ExchangeOutcome::NotSent(detail)) => format!("not sent: {detail}"),
             Ok(ExchangeOutcome::Unknown(failure)) => format!("unknown: {}", failure.detail()),
             Err(_) => "silent".to_owned(),
--- a/crates/wasabipoint_entry/src/forward/control.rs
+++ b/crates/wasabipoint_entry/src/forward/control.rs
@@ -145,17 +145,19 @@
     async fn send_report(&self, was_idle: bool) -> bool {
         let mut sequence = self.report_sequence.lock().await;
         let now_ms = self.clock.now_ms();
-        let (demand, unreachable, prompts, limits) = {
+        let (demand, leaving, unreachable, prompts, limits) = {
             let mut state = self.lock();
+            let leaving = state.endpoints.announced_leaving();
             let unreachable = state.endpoints.unreachable(now_ms);
             let demand = state.demand.take_report();
-            let has_news = state.prompts.has_news() || state.endpoints.has_limits();
+            let has_news =
+                state.prompts.has_news() || state.endpoints.has_limits() || !leaving.is_empty();
             if demand.is_empty() && was_idle && !has_news {
                 return true;
             }
             let prompts = state.prompts.take_report(now_ms);
             let limits = state.endpoints.take_limit_reports(now_ms);
-            (demand, unreachable, prompts, limits)
+            (demand, leaving, unreachable, prompts, limits)
         };
         let is_idle = demand.is_empty();
         *sequence += 1;
@@ -165,7 +167,7 @@
             sequence: *sequence,
             address: self.config.listen,
             demand,
-            draining_endpoints: Vec::new(),
+            draining_endpoints: leaving,
             unreachable_endpoints: unreachable,
             prompts,
             limits,
--- a/crates/wasabipoint_entry/src/forward/dialect.rs
+++ b/crates/wasabipoint_entry/src/forward/dialect.rs
@@ -2,6 +2,7 @@
 
 use http::{HeaderMap, request, response};
 use wasabipoint_kernel::{CustomerId, EndpointId, ModelName, PromptPartId};
+use wasabipoint_policy::Announcement;
 
 /// Metadata read from the headers of a caller's request.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -69,6 +70,18 @@
     Unreadable,
 }
 
+/// The endpoint that a response names as its sender.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Responder {
+    /// The response names no endpoint.
+    #[default]
+    Unnamed,
+    /// The endpoint that the request was addressed to.
+    Expected,
+    /// Another endpoint, which uses the address now.
+    Other,
+}
+
 /// Metadata read from the headers of an endpoint's response.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ResponseMetadata {
@@ -76,14 +89,16 @@
     pub request_id: Option<String>,
     /// Whether the endpoint reports that it did not run the request.
     pub is_not_run: bool,
-    /// Whether the response comes from an endpoint other than the expected one.
-    pub is_wrong_endpoint: bool,
+    /// Who sent the response, as far as it says so.
+    pub responder: Responder,
     /// Whether the response carries the endpoint's signature.
     pub is_signed: bool,
     /// Load that the endpoint reports.
     pub load: Option<ReportedLoad>,
     /// Limit on requests that the endpoint names.
     pub request_limit: RequestLimit,
+    /// What the endpoint announces about itself.
+    pub announcement: Announcement,
     /// How long the endpoint keeps an idle connection open, in seconds.
     pub keep_alive_s: Option<u64>,
 }
--- a/crates/wasabipoint_entry/src/forward/endpoints.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints.rs
@@ -5,7 +5,10 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use wasabipoint_kernel::{EndpointId, FailureDomain, Incarnation, ModelName, ServiceName};
-use wasabipoint_policy::{LoadEstimate, RequestAllowance, choose_lowest_cost, mean_load};
+use wasabipoint_policy::{
+    Announcement, AvailabilityChange, EndpointAvailability, LoadEstimate, RequestAllowance,
+    choose_lowest_cost, mean_load,
+};
 use wasabipoint_rpc::EndpointView;
 
 use super::dialect::ReportedLoad;
@@ -43,6 +46,8 @@
     avoid_until_ms: u64,
     unreachable_until_ms: u64,
     missing_until_ms: BTreeMap<ModelName, u64>,
+    /// What the endpoint announced to this entry process.
+    availability: EndpointAvailability,
     /// Permissions to send requests, if the endpoint named a limit.
     allowance: Option<RequestAllowance>,
     /// Time of last use in milliseconds, by model and id of the prompt part.
@@ -85,6 +90,11 @@
 }
 
 impl EndpointState {
+    /// Returns whether the endpoint leaves, according to control or to its own responses.
+    fn is_leaving(&self) -> bool {
+        self.view.is_leaving || self.availability.is_leaving()
+    }
+
     /// Returns whether a limit that the endpoint named allows another request now.
     fn can_send(&self, entry_processes: u32, now_ms: u64) -> bool {
         let allowance = self.allowance.as_ref();
@@ -124,6 +134,7 @@
                 avoid_until_ms: 0,
                 unreachable_until_ms: 0,
                 missing_until_ms: BTreeMap::new(),
+                availability: EndpointAvailability::default(),
                 allowance: None,
                 cached_parts: HashMap::new(),
             };
@@ -178,7 +189,7 @@
         self.states.values().filter(move |state| {
             let view = &state.view;
             view.service == *criteria.service
-                && !view.is_leaving
+                && !state.is_leaving()
                 && !criteria.tried.contains(&view.id)
                 && criteria.model.is_none_or(|model| {
                     view.models.contains(model)
@@ -214,7 +225,7 @@
     /// Returns whether a service has an endpoint that is not leaving.
     pub fn has_endpoints(&self, service: &ServiceName) -> bool {
         let mut states = self.states.values();
-        states.any(|state| state.view.service == *service && !state.view.is_leaving)
+        states.any(|state| state.view.service == *service && !state.is_leaving())
     }
 
     /// Returns the endpoints that hold a model, in order of increasing load.
@@ -340,6 +351,34 @@
         }
     }
 
+    /// Records what a response of an endpoint announces.
+    pub fn record_announcement(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        announcement: Announcement,
+    ) -> AvailabilityChange {
+        match self.state_mut(endpoint, incarnation) {
+            Some(state) => state.availability.record(announcement),
+            None => AvailabilityChange::default(),
+        }
+    }
+
+    /// Returns whether a request may still be sent to an endpoint that was selected before.
+    pub fn may_still_send(&self, endpoint: &EndpointId, incarnation: Incarnation) -> bool {
+        let state = self.states.get(endpoint);
+        state.is_some_and(|state| state.view.incarnation == incarnation && !state.is_leaving())
+    }
+
+    /// Returns the endpoints that announced that they leave and are not known to control as leaving.
+    pub fn announced_leaving(&self) -> Vec<(EndpointId, Incarnation)> {
+        let states = self.states.values();
+        states
+            .filter(|state| state.availability.is_leaving() && !state.view.is_leaving)
+            .map(|state| (state.view.id.clone(), state.view.incarnation))
+            .collect()
+    }
+
     /// Returns whether an address belongs to a listed endpoint.
     pub fn has_address(&self, address: &std::net::SocketAddr) -> bool {
         let mut states = self.states.values();
--- a/crates/wasabipoint_entry/src/forward/exchange.rs
+++ b/crates/wasabipoint_entry/src/forward/exchange.rs
@@ -48,6 +48,8 @@
         metadata: ResponseMetadata,
         connection: ConnectionId,
     },
+    /// The request was not sent, because the endpoint no longer accepts it.
+    Withdrawn,
     /// The request was not sent.
     NotSent(String),
     /// The request may have run; its response is missing or invalid.
@@ -72,6 +74,8 @@
 }
 
 /// Sends a request on a connection that it was not sent on before, and waits for the response head.
+/// `may_still_send` is asked once a connection is open, which can take longer than it takes an
+/// endpoint to announce that it wants no more requests.
 pub(crate) async fn begin_exchange(
     pool: &Arc<Pool>,
     dialect: &dyn ForwardDialect,
@@ -79,6 +83,7 @@
     endpoint: &EndpointView,
     metadata: &ForwardMetadata<'_>,
     used_connections: &BTreeSet<ConnectionId>,
+    may_still_send: impl Fn() -> bool,
 ) -> ExchangeOutcome {
     let acquired = pool.acquire(endpoint.address, used_connections).await;
     let mut connection = match acquired {
@@ -87,6 +92,10 @@
             return ExchangeOutcome::NotSent(detail);
         }
     };
+    if !may_still_send() {
+        pool.release(connection);
+        return ExchangeOutcome::Withdrawn;
+    }
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
--- a/crates/wasabipoint_entry/src/forward/metrics.rs
+++ b/crates/wasabipoint_entry/src/forward/metrics.rs
@@ -15,6 +15,7 @@
 pub(crate) struct ForwardMetrics {
     registry: Metrics,
     requests: Counter<u64>,
+    announcements: Counter<u64>,
     duration: Histogram<f64>,
     first_byte: Histogram<f64>,
     longest_pause: Histogram<f64>,
@@ -37,6 +38,10 @@
                 .u64_counter("wasabipoint_forward_requests")
                 .with_description("Requests by outcome.")
                 .build(),
+            announcements: meter
+                .u64_counter("wasabipoint_forward_announcements")
+                .with_description("Announcements of endpoints that they want no requests, by kind.")
+                .build(),
             duration: histogram(
                 "wasabipoint_forward_duration",
                 "Time from the request to the last byte of its response.",
@@ -57,6 +62,10 @@
         self.requests.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    pub(crate) fn count_announcement(&self, kind: &'static str) {
+        self.announcements.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     pub(crate) fn record_duration(&self, elapsed: Duration) {
         self.duration.record(elapsed.as_secs_f64(), &[]);
     }
--- a/crates/wasabipoint_entry/src/lib.rs
+++ b/crates/wasabipoint_entry/src/lib.rs
@@ -35,9 +35,11 @@
 pub use fair_queue::FairQueue;
 pub use forward::{
     Endpoints, EventSplitter, ForwardBody, ForwardConfig, ForwardDialect, ForwardMetadata,
-    Forwarder, NotResumed, ReportedLoad, RequestLimit, RequestMetadata, ResponseMetadata,
-    RetryBudget, RouteTable, SelectedEndpoint, SelectionCriteria, StreamAborted, pick_service,
+    Forwarder, NotResumed, ReportedLoad, RequestLimit, RequestMetadata, Responder,
+    ResponseMetadata, RetryBudget, RouteTable, SelectedEndpoint, SelectionCriteria, StreamAborted,
+    pick_service,
 };
 pub use link::{AgentError, AgentLink, ControlLink, HttpAgentLink, ResponseChunks, RpcControlLink};
 pub use prefix_index::{PrefixIndex, hash_prompt};
 pub use quota_ledger::{QuotaLedger, ReservedTokens, TokenRequestResult};
+pub use wasabipoint_policy::Announcement;
--- a/crates/wasabipoint_entry/tests/forward_sockets.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets.rs
@@ -2,6 +2,8 @@
 
 #![expect(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+#[path = "forward_sockets/announcements.rs"]
+mod announcements;
 #[path = "forward_sockets/endless.rs"]
 mod endless;
 #[path = "forward_sockets/fixture.rs"]
--- /dev/null
+++ b/crates/wasabipoint_entry/tests/forward_sockets/announcements.rs
@@ -0,0 +1,72 @@
+//! What endpoints announce about themselves in their responses.
+
+use super::fixture::{Endpoint, Fixture, ScriptStep, chunked_response, fleet_view, full_response};
+
+fn response(status_line: &str, id: &str, headers: &str) -> ScriptStep {
+    ScriptStep::Send(format!(
+        "HTTP/1.1 {status_line}\r\nid: {id}\r\n{headers}content-length: 0\r\n\r\n"
+    ))
+}
+
+/// Guards against an announcement that counts only in successful responses, and against a request
+/// that is retried at the endpoint that just announced that it leaves.
+#[tokio::test]
+async fn an_endpoint_that_leaves_gets_no_request_whatever_its_status() {
+    let stream = chunked_response("a1", &["id: 1\ndata: a\n\n"], true);
+    let stream = stream.replacen("id: a1\r\n", "id: a1\r\nleaving: 1\r\n", 1);
+    for (route, step) in [
+        ("once", response("200 OK", "a1", "leaving: 1\r\n")),
+        ("once", response("404 Not Found", "a1", "leaving: 1\r\n")),
+        ("safe", response("500 Failed", "a1", "leaving: 1\r\n")),
+        (
+            "once",
+            response("503 Busy", "a1", "not-run: 1\r\nleaving: 1\r\n"),
+        ),
+        (
+            "once",
+            response(
+                "421 Misdirected",
+                "a1",
+                "endpoint: endpoint-0\r\nleaving: 1\r\n",
+            ),
+        ),
+        ("stream", ScriptStep::Send(stream)),
+    ] {
+        let leaving = Endpoint::start(vec![step]).await;
+        let ids = ["a1", "a2", "a3"];
+        let steps = ids.map(|id| ScriptStep::Send(full_response(id, "good")));
+        let staying = Endpoint::start(steps.into()).await;
+        let fixture = Fixture::start(Some(fleet_view(&[&leaving, &staying]))).await;
+        // Only a request that was retried uses the first response of the other endpoint.
+        let is_retried =
+            fixture.send_request(route, "a1").await.is_ok() && staying.request_count() == 1;
+        if !is_retried {
+            let _ = fixture.send_request("once", "a1").await;
+        }
+        for id in ["a2", "a3"] {
+            assert_eq!(
+                fixture.send_request("once", id).await.unwrap().status(),
+                200
+            );
+        }
+        assert_eq!((leaving.request_count(), staying.request_count()), (1, 3));
+    }
+}
+
+/// Guards against an endpoint that is given up because another user of its address leaves.
+#[tokio::test]
+async fn an_announcement_of_another_endpoint_says_nothing() {
+    for responder in ["", "endpoint: other\r\n"] {
+        let headers = format!("{responder}leaving: 1\r\n");
+        let steps = vec![
+            response("421 Misdirected", "a1", &headers),
+            ScriptStep::Send(full_response("a1", "good")),
+        ];
+        let only = Endpoint::start(steps).await;
+        let fixture = Fixture::start(Some(fleet_view(&[&only]))).await;
+        assert_eq!(
+            fixture.send_request("once", "a1").await.unwrap().status(),
+            200
+        );
+    }
+}
--- a/crates/wasabipoint_policy/src/lib.rs
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -7,6 +7,7 @@
     reason = "distributed slices place their elements in a link section"
 )]
 
+mod endpoint_availability;
 mod endpoint_limit;
 mod engine_demand;
 mod engine_plan;
@@ -19,6 +20,7 @@
 mod routing;
 mod store_concurrency;
 
+pub use endpoint_availability::{Announcement, AvailabilityChange, EndpointAvailability};
 pub use endpoint_limit::{
     LimitDealer, NamedLimit, PERMISSION_LIFETIME_MS, PermissionGrant, RequestAllowance,
 };
--- a/crates/wasabipoint_testbed/tests/forwarding/engine.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/engine.rs
@@ -1,7 +1,7 @@
 //! Engines on loopback that crash when they begin to write a response to a certain prompt part.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -35,6 +35,8 @@
     pub(crate) crashes: AtomicU32,
     /// Limit in requests per second that the engine names in its responses.
     limit_per_s: Mutex<Option<f64>>,
+    /// Whether the engine says in its responses that it leaves.
+    is_leaving: AtomicBool,
     /// Arrival times of all requests.
     arrivals: Mutex<Vec<Instant>>,
     /// Number of crashes; a change closes all connections.
@@ -52,6 +54,7 @@
             deadly_arrivals: AtomicU32::new(0),
             crashes: AtomicU32::new(0),
             limit_per_s: Mutex::new(None),
+            is_leaving: AtomicBool::new(false),
             arrivals: Mutex::new(Vec::new()),
             crash_sender: watch::Sender::new(0),
         });
@@ -75,6 +78,22 @@
         *self.limit_per_s.lock().unwrap() = limit_per_s;
     }
 
+    /// Makes the engine say in its responses that it leaves.
+    pub(crate) fn announce_leaving(&self) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Makes the engine no longer say that it leaves.
+    pub(crate) fn stay(&self) {
+        self.is_leaving.store(false, Ordering::Relaxed);
+    }
+
+    /// Returns the number of requests that arrived after `start`.
+    pub(crate) fn arrivals_since(&self, start: Instant) -> usize {
+        let arrivals = self.arrivals.lock().unwrap();
+        arrivals.iter().filter(|at| **at >= start).count()
+    }
+
     /// Returns the highest number of requests that arrived within any window of this length after
     /// `start`.
     pub(crate) fn most_arrivals(&self, start: Instant, window: Duration) -> usize {
@@ -149,8 +168,11 @@
         let id = header(head, "id").unwrap();
         let limit_per_s = *self.limit_per_s.lock().unwrap();
         let limit = limit_per_s.map_or(String::new(), |limit| format!("limit: {limit}\r\n"));
-        let text =
-            format!("HTTP/1.1 200 OK\r\nid: {id}\r\n{limit}transfer-encoding: chunked\r\n\r\n");
+        let is_leaving = self.is_leaving.load(Ordering::Relaxed);
+        let leaving = if is_leaving { "leaving: 1\r\n" } else { "" };
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nid: {id}\r\n{limit}{leaving}transfer-encoding: chunked\r\n\r\n"
+        );
         stream.write_all(text.as_bytes()).await?;
         let deadly_part = self.deadly_part.lock().unwrap().clone();
         let parts = header(head, "parts").unwrap_or_default();
--- a/crates/wasabipoint_testbed/tests/forwarding/main.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/main.rs
@@ -5,6 +5,7 @@
 
 mod engine;
 mod fixture;
+mod leaving;
 mod limits;
 mod quarantine;
 #[path = "../../../wasabipoint_entry/tests/fixtures/test_dialect.rs"]
