Send nothing to an endpoint within a pause that it asks for

New rule of the users: no more than two requests from a machine between half a second after a runner answered it 503 with Retry-After and the end of that time. Retry-After of an endpoint was passed by: it was avoided for 1.5 s, and after 150 ms sent to again if no other was left.

Change: a pause keeps the endpoint out of the choice of that process until its end, also for a request that selected it and was not sent yet. Of several pauses the one that ends last holds: each answer binds by the rule's words. Afterwards requests return gradually. If only pauses and limits prevent a request, it waits if the first end is in time, and is refused at once with that end as Retry-After otherwise. Values are cut to 300 s; what cannot be read asks for no pause.

Failed before, run on: an_endpoint_that_asks_for_a_pause_gets_no_requests_until_its_end (6 arrivals in one pause), requests_are_refused_at_once_while_every_endpoint_pauses, requests_wait_for_the_end_of_short_pauses_in_series, a_request_waits_for_the_end_of_a_short_pause (502), a_request_is_refused_at_once_for_a_long_pause.

--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -173,6 +173,7 @@
         loop {
             let selected = self.find_endpoint().await?;
             self.check_quarantine()?;
+            self.log_end_of_pause(&selected);
             let endpoint = selected.endpoint.clone();
             self.attempts.tried.insert(endpoint.id.clone());
             self.begin_attempt();
@@ -213,7 +214,7 @@
                     self.record_announcement(&endpoint, status, &metadata);
                     self.record_refusal(&endpoint, status, &metadata);
                     if self.attempts.refusals >= MAX_REFUSALS || !self.try_take_retry() {
-                        return Err(self.unavailable_refusal("the endpoints are full"));
+                        return Err(self.full_refusal());
                     }
                 }
                 Ok(ExchangeOutcome::Unknown(failure)) => {
@@ -316,6 +317,14 @@
         }
     }
 
+    fn log_end_of_pause(&self, selected: &SelectedEndpoint) {
+        if selected.is_first_after_pause {
+            info!(self.forwarder.logger, "routing: pause of an endpoint ended";
+                "request" => &self.metadata.request_id, "endpoint" => %selected.endpoint.id,
+                "incarnation" => selected.endpoint.incarnation.0);
+        }
+    }
+
     fn track_in_flight(&self, selected: &SelectedEndpoint) -> InFlightGuard {
         let now_ms = self.forwarder.clock.now_ms();
         let mut state = self.forwarder.lock();
@@ -374,11 +383,19 @@
             return;
         }
         let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+        let now_ms = self.forwarder.clock.now_ms();
         let mut state = self.forwarder.lock();
-        let change = state
-            .endpoints
-            .record_announcement(id, incarnation, metadata.announcement);
+        let change =
+            state
+                .endpoints
+                .record_announcement(id, incarnation, metadata.announcement, now_ms);
         drop(state);
+        if let Some(pause_ms) = change.pause_ms {
+            self.forwarder.metrics.count_announcement("pause");
+            info!(self.forwarder.logger, "routing: endpoint pauses";
+                "request" => &self.metadata.request_id, "endpoint" => %id,
+                "incarnation" => incarnation.0, "pause_ms" => pause_ms);
+        }
         if change.has_begun_to_leave {
             self.forwarder.metrics.count_announcement("leaving");
             self.forwarder.report_requested.notify_one();
@@ -391,9 +408,10 @@
     /// Returns whether an endpoint that was selected still accepts a request.
     fn may_still_send(&self, endpoint: &EndpointView) -> bool {
         let state = self.forwarder.lock();
+        let now_ms = self.forwarder.clock.now_ms();
         state
             .endpoints
-            .may_still_send(&endpoint.id, endpoint.incarnation)
+            .may_still_send(&endpoint.id, endpoint.incarnation, now_ms)
     }
 
     fn record_refusal(
@@ -485,6 +503,16 @@
         Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after_ms(RETRY_AFTER_MS)
     }
 
+    /// Returns the refusal of a request that the endpoints turned away, with the end of their pauses if
+    /// all of them pause.
+    fn full_refusal(&self) -> Refusal {
+        let refusal = self.unavailable_refusal("the endpoints are full");
+        match self.all_ready_in() {
+            Some(ready_in) if self.attempts.executions == 0 => refusal.with_retry_after(ready_in),
+            _ => refusal,
+        }
+    }
+
     /// Returns the refusal of a request that reached its deadline.
     fn timeout_refusal(&self) -> Refusal {
         if self.attempts.executions == 0 {
--- a/crates/wasabipoint_entry/src/forward/call/wait.rs
+++ b/crates/wasabipoint_entry/src/forward/call/wait.rs
@@ -1,5 +1,6 @@
 //! Selects an endpoint for a request, waiting for its model or adapter to be loaded if necessary.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 
 use super::Call;
 use crate::forward::Forwarder;
-use crate::forward::endpoints::SelectedEndpoint;
+use crate::forward::endpoints::{SelectedEndpoint, SelectionCriteria};
 
 /// Minimum time that callers are expected to wait for the first event of a stream, in milliseconds.
 const MIN_FIRST_EVENT_TIMEOUT_MS: u64 = 2_000;
@@ -40,6 +41,9 @@
 /// Interval at which a waiting request asks for a permission to be sent to an endpoint with a limit.
 const PERMISSION_REQUEST_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Minimum interval between checks whether a pause has ended.
+const MIN_PAUSE_WAIT: Duration = Duration::from_millis(10);
+
 /// Margin added to twice the expected duration of a load before the load counts as overdue.
 const OVERDUE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -107,11 +111,14 @@
                 continue;
             }
             if self.can_retry_refused() {
-                let _ = timeout_at(
-                    Instant::now() + REFUSED_RETRY_DELAY,
-                    fleet_changed.changed(),
-                )
-                .await;
+                // Endpoints that pause are not sent to before their time, so no delay is needed.
+                if self.all_ready_in().is_none() {
+                    let _ = timeout_at(
+                        Instant::now() + REFUSED_RETRY_DELAY,
+                        fleet_changed.changed(),
+                    )
+                    .await;
+                }
                 self.attempts.tried.clear();
                 continue;
             }
@@ -186,8 +193,25 @@
         }
     }
 
-    /// Returns the time until a limit is expected to allow the request, if only limits of endpoints
-    /// prevent it.
+    /// Returns the time until the first endpoint accepts the request, tried or not, if pauses and limits
+    /// prevent all of them now.
+    pub(super) fn all_ready_in(&self) -> Option<Duration> {
+        let tried = BTreeSet::new();
+        let criteria = SelectionCriteria {
+            tried: &tried,
+            ..self.selection_criteria()
+        };
+        let state = self.forwarder.lock();
+        let now_ms = self.forwarder.clock.now_ms();
+        if state.endpoints.select(&criteria, now_ms).is_some() {
+            return None;
+        }
+        let ready_in_ms = state.endpoints.permission_ready_in_ms(&criteria, now_ms)?;
+        Some(Duration::from_millis(ready_in_ms))
+    }
+
+    /// Returns the time until an endpoint is expected to accept the request, if only pauses and limits
+    /// of endpoints prevent it.
     fn permission_ready_in(&self) -> Option<Duration> {
         let state = self.forwarder.lock();
         let now_ms = self.forwarder.clock.now_ms();
@@ -196,15 +220,25 @@
         Some(Duration::from_millis(ready_in_ms))
     }
 
-    /// Waits for a permission to send the request to an endpoint with a limit, or for another
-    /// endpoint. Refuses the request if neither is expected in time.
+    /// Waits for the end of a pause or for a permission to send the request to an endpoint with a limit,
+    /// or for another endpoint. Refuses the request if none of these is expected in time.
     async fn wait_for_permission(
         &self,
         permission_in: Duration,
         fleet_changed: &mut watch::Receiver<u64>,
     ) -> Result<(), Refusal> {
         let forwarder = &self.forwarder;
-        forwarder.request_permissions();
+        let (has_limits, has_paused) = {
+            let state = forwarder.lock();
+            let now_ms = forwarder.clock.now_ms();
+            let has_paused = state
+                .endpoints
+                .has_paused(&self.selection_criteria(), now_ms);
+            (state.endpoints.has_limits(), has_paused)
+        };
+        if has_limits {
+            forwarder.request_permissions();
+        }
         let load_in = match &self.metadata.model {
             Some(model) => forwarder.known_load_time(model),
             None => None,
@@ -214,10 +248,19 @@
             .wait_deadline()
             .saturating_duration_since(Instant::now());
         if forwarder.is_draining() || ready_in >= remaining.mul_f64(MAX_LOAD_WAIT_RATIO) {
-            let refusal = self.unavailable_refusal("the endpoints are at their request limits");
+            let detail = if has_paused {
+                "the endpoints pause"
+            } else {
+                "the endpoints are at their request limits"
+            };
+            let refusal = self.unavailable_refusal(detail);
             return Err(refusal.with_retry_after(ready_in));
         }
-        let limit = Instant::now() + PERMISSION_REQUEST_INTERVAL.min(remaining);
+        let mut interval = PERMISSION_REQUEST_INTERVAL.min(remaining);
+        if !has_limits {
+            interval = interval.min(ready_in.max(MIN_PAUSE_WAIT));
+        }
+        let limit = Instant::now() + interval;
         // On timeout the permission is requested again.
         let _ = timeout_at(limit, fleet_changed.changed()).await;
         Ok(())
--- a/crates/wasabipoint_entry/src/forward/endpoints.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints.rs
@@ -78,6 +78,8 @@
     pub load: u32,
     /// Number of endpoints that were eligible.
     pub candidates: usize,
+    /// Whether this is the first request after a pause of the endpoint.
+    pub is_first_after_pause: bool,
 }
 
 /// Endpoints with their load and recent failures.
@@ -95,8 +97,12 @@
         self.view.is_leaving || self.availability.is_leaving()
     }
 
-    /// Returns whether a limit that the endpoint named allows another request now.
+    /// Returns whether the endpoint accepts another request now: it does not pause, and a limit that
+    /// it named allows the request.
     fn can_send(&self, entry_processes: u32, now_ms: u64) -> bool {
+        if self.availability.ready_in_ms(now_ms) > 0 {
+            return false;
+        }
         let allowance = self.allowance.as_ref();
         allowance.is_none_or(|allowance| allowance.can_send(entry_processes, now_ms))
     }
@@ -142,8 +148,8 @@
         }
     }
 
-    /// Selects the endpoint with the lowest cost among those that can serve a request and whose limit
-    /// allows it. Endpoints that failed recently are used only if there is no other.
+    /// Selects the endpoint with the lowest cost among those that can serve a request, do not pause and
+    /// whose limit allows it. Endpoints that failed recently are used only if there is no other.
     pub fn select(
         &self,
         criteria: &SelectionCriteria<'_>,
@@ -170,6 +176,7 @@
             endpoint: state.view.clone(),
             load: estimated_load(state, mean, now_ms).round() as u32,
             candidates: eligible.len(),
+            is_first_after_pause: false,
         })
     }
 
@@ -357,17 +364,33 @@
         endpoint: &EndpointId,
         incarnation: Incarnation,
         announcement: Announcement,
+        now_ms: u64,
     ) -> AvailabilityChange {
         match self.state_mut(endpoint, incarnation) {
-            Some(state) => state.availability.record(announcement),
+            Some(state) => state.availability.record(announcement, now_ms),
             None => AvailabilityChange::default(),
         }
     }
 
     /// Returns whether a request may still be sent to an endpoint that was selected before.
-    pub fn may_still_send(&self, endpoint: &EndpointId, incarnation: Incarnation) -> bool {
+    pub fn may_still_send(
+        &self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        now_ms: u64,
+    ) -> bool {
         let state = self.states.get(endpoint);
-        state.is_some_and(|state| state.view.incarnation == incarnation && !state.is_leaving())
+        state.is_some_and(|state| {
+            state.view.incarnation == incarnation
+                && !state.is_leaving()
+                && !state.availability.is_paused(now_ms)
+        })
+    }
+
+    /// Returns whether an endpoint that could serve a request pauses.
+    pub fn has_paused(&self, criteria: &SelectionCriteria<'_>, now_ms: u64) -> bool {
+        let mut eligible = self.eligible_endpoints(criteria, now_ms);
+        eligible.any(|state| state.availability.is_paused(now_ms))
     }
 
     /// Returns the endpoints that announced that they leave and are not known to control as leaving.
--- a/crates/wasabipoint_entry/src/forward/endpoints/limits.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints/limits.rs
@@ -11,7 +11,7 @@
 const LIFTED_LIMIT_TTL_MS: u64 = 10_000;
 
 impl Endpoints {
-    /// Selects an endpoint and uses the permission that its limit requires. Counts the permissions
+    /// Selects an endpoint, counts the request as sent and uses the permission that its limit requires. Counts the permissions
     /// that the request would have needed at endpoints with less load.
     pub fn take(
         &mut self,
@@ -20,12 +20,13 @@
     ) -> Option<SelectedEndpoint> {
         let selected = self.select(criteria, now_ms);
         self.count_wanted(criteria, selected.as_ref(), now_ms);
-        let selected = selected?;
+        let mut selected = selected?;
         let entry_processes = self.entry_processes;
         let state = self.states.get_mut(&selected.endpoint.id)?;
         if let Some(allowance) = &mut state.allowance {
             allowance.take(entry_processes, now_ms);
         }
+        selected.is_first_after_pause = state.availability.record_send(now_ms);
         Some(selected)
     }
 
@@ -60,7 +61,8 @@
         }
     }
 
-    /// Returns the endpoints that could serve a request if their limit allowed it.
+    /// Returns the endpoints that could serve a request if they did not pause and their limit allowed
+    /// it.
     fn limited_endpoints(
         &self,
         criteria: &SelectionCriteria<'_>,
@@ -71,17 +73,18 @@
             .filter(move |state| !state.can_send(entry_processes, now_ms))
     }
 
-    /// Returns the time in milliseconds until the limit of an endpoint is expected to allow a
-    /// request, or `None` if no limit prevents it.
+    /// Returns the time in milliseconds until the pause of an endpoint ends and its limit is expected
+    /// to allow a request, or `None` if neither prevents it.
     pub fn permission_ready_in_ms(
         &self,
         criteria: &SelectionCriteria<'_>,
         now_ms: u64,
     ) -> Option<u64> {
         let limited = self.limited_endpoints(criteria, now_ms);
-        let ready_in_ms = limited.filter_map(|state| {
-            let allowance = state.allowance.as_ref()?;
-            Some(allowance.ready_in_ms(now_ms))
+        let ready_in_ms = limited.map(|state| {
+            let allowance = state.allowance.as_ref();
+            let limit_allows_in_ms = allowance.map_or(0, |allowance| allowance.ready_in_ms(now_ms));
+            limit_allows_in_ms.max(state.availability.ready_in_ms(now_ms))
         });
         ready_in_ms.min()
     }
--- a/crates/wasabipoint_entry/tests/forward_sockets/announcements.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/announcements.rs
@@ -1,5 +1,7 @@
 //! What endpoints announce about themselves in their responses.
 
+use std::time::{Duration, Instant};
+
 use super::fixture::{Endpoint, Fixture, ScriptStep, chunked_response, fleet_view, full_response};
 
 fn response(status_line: &str, id: &str, headers: &str) -> ScriptStep {
@@ -70,3 +72,44 @@
         );
     }
 }
+
+/// Guards against a request that is sent again to an endpoint that asked for a pause, or refused
+/// although the pause is short: an at-most-once request waits for its end.
+#[tokio::test]
+async fn a_request_waits_for_the_end_of_a_short_pause() {
+    const PAUSE: Duration = Duration::from_millis(600);
+    let pause = format!("not-run: 1\r\npause: {}\r\n", PAUSE.as_secs_f64());
+    let steps = vec![
+        response("503 Busy", "a1", &pause),
+        ScriptStep::Send(full_response("a1", "good")),
+    ];
+    let only = Endpoint::start(steps).await;
+    let fixture = Fixture::start(Some(fleet_view(&[&only]))).await;
+    let sent_at = Instant::now();
+    let answered = fixture.send_request("once", "a1").await.unwrap();
+    assert_eq!(answered.status(), 200);
+    assert!(sent_at.elapsed() >= PAUSE);
+    assert_eq!(only.request_count(), 2);
+}
+
+/// Guards against a request that is held for a pause that ends too late, and against a time to return
+/// before its end.
+#[tokio::test]
+async fn a_request_is_refused_at_once_for_a_long_pause() {
+    let steps = vec![response("503 Busy", "a1", "not-run: 1\r\npause: 30.5\r\n")];
+    let only = Endpoint::start(steps).await;
+    let fixture = Fixture::start(Some(fleet_view(&[&only]))).await;
+    for id in ["a1", "a2"] {
+        let sent_at = Instant::now();
+        let refused = fixture.send_request("once", id).await.unwrap();
+        assert_eq!(refused.status(), 503);
+        assert!(sent_at.elapsed() < Duration::from_secs(2));
+        let retry_after: f64 = refused.headers()["retry-after"]
+            .to_str()
+            .unwrap()
+            .parse()
+            .unwrap();
+        assert!((28.0..=30.5).contains(&retry_after), "{retry_after}");
+    }
+    assert_eq!(only.request_count(), 1);
+}
--- a/crates/wasabipoint_policy/src/lib.rs
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -20,7 +20,9 @@
 mod routing;
 mod store_concurrency;
 
-pub use endpoint_availability::{Announcement, AvailabilityChange, EndpointAvailability};
+pub use endpoint_availability::{
+    AnnouncedPause, Announcement, AvailabilityChange, EndpointAvailability, MAX_PAUSE_MS,
+};
 pub use endpoint_limit::{
     LimitDealer, NamedLimit, PERMISSION_LIFETIME_MS, PermissionGrant, RequestAllowance,
 };
--- a/crates/wasabipoint_testbed/tests/forwarding/engine.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/engine.rs
@@ -24,6 +24,14 @@
 const EVENTS: u64 = 12;
 const EVENT_INTERVAL: Duration = Duration::from_millis(15);
 
+/// A pause that an engine asked an entry process for.
+#[derive(Debug, Clone)]
+pub(crate) struct AskedPause {
+    pub(crate) entry: String,
+    pub(crate) asked_at: Instant,
+    pub(crate) until: Instant,
+}
+
 /// An engine that keeps its address over restarts.
 pub(crate) struct Engine {
     id: EndpointId,
@@ -37,8 +45,14 @@
     limit_per_s: Mutex<Option<f64>>,
     /// Whether the engine says in its responses that it leaves.
     is_leaving: AtomicBool,
+    /// Until when the engine turns requests away, and asks their senders not to return before.
+    pauses_until: Mutex<Option<Instant>>,
+    /// Pauses that the engine asked for.
+    pub(crate) pauses: Mutex<Vec<AskedPause>>,
     /// Arrival times of all requests.
     arrivals: Mutex<Vec<Instant>>,
+    /// Entry process and arrival time of all requests.
+    arrivals_by_entry: Mutex<Vec<(String, Instant)>>,
     /// Number of crashes; a change closes all connections.
     crash_sender: watch::Sender<u32>,
 }
@@ -55,7 +69,10 @@
             crashes: AtomicU32::new(0),
             limit_per_s: Mutex::new(None),
             is_leaving: AtomicBool::new(false),
+            pauses_until: Mutex::new(None),
+            pauses: Mutex::new(Vec::new()),
             arrivals: Mutex::new(Vec::new()),
+            arrivals_by_entry: Mutex::new(Vec::new()),
             crash_sender: watch::Sender::new(0),
         });
         tokio::spawn(Arc::clone(&engine).run(socket));
@@ -88,6 +105,19 @@
         self.is_leaving.store(false, Ordering::Relaxed);
     }
 
+    /// Makes the engine turn requests away for some time.
+    pub(crate) fn pause_for(&self, time: Duration) {
+        *self.pauses_until.lock().unwrap() = Some(Instant::now() + time);
+    }
+
+    /// Returns the number of requests that an entry process sent within a span of time.
+    pub(crate) fn arrivals_from(&self, entry: &str, from: Instant, until: Instant) -> usize {
+        let arrivals = self.arrivals_by_entry.lock().unwrap();
+        let in_span = |at: &Instant| (from..until).contains(at);
+        let from_entry = arrivals.iter().filter(|(sender, _)| sender == entry);
+        from_entry.filter(|(_, at)| in_span(at)).count()
+    }
+
     /// Returns the number of requests that arrived after `start`.
     pub(crate) fn arrivals_since(&self, start: Instant) -> usize {
         let arrivals = self.arrivals.lock().unwrap();
@@ -166,6 +196,24 @@
     async fn respond(&self, stream: &mut TcpStream, head: &str) -> std::io::Result<()> {
         self.arrivals.lock().unwrap().push(Instant::now());
         let id = header(head, "id").unwrap();
+        let entry = id.split('.').next().unwrap_or_default().to_owned();
+        let now = Instant::now();
+        let arrival = (entry.clone(), now);
+        self.arrivals_by_entry.lock().unwrap().push(arrival);
+        let pauses_until = *self.pauses_until.lock().unwrap();
+        if let Some(until) = pauses_until.filter(|until| *until > now) {
+            self.pauses.lock().unwrap().push(AskedPause {
+                entry,
+                asked_at: now,
+                until,
+            });
+            let pause_s = (until - now).as_secs_f64();
+            let text = format!(
+                "HTTP/1.1 503 Busy\r\nid: {id}\r\nnot-run: 1\r\npause: {pause_s}\r\n\
+                 content-length: 0\r\n\r\n"
+            );
+            return stream.write_all(text.as_bytes()).await;
+        }
         let limit_per_s = *self.limit_per_s.lock().unwrap();
         let limit = limit_per_s.map_or(String::new(), |limit| format!("limit: {limit}\r\n"));
         let is_leaving = self.is_leaving.load(Ordering::Relaxed);
--- a/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
@@ -294,7 +294,7 @@
         let id = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
         let request = Request::post(format!("http://{}/chat", self.entries[entry].address))
             .header("host", "app.example")
-            .header("id", id.to_string())
+            .header("id", format!("{entry}.{id}"))
             .header("model", MODEL)
             .header("parts", parts)
             .body(Bytes::from_static(b"prompt"))
--- a/crates/wasabipoint_testbed/tests/forwarding/main.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/main.rs
@@ -7,6 +7,7 @@
 mod fixture;
 mod leaving;
 mod limits;
+mod pauses;
 mod quarantine;
 #[path = "../../../wasabipoint_entry/tests/fixtures/test_dialect.rs"]
 mod test_dialect;
