Count the tokens of a request as spent once it is sent

Cause: tokens were settled where the outcome of an attempt is handled; a caller that leaves drops the call before that, and the dropped reservation gave them back. The forwarding path never set that a request may have run.

Change: that is a state of the reservation, set when a connection is open and the request is about to be sent, and reset only by "not run" or if no byte was written. No end of a call can pass it by.

Held before: a_request_that_was_not_run_is_spent_only_by_the_attempt_that_runs.

--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -197,6 +197,7 @@
                     self.attempts.tried.remove(&endpoint.id);
                 }
                 Ok(ExchangeOutcome::NotSent(_)) => {
+                    self.set_may_have_run(self.attempts.executions > 0);
                     self.record_unreachable(&endpoint);
                     self.attempts.connect_failures += 1;
                     if self.attempts.connect_failures >= MAX_CONNECT_FAILURES {
@@ -208,6 +209,7 @@
                     metadata,
                     connection,
                 }) => {
+                    self.set_may_have_run(self.attempts.executions > 0);
                     self.attempts.refusals += 1;
                     self.attempts.used_connections.insert(connection);
                     self.record_named_limit(&endpoint, &metadata);
@@ -267,7 +269,7 @@
             endpoint,
             &metadata,
             &self.attempts.used_connections,
-            || self.may_still_send(endpoint),
+            || self.begin_send(endpoint),
         );
         tokio::pin!(exchange);
         if let Ok(outcome) = timeout_at(self.failover_deadline(), exchange.as_mut()).await {
@@ -405,13 +407,25 @@
         }
     }
 
-    /// Returns whether an endpoint that was selected still accepts a request.
-    fn may_still_send(&self, endpoint: &EndpointView) -> bool {
-        let state = self.forwarder.lock();
+    /// Returns whether an endpoint that was selected still accepts the request. If so, the request is
+    /// about to be sent and may run from now on, however the call ends.
+    fn begin_send(&self, endpoint: &EndpointView) -> bool {
         let now_ms = self.forwarder.clock.now_ms();
-        state
+        let state = self.forwarder.lock();
+        let may_send = state
             .endpoints
-            .may_still_send(&endpoint.id, endpoint.incarnation, now_ms)
+            .may_still_send(&endpoint.id, endpoint.incarnation, now_ms);
+        drop(state);
+        if may_send {
+            self.set_may_have_run(true);
+        }
+        may_send
+    }
+
+    fn set_may_have_run(&self, may_have_run: bool) {
+        if let Some(reservation) = &self.reservation {
+            reservation.set_may_have_run(may_have_run);
+        }
     }
 
     fn record_refusal(
--- a/crates/wasabipoint_entry/src/forward/exchange.rs
+++ b/crates/wasabipoint_entry/src/forward/exchange.rs
@@ -74,8 +74,8 @@
 }
 
 /// Sends a request on a connection that it was not sent on before, and waits for the response head.
-/// `may_still_send` is asked once a connection is open, which can take longer than it takes an
-/// endpoint to announce that it wants no more requests.
+/// `begin_send` is called once a connection is open, which can take longer than it takes an endpoint to
+/// announce that it wants no more requests; it returns whether the request may still be sent.
 pub(crate) async fn begin_exchange(
     pool: &Arc<Pool>,
     dialect: &dyn ForwardDialect,
@@ -83,7 +83,7 @@
     endpoint: &EndpointView,
     metadata: &ForwardMetadata<'_>,
     used_connections: &BTreeSet<ConnectionId>,
-    may_still_send: impl Fn() -> bool,
+    begin_send: impl Fn() -> bool,
 ) -> ExchangeOutcome {
     let acquired = pool.acquire(endpoint.address, used_connections).await;
     let mut connection = match acquired {
@@ -92,7 +92,7 @@
             return ExchangeOutcome::NotSent(detail);
         }
     };
-    if !may_still_send() {
+    if !begin_send() {
         pool.release(connection);
         return ExchangeOutcome::Withdrawn;
     }
--- a/crates/wasabipoint_entry/src/quota.rs
+++ b/crates/wasabipoint_entry/src/quota.rs
@@ -2,6 +2,7 @@
 //! control.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -181,7 +182,7 @@
 pub(crate) struct Reservation {
     quota: Arc<QuotaClient>,
     reserved: Option<ReservedTokens>,
-    may_have_run: bool,
+    may_have_run: AtomicBool,
 }
 
 impl Reservation {
@@ -189,13 +190,13 @@
         Self {
             quota: Arc::clone(quota),
             reserved: Some(reserved),
-            may_have_run: false,
+            may_have_run: AtomicBool::new(false),
         }
     }
 
     /// Sets whether the request may have run.
-    pub(crate) fn set_may_have_run(&mut self, may_have_run: bool) {
-        self.may_have_run = may_have_run;
+    pub(crate) fn set_may_have_run(&self, may_have_run: bool) {
+        self.may_have_run.store(may_have_run, Ordering::Relaxed);
     }
 
     /// Settles the reservation and returns the spent tokens. If the usage is unknown, the whole
@@ -213,7 +214,7 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
-        let used = if self.may_have_run { None } else { Some(0) };
-        self.settle(used);
+        let may_have_run = *self.may_have_run.get_mut();
+        self.settle((!may_have_run).then_some(0));
     }
 }
--- a/crates/wasabipoint_entry/tests/forward_sockets.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets.rs
@@ -8,6 +8,8 @@
 mod endless;
 #[path = "forward_sockets/fixture.rs"]
 mod fixture;
+#[path = "forward_sockets/quota.rs"]
+mod quota;
 #[path = "forward_sockets/records.rs"]
 mod records;
 #[path = "forward_sockets/resumed.rs"]
--- a/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -22,7 +23,8 @@
 };
 use wasabipoint_rpc::{
     ClaimOutcome, ClaimRequest, ControlError, EndpointKind, EndpointView, EntryDirective,
-    EntryReport, FleetUpdate, FleetView, QuotaExchange, QuotaGrants, WatchReply, WatchRequest,
+    EntryReport, FleetUpdate, FleetView, QuotaExchange, QuotaGrants, QuotaSlice, WatchReply,
+    WatchRequest,
 };
 
 use crate::test_dialect::TestDialect;
@@ -32,6 +34,41 @@
 /// Control stub that serves a fixed fleet view, or none.
 pub(crate) struct StaticControl {
     fleet_view: Option<FleetView>,
+    quota: Option<Arc<GenerousQuota>>,
+}
+
+/// Grants all tokens that are requested, and adds up those that are reported as spent.
+#[derive(Default)]
+pub(crate) struct GenerousQuota {
+    pub(crate) spent_tokens: AtomicU64,
+    pub(crate) returned_tokens: AtomicU64,
+    granted_slices: AtomicU64,
+}
+
+impl GenerousQuota {
+    fn exchange(&self, exchange: QuotaExchange) -> QuotaGrants {
+        let mut slices = Vec::new();
+        for item in exchange.items {
+            for settlement in item.settlements {
+                let spent = settlement.spent_tokens;
+                self.spent_tokens.fetch_add(spent, Ordering::Relaxed);
+                let returned = settlement.returned_tokens;
+                self.returned_tokens.fetch_add(returned, Ordering::Relaxed);
+            }
+            if item.wanted_tokens > 0 {
+                slices.push(QuotaSlice {
+                    slice_id: self.granted_slices.fetch_add(1, Ordering::Relaxed),
+                    customer: item.customer,
+                    tokens: item.wanted_tokens,
+                    lifetime_ms: 60_000,
+                });
+            }
+        }
+        QuotaGrants {
+            slices,
+            waits: Vec::new(),
+        }
+    }
 }
 
 impl ControlLink for StaticControl {
@@ -58,8 +95,13 @@
         Box::pin(async { Err(ControlError::Unavailable) })
     }
 
-    fn exchange_quota(&self, _: QuotaExchange) -> BoxFuture<'_, Result<QuotaGrants, ControlError>> {
-        Box::pin(async { Err(ControlError::Unavailable) })
+    fn exchange_quota(
+        &self,
+        exchange: QuotaExchange,
+    ) -> BoxFuture<'_, Result<QuotaGrants, ControlError>> {
+        let quota = self.quota.as_ref();
+        let grants = quota.map(|quota| quota.exchange(exchange));
+        Box::pin(async { grants.ok_or(ControlError::Unavailable) })
     }
 
     fn claim(&self, _: ClaimRequest) -> BoxFuture<'_, Result<ClaimOutcome, ControlError>> {
@@ -305,6 +347,24 @@
     }
 
     pub(crate) async fn start_logged(fleet_view: Option<FleetView>, logger: Logger) -> Self {
+        let quota = None;
+        Self::start_with(StaticControl { fleet_view, quota }, logger).await
+    }
+
+    /// Starts an entry process whose customers get all tokens that they need.
+    pub(crate) async fn start_with_quota(
+        fleet_view: FleetView,
+        quota: &Arc<GenerousQuota>,
+    ) -> Self {
+        let control = StaticControl {
+            fleet_view: Some(fleet_view),
+            quota: Some(Arc::clone(quota)),
+        };
+        Self::start_with(control, Logger::root(Discard, o!())).await
+    }
+
+    async fn start_with(control: StaticControl, logger: Logger) -> Self {
+        let fleet_view = &control.fleet_view;
         let is_ready = fleet_view.is_some();
         let callers = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let status = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -322,7 +382,7 @@
             config,
             Incarnation(1),
             Arc::new(TestDialect),
-            Arc::new(StaticControl { fleet_view }),
+            Arc::new(control),
             logger,
         ));
         let (stop_sender, stopped) = oneshot::channel::<()>();
