Compare hosts in one normal form in validation and in routing

Cause: validation compared hosts letter by letter, the routing table in small letters. A third comparison, Deployment::find_route, was unused.

Change: NormalHost is the only form in which hosts are compared, also without a dot at the end. The unused function is removed.

--- a/crates/wasabipoint_entry/src/forward/table.rs
+++ b/crates/wasabipoint_entry/src/forward/table.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use wasabipoint_kernel::{
-    CustomerId, Deployment, ForwardCustomer, ForwardRoute, KeyDigest, ServiceName,
+    CustomerId, Deployment, ForwardCustomer, ForwardRoute, KeyDigest, NormalHost, ServiceName,
 };
 
 /// Lookup tables of one configuration.
@@ -14,17 +14,17 @@
     pub version: u64,
     /// The configuration.
     pub deployment: Box<Deployment>,
-    routes_by_host: HashMap<String, Vec<Arc<ForwardRoute>>>,
+    routes_by_host: HashMap<NormalHost, Vec<Arc<ForwardRoute>>>,
     customers_by_key: BTreeMap<KeyDigest, CustomerId>,
 }
 
 impl RouteTable {
     /// Builds the lookup tables of a configuration.
     pub fn new(deployment: Box<Deployment>) -> Self {
-        let mut routes_by_host: HashMap<String, Vec<Arc<ForwardRoute>>> = HashMap::new();
+        let mut routes_by_host: HashMap<NormalHost, Vec<Arc<ForwardRoute>>> = HashMap::new();
         for route in &deployment.routes {
             let routes = routes_by_host
-                .entry(route.host.to_ascii_lowercase())
+                .entry(NormalHost::new(&route.host))
                 .or_default();
             routes.push(Arc::new(route.clone()));
         }
@@ -46,11 +46,11 @@
 
     /// Returns the route of a host with the longest prefix that matches a path.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<ForwardRoute>> {
-        let host_name = host.split(':').next().unwrap_or_default();
+        let host = NormalHost::new(host);
         let routes = self
             .routes_by_host
-            .get(host)
-            .or_else(|| self.routes_by_host.get(&host_name.to_ascii_lowercase()))?;
+            .get(&host)
+            .or_else(|| self.routes_by_host.get(&host.without_port()))?;
         routes
             .iter()
             .find(|route| path.starts_with(&route.path_prefix))
--- a/crates/wasabipoint_entry/tests/forward_policies.rs
+++ b/crates/wasabipoint_entry/tests/forward_policies.rs
@@ -277,6 +277,8 @@
     };
     assert_eq!(name("app.example", "/a/b/c").as_deref(), Some("long"));
     assert_eq!(name("APP.example:80", "/a/x").as_deref(), Some("short"));
+    assert_eq!(name("App.Example.:80", "/a/x").as_deref(), Some("short"));
+    assert_eq!(name("app.example.", "/a/x").as_deref(), Some("short"));
     assert_eq!(name("app.example", "/ab/"), None);
     assert_eq!(name("other.example", "/a/b/"), None);
 }
--- a/crates/wasabipoint_kernel/src/deployment.rs
+++ b/crates/wasabipoint_kernel/src/deployment.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 
 use crate::plain_data;
-use crate::{CustomerId, KeyDigest, ModelName, RouteName, ServiceName};
+use crate::{CustomerId, KeyDigest, ModelName, NormalHost, RouteName, ServiceName};
 
 plain_data! {
     copy
@@ -248,7 +248,7 @@
         let mut matches_seen = BTreeSet::new();
         for route in &self.routes {
             self.validate_route(route)?;
-            if !matches_seen.insert((&route.host, &route.path_prefix)) {
+            if !matches_seen.insert((NormalHost::new(&route.host), &route.path_prefix)) {
                 return Err(DeploymentError::DuplicateMatch {
                     route: route.name.clone(),
                 });
@@ -290,12 +290,4 @@
         }
         Ok(())
     }
-
-    /// Returns the route with the request's host and the longest matching path prefix.
-    pub fn find_route(&self, host: &str, path: &str) -> Option<&ForwardRoute> {
-        self.routes
-            .iter()
-            .filter(|route| route.host == host && path.starts_with(&route.path_prefix))
-            .max_by_key(|route| route.path_prefix.len())
-    }
 }
--- a/crates/wasabipoint_kernel/src/lib.rs
+++ b/crates/wasabipoint_kernel/src/lib.rs
@@ -7,6 +7,7 @@
 mod deployment;
 mod derive;
 mod error;
+mod host;
 mod id;
 mod ini_document;
 mod inventory;
@@ -24,6 +25,7 @@
     ForwardRoute, ForwardService, RateUnit, RunPolicy,
 };
 pub use error::{ErrorKind, ErrorProperties, Refusal, RetryAdvice, RunState};
+pub use host::NormalHost;
 pub use id::{
     AdapterName, ChangeId, ConfigVersion, CustomerId, EndpointId, EntryId, FailureDomain,
     FencingToken, Incarnation, KeyId, MemberId, ModelName, PromptPartId, RequestId, RouteName,
