Stop using an address at which another endpoint answered

Cause: a 421 of another endpoint only avoided the listed one for 1.5 s, and avoided endpoints are used when there is no other.

Change: the endpoint is no candidate for 10 s, which every further 421 renews, and is reported as unreachable. A 421 that names no endpoint means the same if the request needs no model.

--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -434,13 +434,21 @@
         status: StatusCode,
         metadata: &super::ResponseMetadata,
     ) {
+        let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+        let is_replaced = match metadata.responder {
+            Responder::Expected => false,
+            // Without a model, an endpoint has no other reason to answer so.
+            Responder::Unnamed => self.metadata.model.is_none(),
+            Responder::Other => true,
+        };
+        if is_misdirected && is_replaced {
+            return self.record_replaced(endpoint);
+        }
         self.record_endpoint_load(endpoint, metadata);
         let now_ms = self.forwarder.clock.now_ms();
         let mut state = self.forwarder.lock();
-        let is_model_missing =
-            status == StatusCode::MISDIRECTED_REQUEST && metadata.responder != Responder::Other;
         match &self.metadata.model {
-            Some(model) if is_model_missing => {
+            Some(model) if is_misdirected => {
                 state
                     .endpoints
                     .record_missing_model(&endpoint.id, model, now_ms);
@@ -451,6 +459,21 @@
         }
     }
 
+    /// Stops using an endpoint at whose address another one answered, and reports it to control.
+    fn record_replaced(&self, endpoint: &EndpointView) {
+        let now_ms = self.forwarder.clock.now_ms();
+        let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
+        let mut state = self.forwarder.lock();
+        let is_new = state.endpoints.record_replaced(id, incarnation, now_ms);
+        drop(state);
+        if is_new {
+            self.forwarder.report_requested.notify_one();
+            info!(self.forwarder.logger, "routing: another endpoint answers at the address";
+                "request" => &self.metadata.request_id, "endpoint" => %id,
+                "incarnation" => incarnation.0, "address" => %endpoint.address);
+        }
+    }
+
     fn avoid(&self, endpoint: &EndpointView) {
         let now_ms = self.forwarder.clock.now_ms();
         let mut state = self.forwarder.lock();
--- a/crates/wasabipoint_entry/src/forward/endpoints.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints.rs
@@ -23,6 +23,10 @@
 /// Time that an endpoint is reported as unreachable after a failed connection, in milliseconds.
 const UNREACHABLE_REPORT_MS: u64 = 1_500;
 
+/// Time that an endpoint is not used after another one answered at its address, in milliseconds. The
+/// list from control no longer names the endpoint by then, unless the response was wrong.
+const REPLACED_MS: u64 = 10_000;
+
 /// Number of entry processes that are presumed to share a limit before the leader gives the number.
 const MAX_PRESUMED_ENTRIES: u32 = 100;
 
@@ -45,6 +49,8 @@
     load_estimate: LoadEstimate,
     avoid_until_ms: u64,
     unreachable_until_ms: u64,
+    /// Until when the address counts as used by another endpoint.
+    replaced_until_ms: u64,
     missing_until_ms: BTreeMap<ModelName, u64>,
     /// What the endpoint announced to this entry process.
     availability: EndpointAvailability,
@@ -139,6 +145,7 @@
                 load_estimate: LoadEstimate::default(),
                 avoid_until_ms: 0,
                 unreachable_until_ms: 0,
+                replaced_until_ms: 0,
                 missing_until_ms: BTreeMap::new(),
                 availability: EndpointAvailability::default(),
                 allowance: None,
@@ -197,6 +204,7 @@
             let view = &state.view;
             view.service == *criteria.service
                 && !state.is_leaving()
+                && state.replaced_until_ms <= now_ms
                 && !criteria.tried.contains(&view.id)
                 && criteria.model.is_none_or(|model| {
                     view.models.contains(model)
@@ -330,6 +338,23 @@
         was_reachable
     }
 
+    /// Records that another endpoint answered at the address of an endpoint, which is then gone. Returns
+    /// whether this was not known.
+    pub fn record_replaced(
+        &mut self,
+        endpoint: &EndpointId,
+        incarnation: Incarnation,
+        now_ms: u64,
+    ) -> bool {
+        let Some(state) = self.state_mut(endpoint, incarnation) else {
+            return false;
+        };
+        let is_new = state.replaced_until_ms <= now_ms;
+        state.replaced_until_ms = now_ms + REPLACED_MS;
+        state.unreachable_until_ms = now_ms + UNREACHABLE_REPORT_MS;
+        is_new
+    }
+
     /// Returns the endpoints that recently could not be connected to.
     pub fn unreachable(&self, now_ms: u64) -> Vec<(EndpointId, Incarnation)> {
         let states = self.states.values();
@@ -383,6 +408,7 @@
         state.is_some_and(|state| {
             state.view.incarnation == incarnation
                 && !state.is_leaving()
+                && state.replaced_until_ms <= now_ms
                 && !state.availability.is_paused(now_ms)
         })
     }
--- a/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
@@ -414,6 +414,14 @@
         fetched.unwrap().status().as_u16()
     }
 
+    pub(crate) async fn metrics(&self) -> String {
+        let uri = format!("http://{}/metrics", self.status_address);
+        let request = Request::get(uri).body(Bytes::new()).unwrap();
+        let limit = Duration::from_secs(5);
+        let fetched = self.client.fetch(request, 1_024 * 1_024, limit).await;
+        String::from_utf8_lossy(fetched.unwrap().body()).into_owned()
+    }
+
     pub(crate) fn build_request(&self, route: &str, id: &str) -> Request<Bytes> {
         Request::post(format!("http://{}/{route}/x", self.address))
             .header("host", "app.example")
