Pass over an initial member that the platform replaced before it took part

Cause: initial members wait for every other one to record their disks, unless a process reports the loss from the same address. A successor at another address has no connection to the lost member.

Change: if the seeds name a joining process that is no initial member, the initial members that they no longer name count as lost; a minority at most. No second group can form, since a quorum stays a majority of all initial members; one that is alive is refused and rejoins.

Failed before, run on: a_vm_replaced_before_the_first_election_does_not_block_the_first_start, a_replaced_vm_that_starts_late_joins_the_others. Held with the wrong reports of a_first_start_with_members_wrongly_reported_as_lost_is_safe (300 schedules), which needs no change of the core.

--- a/crates/wasabipoint_consensus/tests/schedules.rs
+++ b/crates/wasabipoint_consensus/tests/schedules.rs
@@ -183,6 +183,46 @@
     }
 }
 
+/// Guards against two groups, lost entries and a first start that never ends when initial members are
+/// reported as lost that are alive: silent at first, slow, or in touch with some of the others.
+#[test]
+fn a_first_start_with_members_wrongly_reported_as_lost_is_safe() {
+    for seed in 0..300 {
+        let mut simulation = Simulation::new(seed, if seed % 2 == 0 { 3 } else { 5 }, 0);
+        let mut ids = simulation.ids();
+        ids.rotate_left((seed / 2) as usize % simulation.ids().len());
+        let (reported, others) = ids.split_at((ids.len() - 1) / 2);
+        simulation.message_loss_percent = (seed % 4) as u32 * 25;
+        simulation.crash_percent = (seed % 3) as u32 * 15;
+        if seed % 5 < 2 {
+            for id in reported {
+                simulation.isolate(*id);
+            }
+        }
+        for round in 0..120 {
+            if round == 60 {
+                simulation.heal();
+                simulation.message_loss_percent = 0;
+                simulation.crash_percent = 0;
+            }
+            simulation.run(1);
+            for id in &ids {
+                simulation.restart(*id);
+            }
+            // The process that takes the place of a lost one repeats its request to join.
+            if round >= (seed % 7) as usize {
+                for reporter in others {
+                    for member in reported {
+                        simulation.report_as_lost(*reporter, *member);
+                    }
+                }
+            }
+        }
+        assert!(simulation.leader().is_some(), "seed {seed}");
+        simulation.finish_and_check();
+    }
+}
+
 /// Guards against a checker that accepts every history: a read that returns an older value than an
 /// earlier read must be rejected.
 #[test]
--- a/crates/wasabipoint_consensus/tests/schedules/simulation.rs
+++ b/crates/wasabipoint_consensus/tests/schedules/simulation.rs
@@ -232,6 +232,13 @@
         self.start(id);
     }
 
+    /// Tells a member that another one lost its disk, although it did not.
+    pub(crate) fn report_as_lost(&mut self, reporter: u64, member: u64) {
+        // The members that bootstrap without it may refuse it.
+        self.nodes.get_mut(&member).unwrap().has_lost_disk = true;
+        self.step(reporter, |core| core.record_lost_disk(MemberId(member)));
+    }
+
     pub(crate) fn ids(&self) -> Vec<u64> {
         self.nodes.keys().copied().collect()
     }
--- a/crates/wasabipoint_control/src/membership.rs
+++ b/crates/wasabipoint_control/src/membership.rs
@@ -66,12 +66,19 @@
     }
 
     /// Reports the disk of an initial member as lost if the request comes from its address under
-    /// another id: only a process with an empty disk joins, and it draws a new id.
+    /// another id: only a process with an empty disk joins, and it draws a new id. A member that the
+    /// platform no longer names, but the joining process, counts as lost with its VM.
+    ///
+    /// If it is alive after all, the others refuse it and it joins under a new id. No second group can
+    /// form: a quorum is a majority of all initial members, also of those that were lost.
     pub(crate) fn report_lost_disk(&self, request: &JoinRequest) {
         let initial_id = initial_member_id(request.rpc_address);
         if initial_id != request.member {
             self.member.replica().record_lost_disk(initial_id);
         }
+        for member in self.first_start.replaced_members(request.rpc_address) {
+            self.member.replica().record_lost_disk(member);
+        }
     }
 
     /// Removes a member that is about to stop, if its removal does not reduce the number of
--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -10,6 +10,7 @@
 
 use slog::{Logger, info};
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use wasabipoint_consensus::{Replica, ReplicaConfig, ReplicaStatus, StartError};
 use wasabipoint_http::{HttpHandler, HttpServer, HttpServerHandle};
@@ -17,7 +18,7 @@
 
 use crate::addresses::AddressBook;
 use crate::api::OperatorApi;
-use crate::context::ControlContext;
+use crate::context::{ControlContext, FirstStart};
 use crate::deployment::DeploymentStore;
 use crate::directory::{EndpointDirectory, poll_directory};
 use crate::engines::{EngineCommander, run_engine_planner};
@@ -198,6 +199,8 @@
     pub command_lease: Duration,
     /// Tokens that customers may use beyond rate and burst.
     pub rate_allowance: RateAllowance,
+    /// RPC addresses of control members that the platform names now.
+    pub seeds: watch::Receiver<Vec<SocketAddr>>,
     /// Builds the HTTP handler for operators from the configuration store and the built-in operator
     /// API.
     pub build_operator_api: fn(DeploymentStore, Arc<dyn HttpHandler>) -> Arc<dyn HttpHandler>,
@@ -299,6 +302,7 @@
             http_address,
             failure_domain: config.failure_domain,
             leader_state: Mutex::new(None),
+            first_start: FirstStart::new(&config.members, integration.as_ref()),
         });
         let mut tasks = JoinSet::new();
         let cluster = Arc::from(config.cluster.as_str());
--- a/crates/wasabipoint_control/tests/engine_changes.rs
+++ b/crates/wasabipoint_control/tests/engine_changes.rs
@@ -261,8 +261,11 @@
         if members.len() > 1 {
             config.tick_ms = SLOW_TICK_MS;
         }
-        let mut integration =
-            platform_integration(Arc::clone(engines) as _, Arc::clone(engines) as _);
+        let mut integration = platform_integration(
+            Arc::clone(engines) as _,
+            Arc::clone(engines) as _,
+            tokio::sync::watch::channel(Vec::new()).1,
+        );
         integration.command_lease = lease;
         let logger = Logger::root(Discard, o!());
         let server =
--- a/crates/wasabipoint_control/tests/membership/recovery.rs
+++ b/crates/wasabipoint_control/tests/membership/recovery.rs
@@ -96,6 +96,50 @@
     apply_document(&vms, 1, "one").await;
 }
 
+/// Guards against initial members that wait forever for one that was lost before it took part and whose
+/// successor has another address.
+#[tokio::test]
+async fn a_vm_replaced_before_the_first_election_does_not_block_the_first_start() {
+    for lost in 0..3 {
+        let mut vms: Vec<Vm> = (0..3).map(|_| Vm::new("early")).collect();
+        let addresses = |vms: &[Vm]| vms.iter().map(|vm| vm.address).collect::<Vec<_>>();
+        let (seed_sender, seeds) = watch::channel(addresses(&vms));
+        vms.remove(lost);
+        for vm in &mut vms {
+            vm.start_with_seeds(&seeds, true).await;
+        }
+        vms.push(Vm::new("early"));
+        seed_sender.send_replace(addresses(&vms));
+        vms[2].start_with_seeds(&seeds, false).await;
+        wait_for_voters(&vms, 3).await;
+        apply_document(&vms, 1, "one").await;
+        assert_eq!(read_document(&vms).await, "one");
+    }
+}
+
+/// Guards against two groups: the VM that the platform no longer names is alive and starts late. The
+/// others refuse it under its old id, and it joins them.
+#[tokio::test]
+async fn a_replaced_vm_that_starts_late_joins_the_others() {
+    let mut vms: Vec<Vm> = (0..3).map(|_| Vm::new("late")).collect();
+    let addresses = |vms: &[Vm]| vms.iter().map(|vm| vm.address).collect::<Vec<_>>();
+    let (seed_sender, seeds) = watch::channel(addresses(&vms));
+    let (_, first_seeds) = watch::channel(addresses(&vms));
+    let mut late = vms.remove(0);
+    for vm in &mut vms {
+        vm.start_with_seeds(&seeds, true).await;
+    }
+    vms.push(Vm::new("late"));
+    seed_sender.send_replace(addresses(&vms));
+    vms[2].start_with_seeds(&seeds, false).await;
+    apply_document(&vms, 1, "one").await;
+    late.start_with_seeds(&first_seeds, true).await;
+    late.rejoin(&addresses(&vms)).await;
+    vms.push(late);
+    wait_for_voters(&vms, 4).await;
+    assert_eq!(read_document(&vms).await, "one");
+}
+
 /// Guards against a member that is removed while it is down and does not learn it after a restart,
 /// because the others have deleted its address. Its VM then stays out of the cluster.
 #[tokio::test]
--- a/crates/wasabipoint_control/tests/membership/vm.rs
+++ b/crates/wasabipoint_control/tests/membership/vm.rs
@@ -99,7 +99,8 @@
         let identity = tokio::time::timeout(WAIT_TIMEOUT, identity).await;
         let identity = identity.expect("no leader accepted the join").unwrap();
         let config = member_config(identity, self.address, &self.folder);
-        let integration = platform_integration(Arc::new(EmptyPlatform), Arc::new(EmptyPlatform));
+        let platform = Arc::new(EmptyPlatform);
+        let integration = platform_integration(Arc::clone(&platform) as _, platform, seeds.clone());
         let logger = Logger::root(Discard, o!());
         let started =
             ControlServer::start_with_integration(config, listener, logger, Some(integration));
--- a/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
@@ -170,6 +170,7 @@
             commander: Arc::new(ConnectingCommander),
             command_lease: Duration::ZERO,
             rate_allowance: RateAllowance::default(),
+            seeds: tokio::sync::watch::channel(Vec::new()).1,
             build_operator_api: |_, api| api,
         };
         let logger = discard_logger();
