Let the stand-in engines resume a stream after its last event

The engines of the testbed's forwarding tests ignored Last-Event-Id and began again with event 1, which joined two runs in one response. Since a resumed stream has to continue with its next event, sound streams that broke with a crashed engine were aborted in these tests. The checks are unchanged.

--- a/crates/wasabipoint_testbed/tests/forwarding/engine.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/engine.rs
@@ -230,7 +230,8 @@
             self.crash();
             std::future::pending::<()>().await;
         }
-        for event in 1..=EVENTS {
+        let last_event = header(head, "last-event-id").map_or(0, |id| id.parse().unwrap());
+        for event in last_event + 1..=EVENTS {
             tokio::time::sleep(EVENT_INTERVAL).await;
             let event = format!("id: {event}\ndata: x\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
