Send a new leader the evidence that only earlier ones received

Cause: a leader acknowledges the highest number of the failures that it received. If the first report to a new leader carried a new failure, its acknowledgement covered the earlier ones, which only the old leader had.

Change: on the first reply of a new leader, failures that only earlier ones received get new numbers, and follow with the next report.

Failed before, run on: a_new_leader_receives_earlier_evidence_after_newer.

--- a/crates/wasabipoint_entry/src/forward/prompts.rs
+++ b/crates/wasabipoint_entry/src/forward/prompts.rs
@@ -174,6 +174,17 @@
         }
     }
 
+    /// Gives new sequence numbers to the failures that only an earlier leader received. A new leader
+    /// acknowledges the highest number that it received, which would include theirs.
+    fn renumber_received_failures(&mut self) {
+        for recorded in &mut self.failures {
+            if recorded.failure.sequence <= self.received_sequence {
+                self.last_sequence += 1;
+                recorded.failure.sequence = self.last_sequence;
+            }
+        }
+    }
+
     /// Applies the reply of the leader. Returns whether it asks for answers that were not reported
     /// yet.
     pub(crate) fn apply_directive(&mut self, directive: PromptDirective) -> bool {
@@ -182,7 +193,7 @@
         }
         if directive.term > self.leader_term {
             self.leader_term = directive.term;
-            self.received_sequence = 0;
+            self.renumber_received_failures();
         }
         self.received_sequence = self.received_sequence.max(directive.received_sequence);
         let Some(suspects) = directive.suspects else {
--- a/crates/wasabipoint_entry/tests/forward_sockets.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets.rs
@@ -6,6 +6,8 @@
 mod announcements;
 #[path = "forward_sockets/endless.rs"]
 mod endless;
+#[path = "forward_sockets/evidence.rs"]
+mod evidence;
 #[path = "forward_sockets/fixture.rs"]
 mod fixture;
 #[path = "forward_sockets/quota.rs"]
--- a/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
@@ -1,6 +1,6 @@
 //! Fixture: a forwarding entry process between callers and scripted endpoints.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -23,8 +23,8 @@
 };
 use wasabipoint_rpc::{
     ClaimOutcome, ClaimRequest, ControlError, EndpointKind, EndpointView, EntryDirective,
-    EntryReport, FleetUpdate, FleetView, QuotaExchange, QuotaGrants, QuotaSlice, WatchReply,
-    WatchRequest,
+    EntryReport, FleetUpdate, FleetView, PromptDirective, QuotaExchange, QuotaGrants, QuotaSlice,
+    WatchReply, WatchRequest,
 };
 
 use crate::test_dialect::TestDialect;
@@ -35,6 +35,66 @@
 pub(crate) struct StaticControl {
     fleet_view: Option<FleetView>,
     quota: Option<Arc<GenerousQuota>>,
+    leader: Option<Arc<PromptLeader>>,
+}
+
+/// A leader that receives evidence about prompt parts.
+#[derive(Default)]
+pub(crate) struct PromptLeader {
+    state: Mutex<PromptLeaderState>,
+}
+
+#[derive(Default)]
+struct PromptLeaderState {
+    term: u64,
+    received_sequence: u64,
+    /// Endpoints of the failures that the leader of this term received.
+    endpoints: BTreeSet<EndpointId>,
+}
+
+impl PromptLeader {
+    /// Replaces the leader by one that has received nothing.
+    pub(crate) fn change(&self) {
+        let mut state = self.state.lock().unwrap();
+        let term = state.term + 1;
+        *state = PromptLeaderState {
+            term,
+            ..PromptLeaderState::default()
+        };
+    }
+
+    /// Waits until the leader of this term has received failures of a number of endpoints.
+    pub(crate) async fn wait_for_failures(&self, count: usize) {
+        let received = async {
+            while self.state.lock().unwrap().endpoints.len() < count {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        let limit = Duration::from_secs(5);
+        tokio::time::timeout(limit, received).await.unwrap();
+    }
+
+    fn receive(&self, report: EntryReport) -> EntryDirective {
+        let mut state = self.state.lock().unwrap();
+        let received_sequence = state.received_sequence;
+        let failures = report.prompts.failures.into_iter();
+        for failure in failures.filter(|failure| failure.sequence > received_sequence) {
+            state.received_sequence = state.received_sequence.max(failure.sequence);
+            state.endpoints.insert(failure.endpoint);
+        }
+        EntryDirective {
+            cold_estimates: Vec::new(),
+            next_report_ms: 500,
+            prompts: PromptDirective {
+                term: state.term,
+                received_sequence: state.received_sequence,
+                suspects_revision: 0,
+                suspects: None,
+            },
+            limits: Vec::new(),
+            entry_processes: 1,
+        }
+    }
 }
 
 /// Grants all tokens that are requested, and adds up those that are reported as spent.
@@ -91,8 +151,10 @@
         })
     }
 
-    fn report(&self, _: EntryReport) -> BoxFuture<'_, Result<EntryDirective, ControlError>> {
-        Box::pin(async { Err(ControlError::Unavailable) })
+    fn report(&self, report: EntryReport) -> BoxFuture<'_, Result<EntryDirective, ControlError>> {
+        let leader = self.leader.as_ref();
+        let directive = leader.map(|leader| leader.receive(report));
+        Box::pin(async { directive.ok_or(ControlError::Unavailable) })
     }
 
     fn exchange_quota(
@@ -347,8 +409,25 @@
     }
 
     pub(crate) async fn start_logged(fleet_view: Option<FleetView>, logger: Logger) -> Self {
-        let quota = None;
-        Self::start_with(StaticControl { fleet_view, quota }, logger).await
+        let control = StaticControl {
+            fleet_view,
+            quota: None,
+            leader: None,
+        };
+        Self::start_with(control, logger).await
+    }
+
+    /// Starts an entry process that reports to a leader.
+    pub(crate) async fn start_with_leader(
+        fleet_view: FleetView,
+        leader: &Arc<PromptLeader>,
+    ) -> Self {
+        let control = StaticControl {
+            fleet_view: Some(fleet_view),
+            quota: None,
+            leader: Some(Arc::clone(leader)),
+        };
+        Self::start_with(control, Logger::root(Discard, o!())).await
     }
 
     /// Starts an entry process whose customers get all tokens that they need.
@@ -359,6 +438,7 @@
         let control = StaticControl {
             fleet_view: Some(fleet_view),
             quota: Some(Arc::clone(quota)),
+            leader: None,
         };
         Self::start_with(control, Logger::root(Discard, o!())).await
     }
