--- a/crates/wasabipoint_control/src/context.rs
+++ b/crates/wasabipoint_control/src/context.rs
@@ -1,19 +1,18 @@
 //! State shared by the services of one control member.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use slog::Logger;
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 use wasabipoint_consensus::ProposeError;
-use wasabipoint_kernel::{KeyDigester, MemberId};
+use wasabipoint_kernel::KeyDigester;
 
 use crate::engines::EngineCommander;
+use crate::first_start::FirstStart;
 use crate::leader_state::{LeaderState, SilenceBounds};
 use crate::member::Member;
 use crate::metrics::ControlMetrics;
-use crate::server::PlatformIntegration;
 use crate::state::{Command, RateAllowance};
 
 /// Replica, configuration and wake-up signals shared by the services of one member.
@@ -45,43 +44,6 @@
     pub(crate) first_start: FirstStart,
 }
 
-/// What tells at the first start that an initial member was replaced before it took part.
-pub(crate) struct FirstStart {
-    initial_members: BTreeMap<MemberId, SocketAddr>,
-    /// RPC addresses of control members that the platform names now, if there is a platform.
-    seeds: Option<watch::Receiver<Vec<SocketAddr>>>,
-}
-
-impl FirstStart {
-    pub(crate) fn new(
-        initial_members: &BTreeMap<MemberId, SocketAddr>,
-        integration: Option<&PlatformIntegration>,
-    ) -> Self {
-        Self {
-            initial_members: initial_members.clone(),
-            seeds: integration.map(|platform| platform.seeds.clone()),
-        }
-    }
-
-    /// Returns the initial members that the platform no longer names, if it names a process instead
-    /// that joins at another address.
-    pub(crate) fn replaced_members(&self, joining: SocketAddr) -> Vec<MemberId> {
-        let Some(seeds) = &self.seeds else {
-            return Vec::new();
-        };
-        let seeds = seeds.borrow();
-        let is_initial = self.initial_members.values().any(|known| *known == joining);
-        if is_initial || !seeds.contains(&joining) {
-            return Vec::new();
-        }
-        let unnamed = self.initial_members.iter();
-        unnamed
-            .filter(|(_, address)| !seeds.contains(address))
-            .map(|(member, _)| *member)
-            .collect()
-    }
-}
-
 impl ControlContext {
     /// Runs `work` on the leader's state, which is reset if it belongs to an earlier term.
     pub(crate) fn with_leader_state<T>(
--- a/crates/wasabipoint_control/src/lib.rs
+++ b/crates/wasabipoint_control/src/lib.rs
@@ -6,6 +6,7 @@
 mod deployment;
 mod directory;
 mod engines;
+mod first_start;
 mod identity;
 mod leader_state;
 mod limits;
--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -18,10 +18,11 @@
 
 use crate::addresses::AddressBook;
 use crate::api::OperatorApi;
-use crate::context::{ControlContext, FirstStart};
+use crate::context::ControlContext;
 use crate::deployment::DeploymentStore;
 use crate::directory::{EndpointDirectory, poll_directory};
 use crate::engines::{EngineCommander, run_engine_planner};
+use crate::first_start::FirstStart;
 use crate::identity::MemberIdentity;
 use crate::leader_state::SilenceBounds;
 use crate::member::Member;
@@ -276,6 +277,7 @@
         )
         .await
         .map_err(ControlStartError::Replica)?;
+        let seeds = integration.as_ref().map(|platform| platform.seeds.clone());
         let control = Arc::new(ControlContext {
             member: Member::new(config.member, replica, machine, Arc::clone(&transport)),
             metrics: ControlMetrics::new(),
@@ -302,7 +304,7 @@
             http_address,
             failure_domain: config.failure_domain,
             leader_state: Mutex::new(None),
-            first_start: FirstStart::new(&config.members, integration.as_ref()),
+            first_start: FirstStart::new(&config.members, seeds),
         });
         let mut tasks = JoinSet::new();
         let cluster = Arc::from(config.cluster.as_str());
