--- a/crates/wasabipoint_entry/src/forward/endpoints/limits.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints/limits.rs
@@ -11,8 +11,9 @@
 const LIFTED_LIMIT_TTL_MS: u64 = 10_000;
 
 impl Endpoints {
-    /// Selects an endpoint, counts the request as sent and uses the permission that its limit requires. Counts the permissions
-    /// that the request would have needed at endpoints with less load.
+    /// Selects an endpoint, counts the request as sent and uses the permission that its limit
+    /// requires. Counts the permissions that the request would have needed at endpoints with less
+    /// load.
     pub fn take(
         &mut self,
         criteria: &SelectionCriteria<'_>,
