--- a/crates/wasabipoint_control/src/server.rs
+++ b/crates/wasabipoint_control/src/server.rs
@@ -37,7 +37,7 @@
 use crate::state_machine::ControlStateMachine;
 
 /// Size of log entries between snapshots of a member on a platform. With the entries that are kept
-/// behind a snapshot and those in flight, log and snapshots need less than half of a disk of 128 MB.
+/// behind a snapshot and those in flight, the old and the new log fit on a disk of 128 MB.
 const SNAPSHOT_LOG_BYTES: u64 = 8 * 1_024 * 1_024;
 
 /// Configuration of a control member.
