--- a/crates/wasabipoint_entry/src/forward/call/records.rs
+++ b/crates/wasabipoint_entry/src/forward/call/records.rs
@@ -36,6 +36,11 @@
         selected: &SelectedEndpoint,
         exchange: &Result<ExchangeOutcome, tokio::time::error::Elapsed>,
     ) {
+        let is_stated = match exchange {
+            Ok(ExchangeOutcome::NotRun { metadata, .. }) => Some(metadata.is_not_run),
+            Ok(ExchangeOutcome::Started(started)) => Some(started.metadata.is_not_run),
+            _ => None,
+        };
         let connection = match exchange {
             Ok(ExchangeOutcome::Started(started)) => Some(started.connection_id().0),
             Ok(ExchangeOutcome::NotRun { connection, .. }) => Some(connection.0),
@@ -64,7 +69,7 @@
             "model" => self.metadata.model.as_ref().map(ModelName::as_str),
             "endpoint" => %selected.endpoint.id,
             "incarnation" => selected.endpoint.incarnation.0,
-            "connection" => connection,
+            "connection" => connection, "is_not_run_stated" => is_stated,
             "load" => selected.load, "candidates" => selected.candidates,
             "waited_ms" => self.arrived_at.elapsed().as_millis() as u64,
             "left_ms" => self.remaining_ms(), "outcome" => outcome);
