Promise that a request was not run only with proof for each attempt

What callers saw: 503, 429 or 408, "not run", for a request that had run; they sent it again, and it ran twice. After a 421 without a statement the entry process itself sent the request to another endpoint.

Cause: the entry process passed on an endpoint's own 408, 429 or 503 as it was, and took any 421 as a rejection. Callers read these statuses as a promise; an endpoint makes it only by stating that it did not run the request.

Evidence: on the code before, a_status_without_a_statement_is_no_promise_to_the_caller failed (408 received, 1 run) and every_refusal_of_an_at_most_once_request_is_true failed at its first row (rejected with 503, then answered 503: 503 and ran).

Change: an attempt counts as run from its beginning. Only a NotRunProof, which nothing but the exchange with an endpoint creates, takes that back: not sent, stated by the endpoint, or another endpoint answered at the address. Without it an at-most-once request is answered 502. Requests that may run again keep the endpoint's status, and are sent on after any 421.

--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -3,6 +3,7 @@
 
 mod prompts;
 mod records;
+mod refusals;
 mod relay;
 mod wait;
 
@@ -23,10 +24,13 @@
 use super::body_buffer::MAX_BODY_BYTES;
 use super::dialect::{ForwardMetadata, RequestMetadata, Responder};
 use super::endpoints::{SelectedEndpoint, SelectionCriteria};
-use super::exchange::{ExchangeOutcome, OutgoingRequest, StartedResponse, begin_exchange};
+use super::exchange::{
+    ExchangeOutcome, NotRunProof, OutgoingRequest, StartedResponse, begin_exchange,
+};
 use super::pool::ConnectionId;
 use super::response::{ForwardBody, strip_hop_by_hop_headers};
 use crate::quota::Reservation;
+use refusals::{promises_not_run, unproven_refusal};
 
 /// Number of refusals by endpoints after which a request is refused to the caller.
 const MAX_REFUSALS: u32 = 3;
@@ -73,7 +77,8 @@
     tried: BTreeSet<EndpointId>,
     /// Connections that the request was sent on. It is not sent on them again.
     used_connections: BTreeSet<ConnectionId>,
-    /// Attempts that ran or may have run at an endpoint.
+    /// Attempts that ran or may have run at an endpoint. An attempt counts from its beginning, until
+    /// there is proof that it did not run.
     executions: u32,
     refusals: u32,
     connect_failures: u32,
@@ -84,6 +89,21 @@
     is_answered: bool,
 }
 
+impl AttemptHistory {
+    /// Begins an attempt. It may have run from now on, however it ends.
+    fn begin(&mut self) {
+        self.executions += 1;
+        self.events = 0;
+        self.first_event_at = None;
+        self.is_answered = false;
+    }
+
+    /// Takes back the current attempt, which did not run.
+    fn take_back(&mut self, _: NotRunProof) {
+        self.executions -= 1;
+    }
+}
+
 /// Counts a request as demand for its model until dropped.
 pub(crate) struct DemandGuard {
     forwarder: Arc<Forwarder>,
@@ -154,6 +174,9 @@
                     if is_failure && self.allow_retry(&endpoint, "the endpoint failed") {
                         continue;
                     }
+                    if promises_not_run(status) && !self.route.run_policy.allows_retry() {
+                        return Err(unproven_refusal(status));
+                    }
                     self.log_response_end(&endpoint, status);
                     return Ok(buffered_response(head, body));
                 }
@@ -176,13 +199,12 @@
             self.log_end_of_pause(&selected);
             let endpoint = selected.endpoint.clone();
             self.attempts.tried.insert(endpoint.id.clone());
-            self.begin_attempt();
+            self.attempts.begin();
             let in_flight = self.track_in_flight(&selected);
             let exchange = self.send_attempt(&endpoint).await;
             self.log_attempt(&selected, &exchange);
             match exchange {
                 Ok(ExchangeOutcome::Started(started)) => {
-                    self.attempts.executions += 1;
                     self.attempts
                         .used_connections
                         .insert(started.connection_id());
@@ -193,10 +215,12 @@
                     self.record_announcement(&endpoint, status, &started.metadata);
                     return Ok(ActiveExchange { started, in_flight });
                 }
-                Ok(ExchangeOutcome::Withdrawn) => {
+                Ok(ExchangeOutcome::Withdrawn(proof)) => {
+                    self.attempts.take_back(proof);
                     self.attempts.tried.remove(&endpoint.id);
                 }
-                Ok(ExchangeOutcome::NotSent(_)) => {
+                Ok(ExchangeOutcome::NotSent(_, proof)) => {
+                    self.attempts.take_back(proof);
                     self.set_may_have_run(self.attempts.executions > 0);
                     self.record_unreachable(&endpoint);
                     self.attempts.connect_failures += 1;
@@ -204,23 +228,31 @@
                         return Err(self.unavailable_refusal("no endpoint can be reached"));
                     }
                 }
-                Ok(ExchangeOutcome::NotRun {
+                Ok(ExchangeOutcome::Rejected {
                     status,
                     metadata,
                     connection,
+                    proof,
                 }) => {
+                    let is_proven = proof.is_some();
+                    match proof {
+                        Some(proof) => self.attempts.take_back(proof),
+                        None => self.settle_reservation(),
+                    }
                     self.set_may_have_run(self.attempts.executions > 0);
                     self.attempts.refusals += 1;
                     self.attempts.used_connections.insert(connection);
                     self.record_named_limit(&endpoint, &metadata);
                     self.record_announcement(&endpoint, status, &metadata);
                     self.record_refusal(&endpoint, status, &metadata);
+                    if !is_proven && !self.route.run_policy.allows_retry() {
+                        return Err(unproven_refusal(status));
+                    }
                     if self.attempts.refusals >= MAX_REFUSALS || !self.try_take_retry() {
                         return Err(self.full_refusal());
                     }
                 }
                 Ok(ExchangeOutcome::Unknown(failure)) => {
-                    self.attempts.executions += 1;
                     self.settle_reservation();
                     self.avoid(&endpoint);
                     self.record_failure(&endpoint, &failure);
@@ -229,7 +261,6 @@
                     }
                 }
                 Err(_) => {
-                    self.attempts.executions += 1;
                     self.settle_reservation();
                     self.avoid(&endpoint);
                     let is_past_deadline = Instant::now() >= self.deadline;
@@ -241,12 +272,6 @@
         }
     }
 
-    fn begin_attempt(&mut self) {
-        self.attempts.events = 0;
-        self.attempts.first_event_at = None;
-        self.attempts.is_answered = false;
-    }
-
     /// Sends the request to one endpoint and waits for the response head until the failover
     /// deadline, or until the request's deadline if no other endpoint can take the request.
     async fn send_attempt(
@@ -286,7 +311,7 @@
     /// Returns the time at which an endpoint without a response head is abandoned for another one.
     fn failover_deadline(&self) -> Instant {
         let can_fail_over = self.route.run_policy.allows_retry()
-            && self.attempts.executions + 1 < self.route.max_attempts;
+            && self.attempts.executions < self.route.max_attempts;
         if !can_fail_over {
             return self.deadline;
         }
--- a/crates/wasabipoint_entry/src/forward/call/records.rs
+++ b/crates/wasabipoint_entry/src/forward/call/records.rs
@@ -37,13 +37,13 @@
         exchange: &Result<ExchangeOutcome, tokio::time::error::Elapsed>,
     ) {
         let is_stated = match exchange {
-            Ok(ExchangeOutcome::NotRun { metadata, .. }) => Some(metadata.is_not_run),
+            Ok(ExchangeOutcome::Rejected { proof, .. }) => Some(proof.is_some()),
             Ok(ExchangeOutcome::Started(started)) => Some(started.metadata.is_not_run),
             _ => None,
         };
         let connection = match exchange {
             Ok(ExchangeOutcome::Started(started)) => Some(started.connection_id().0),
-            Ok(ExchangeOutcome::NotRun { connection, .. }) => Some(connection.0),
+            Ok(ExchangeOutcome::Rejected { connection, .. }) => Some(connection.0),
             _ => None,
         };
         let outcome = match exchange {
@@ -56,11 +56,16 @@
             Ok(ExchangeOutcome::Started(started)) => {
                 format!("status {}", started.head.status.as_u16())
             }
-            Ok(ExchangeOutcome::NotRun { status, .. }) => {
-                format!("not run, status {}", status.as_u16())
+            Ok(ExchangeOutcome::Rejected { status, proof, .. }) => {
+                let run = if proof.is_some() {
+                    "not run"
+                } else {
+                    "rejected"
+                };
+                format!("{run}, status {}", status.as_u16())
             }
-            Ok(ExchangeOutcome::Withdrawn) => "withdrawn".to_owned(),
-            Ok(ExchangeOutcome::NotSent(detail)) => format!("not sent: {detail}"),
+            Ok(ExchangeOutcome::Withdrawn(_)) => "withdrawn".to_owned(),
+            Ok(ExchangeOutcome::NotSent(detail, _)) => format!("not sent: {detail}"),
             Ok(ExchangeOutcome::Unknown(failure)) => format!("unknown: {}", failure.detail()),
             Err(_) => "silent".to_owned(),
         };
--- a/crates/wasabipoint_entry/src/forward/exchange.rs
+++ b/crates/wasabipoint_entry/src/forward/exchange.rs
@@ -10,13 +10,17 @@
 use wasabipoint_rpc::EndpointView;
 
 use super::body_buffer::{BodyBuffer, MAX_REFUSAL_BYTES};
-use super::dialect::{ForwardDialect, ForwardMetadata, ResponseMetadata};
+use super::dialect::{ForwardDialect, ForwardMetadata, Responder, ResponseMetadata};
 use super::pool::{Connection, ConnectionId, Pool, SendError};
 
 /// Largest request body after which the connection is reused. A larger one may still be in transit
 /// when an early response is complete.
 const MAX_REUSE_BODY_BYTES: usize = 16 * 1_024;
 
+/// Proof that one attempt did not run its request and never will. Without it, the attempt may have run.
+#[derive(Debug)]
+pub(crate) struct NotRunProof(());
+
 /// The caller's request as forwarded to an endpoint.
 #[derive(Debug, Clone)]
 pub(crate) struct OutgoingRequest {
@@ -42,16 +46,18 @@
 pub(crate) enum ExchangeOutcome {
     /// The endpoint returned a response head.
     Started(Box<StartedResponse>),
-    /// The endpoint reported that it did not run the request.
-    NotRun {
+    /// The endpoint rejected the request. Only a rejection that states it proves that the request was
+    /// not run.
+    Rejected {
         status: StatusCode,
         metadata: ResponseMetadata,
         connection: ConnectionId,
+        proof: Option<NotRunProof>,
     },
     /// The request was not sent, because the endpoint no longer accepts it.
-    Withdrawn,
+    Withdrawn(NotRunProof),
     /// The request was not sent.
-    NotSent(String),
+    NotSent(String, NotRunProof),
     /// The request may have run; its response is missing or invalid.
     Unknown(ResponseFailure),
 }
@@ -89,12 +95,12 @@
     let mut connection = match acquired {
         Ok(connection) => connection,
         Err(SendError::NotSent(detail) | SendError::Interrupted(detail)) => {
-            return ExchangeOutcome::NotSent(detail);
+            return ExchangeOutcome::NotSent(detail, NotRunProof(()));
         }
     };
     if !begin_send() {
         pool.release(connection);
-        return ExchangeOutcome::Withdrawn;
+        return ExchangeOutcome::Withdrawn(NotRunProof(()));
     }
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
@@ -103,7 +109,9 @@
     dialect.write_request(request.headers_mut(), metadata);
     let response = match connection.send(request).await {
         Ok(response) => response,
-        Err(SendError::NotSent(detail)) => return ExchangeOutcome::NotSent(detail),
+        Err(SendError::NotSent(detail)) => {
+            return ExchangeOutcome::NotSent(detail, NotRunProof(()));
+        }
         Err(SendError::Interrupted(detail)) => {
             return ExchangeOutcome::Unknown(ResponseFailure::ConnectionLost(detail));
         }
@@ -128,15 +136,20 @@
         connection,
         can_reuse_connection,
     };
-    if started.metadata.is_not_run || started.head.status == StatusCode::MISDIRECTED_REQUEST {
+    let is_misdirected = started.head.status == StatusCode::MISDIRECTED_REQUEST;
+    // An endpoint runs no request that is addressed to another one.
+    let is_from_other = is_misdirected && started.metadata.responder == Responder::Other;
+    let proof = (started.metadata.is_not_run || is_from_other).then_some(NotRunProof(()));
+    if proof.is_some() || is_misdirected {
         let (status, metadata) = (started.head.status, started.metadata.clone());
         let connection = started.connection_id();
         // If the body cannot be read to its end, the connection is closed instead of reused.
         let _ = started.read_body_to_end(pool, MAX_REFUSAL_BYTES).await;
-        return ExchangeOutcome::NotRun {
+        return ExchangeOutcome::Rejected {
             status,
             metadata,
             connection,
+            proof,
         };
     }
     if started.head.status.is_success() && !started.metadata.is_signed {
--- a/crates/wasabipoint_entry/tests/forward_sockets.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets.rs
@@ -10,6 +10,8 @@
 mod evidence;
 #[path = "forward_sockets/fixture.rs"]
 mod fixture;
+#[path = "forward_sockets/promises.rs"]
+mod promises;
 #[path = "forward_sockets/quota.rs"]
 mod quota;
 #[path = "forward_sockets/records.rs"]
