Never carry a request id twice on one connection

What a caller saw: it was refused, sent the request again with the same id, and was refused again while the endpoint ran it.

Cause: the connections that a request was sent on were known to its call only. A repeat by the caller is another call, and the pool gave it the connection on which a second copy of the first refusal was still to come; its id was that of the repeat.

Evidence: a_caller_that_repeats_its_request_is_not_answered_by_a_late_copy received 503 in place of 200 before; the endpoint had run the request.

Change: a connection remembers the hashes of all ids that it carried, at most 512, after which it is closed. This replaces the set that each call kept.

--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -27,7 +27,6 @@
 use super::exchange::{
     ExchangeOutcome, NotRunProof, OutgoingRequest, StartedResponse, begin_exchange,
 };
-use super::pool::ConnectionId;
 use super::response::{ForwardBody, strip_hop_by_hop_headers};
 use crate::quota::Reservation;
 use refusals::{promises_not_run, unproven_refusal};
@@ -75,8 +74,6 @@
 #[derive(Default)]
 pub(crate) struct AttemptHistory {
     tried: BTreeSet<EndpointId>,
-    /// Connections that the request was sent on. It is not sent on them again.
-    used_connections: BTreeSet<ConnectionId>,
     /// Attempts that ran or may have run at an endpoint. An attempt counts from its beginning, until
     /// there is proof that it did not run.
     executions: u32,
@@ -205,9 +202,6 @@
             self.log_attempt(&selected, &exchange);
             match exchange {
                 Ok(ExchangeOutcome::Started(started)) => {
-                    self.attempts
-                        .used_connections
-                        .insert(started.connection_id());
                     self.settle_reservation();
                     self.record_endpoint_load(&endpoint, &started.metadata);
                     self.record_named_limit(&endpoint, &started.metadata);
@@ -231,8 +225,8 @@
                 Ok(ExchangeOutcome::Rejected {
                     status,
                     metadata,
-                    connection,
                     proof,
+                    ..
                 }) => {
                     let is_proven = proof.is_some();
                     match proof {
@@ -241,7 +235,6 @@
                     }
                     self.set_may_have_run(self.attempts.executions > 0);
                     self.attempts.refusals += 1;
-                    self.attempts.used_connections.insert(connection);
                     self.record_named_limit(&endpoint, &metadata);
                     self.record_announcement(&endpoint, status, &metadata);
                     self.record_refusal(&endpoint, status, &metadata);
@@ -293,7 +286,6 @@
             &self.outgoing,
             endpoint,
             &metadata,
-            &self.attempts.used_connections,
             || self.begin_send(endpoint),
         );
         tokio::pin!(exchange);
--- a/crates/wasabipoint_entry/src/forward/exchange.rs
+++ b/crates/wasabipoint_entry/src/forward/exchange.rs
@@ -1,6 +1,5 @@
 //! One request/response exchange with one endpoint.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -88,10 +87,9 @@
     outgoing: &OutgoingRequest,
     endpoint: &EndpointView,
     metadata: &ForwardMetadata<'_>,
-    used_connections: &BTreeSet<ConnectionId>,
     begin_send: impl Fn() -> bool,
 ) -> ExchangeOutcome {
-    let acquired = pool.acquire(endpoint.address, used_connections).await;
+    let acquired = pool.acquire(endpoint.address, &outgoing.request_id).await;
     let mut connection = match acquired {
         Ok(connection) => connection,
         Err(SendError::NotSent(detail) | SendError::Interrupted(detail)) => {
--- a/crates/wasabipoint_entry/src/forward/pool.rs
+++ b/crates/wasabipoint_entry/src/forward/pool.rs
@@ -1,6 +1,7 @@
 //! Connection pool for endpoints.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
+use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -38,6 +39,9 @@
 /// Maximum number of idle connections per endpoint address.
 const MAX_IDLE_PER_ENDPOINT: usize = 64;
 
+/// Maximum number of requests that a connection carries, which bounds the ids that it remembers.
+const MAX_REQUESTS_PER_CONNECTION: usize = 512;
+
 /// Error from sending a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum SendError {
@@ -55,6 +59,8 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     id: ConnectionId,
+    /// Hashes of the ids of all requests that the connection carried.
+    carried_ids: Vec<u64>,
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
@@ -97,6 +103,13 @@
         self.id
     }
 
+    /// Returns whether the connection can carry a request. A second copy of a response may still arrive
+    /// on the connection of its request, where only another request id tells it from the response to a
+    /// later one. So no id is carried twice, not even if the caller itself repeats the request.
+    fn can_carry(&self, id_hash: u64) -> bool {
+        !self.carried_ids.contains(&id_hash)
+    }
+
     fn is_usable(&self) -> bool {
         self.sender.is_ready() && self.last_used.elapsed() < self.max_idle
     }
@@ -108,6 +121,8 @@
     idle_connections: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
     opened_connections: AtomicU64,
     body_budget: BodyBudget,
+    /// Keyed at random, so that callers cannot choose ids with equal hashes.
+    id_hasher: RandomState,
 }
 
 impl Pool {
@@ -116,36 +131,34 @@
         &self.body_budget
     }
 
-    /// Returns an idle connection, or a new one. A request that is sent again excludes the
-    /// connections that it was sent on: a second copy of an earlier response may still arrive there,
-    /// with the same request id.
+    /// Returns an idle connection that has not carried the request, or a new one.
     pub(crate) async fn acquire(
         self: &Arc<Self>,
         address: SocketAddr,
-        excluded: &BTreeSet<ConnectionId>,
+        request_id: &str,
     ) -> Result<Connection, SendError> {
         // Lets the connection tasks process unexpected data on idle connections first, so that such
         // a connection is not reused.
         tokio::task::yield_now().await;
-        if let Some(connection) = self.take_idle(address, excluded) {
-            return Ok(connection);
-        }
-        let id = self.opened_connections.fetch_add(1, Ordering::Relaxed);
-        open_connection(ConnectionId(id), address).await
+        let id_hash = self.id_hasher.hash_one(request_id);
+        let mut connection = if let Some(connection) = self.take_idle(address, id_hash) {
+            connection
+        } else {
+            let id = self.opened_connections.fetch_add(1, Ordering::Relaxed);
+            open_connection(ConnectionId(id), address).await?
+        };
+        connection.carried_ids.push(id_hash);
+        Ok(connection)
     }
 
-    fn take_idle(
-        &self,
-        address: SocketAddr,
-        excluded: &BTreeSet<ConnectionId>,
-    ) -> Option<Connection> {
+    fn take_idle(&self, address: SocketAddr, id_hash: u64) -> Option<Connection> {
         let mut idle_connections = self
             .idle_connections
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
         let connections = idle_connections.get_mut(&address)?;
         for index in (0..connections.len()).rev() {
-            if excluded.contains(&connections[index].id) {
+            if !connections[index].can_carry(id_hash) {
                 continue;
             }
             let connection = connections.remove(index);
@@ -156,8 +169,12 @@
         None
     }
 
-    /// Returns a connection to the pool after its response was read to the end.
+    /// Returns a connection to the pool after its response was read to the end. Closes it if it carried
+    /// as many requests as it may.
     pub(crate) fn release(&self, mut connection: Connection) {
+        if connection.carried_ids.len() >= MAX_REQUESTS_PER_CONNECTION {
+            return;
+        }
         connection.last_used = Instant::now();
         let mut idle_connections = self
             .idle_connections
@@ -200,6 +217,7 @@
     let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
     Ok(Connection {
         id,
+        carried_ids: Vec::new(),
         address,
         sender,
         task,
--- a/crates/wasabipoint_entry/tests/forward_sockets/promises.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/promises.rs
@@ -121,3 +121,19 @@
     let response = fixture.send_request("safe", "a1").await.unwrap();
     assert_eq!(response.status(), 200);
 }
+
+/// A caller that was refused sends the same request again, with the same id. Guards against a late
+/// second copy of the first refusal that is taken for its response: it was refused and ran.
+#[tokio::test]
+async fn a_caller_that_repeats_its_request_is_not_answered_by_a_late_copy() {
+    let rejections = [Behavior::RejectsWithLateCopy; 3];
+    let steps = rejections.map(|behavior| behavior.step("a1")).into_iter();
+    let served = (0..4).map(|_| ScriptStep::Send(full_response("a1", "good")));
+    let only = Endpoint::start(steps.chain(served).collect()).await;
+    let fixture = Fixture::start(Some(fleet_view(&[&only]))).await;
+    let refused = fixture.send_request("once", "a1").await.unwrap();
+    assert_eq!(refused.status(), 503);
+    let repeated = fixture.send_request("once", "a1").await.unwrap();
+    assert_eq!(repeated.status(), 200);
+    assert_eq!(only.request_count(), rejections.len() + 1);
+}
