Quarantine a request that crashes each endpoint when it comes again

Cause: crashes were related by the parts of prompts that requests share, and nothing else. What belongs to a request alone, its last part and its body, was compared nowhere; plain services, whose requests have no prompt, were left out.

Change: a keyed digest of customer, method, host, path and body is one more suspect of a request, behind its shared parts, in the mechanism that exists: evidence, verdict by the leader, replication, probe, release. Three crashes suffice. A plain endpoint is queried by a connection. Answers to whole requests are remembered apart, so that they do not displace those to parts. At most 4,096 suspects are tracked instead of 1,024, since each request is one; the oldest that was on one crash only is dropped first.

A part of a prompt keeps 63 significant bits of its id; the highest one marks whole requests, so that stored quarantines and messages keep their format.

--- a/crates/wasabipoint_control/src/quarantine.rs
+++ b/crates/wasabipoint_control/src/quarantine.rs
@@ -1,18 +1,20 @@
-//! Quarantine of prompt parts that crash engines, decided by the leader from the reports of all entry
+//! Quarantine of requests and prompt parts that crash endpoints, decided by the leader from the reports of all entry
 //! processes.
 
 mod tracker;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use slog::{info, warn};
+use tokio::net::TcpStream;
 use wasabipoint_kernel::{EndpointId, Incarnation, PromptPartId};
 use wasabipoint_policy::{PromptVerdict, QuarantineStep, next_quarantine_step};
 use wasabipoint_rpc::{
-    EndpointView, EntryReport, ProbeGrant, PromptDirective, PromptReport, QuarantineCause,
-    QuarantinedPart,
+    EndpointKind, EndpointView, EntryReport, ProbeGrant, PromptDirective, PromptReport,
+    QuarantineCause, QuarantinedPart,
 };
 
 use crate::context::ControlContext;
@@ -28,6 +30,9 @@
 /// report of an entry process may bring evidence.
 const MIN_ROUND_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time after which a plain endpoint counts as unreachable. Endpoints are about a millisecond away.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Confirms crashes, quarantines parts and schedules their probes while this member leads.
 pub(crate) async fn run_quarantine(
     control: Arc<ControlContext>,
@@ -108,8 +113,12 @@
     endpoint: EndpointView,
 ) {
     let (id, incarnation) = (&endpoint.id, endpoint.incarnation);
-    match commander.state(&endpoint).await {
-        Ok(_) => {
+    let queried = match endpoint.kind {
+        EndpointKind::Engine => commander.state(&endpoint).await.map(drop),
+        EndpointKind::Service => connect(endpoint.address).await,
+    };
+    match queried {
+        Ok(()) => {
             info!(control.logger, "quarantine: an engine with broken requests responds";
                 "endpoint" => %id, "incarnation" => incarnation.0, "term" => term);
         }
@@ -117,6 +126,15 @@
     }
 }
 
+/// Connects to a plain endpoint, which reports no state.
+async fn connect(address: SocketAddr) -> Result<(), String> {
+    match tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Ok(()),
+        Ok(Err(error)) => Err(error.to_string()),
+        Err(_) => Err("connection timed out".to_owned()),
+    }
+}
+
 fn confirm_crash(
     control: &ControlContext,
     term: u64,
--- a/crates/wasabipoint_entry/src/forward.rs
+++ b/crates/wasabipoint_entry/src/forward.rs
@@ -33,7 +33,7 @@
 use tokio::time::Instant;
 use wasabipoint_kernel::{
     CustomerId, EntryId, ErrorKind, FailureDomain, ForwardCustomer, ForwardRoute, Incarnation,
-    KeyDigester, ModelName, MonotonicClock, RateUnit, Refusal,
+    KeyDigester, ModelName, MonotonicClock, PromptPartId, RateUnit, Refusal, RequestDigester,
 };
 use wasabipoint_rpc::FleetView;
 
@@ -123,6 +123,7 @@
     quota: Arc<QuotaClient>,
     pool: Arc<Pool>,
     digester: KeyDigester,
+    request_digester: RequestDigester,
     report_requested: Notify,
     report_sequence: tokio::sync::Mutex<u64>,
     phase: AtomicU8,
@@ -153,6 +154,7 @@
             }),
             quota: Arc::new(QuotaClient::new(config.entry.clone(), incarnation, clock)),
             digester: KeyDigester::new(&config.key_secret),
+            request_digester: RequestDigester::new(&config.key_secret),
             config,
             incarnation,
             dialect,
@@ -287,7 +289,9 @@
         };
         let customer = self.authenticate(&table, &route, metadata.key.as_deref())?;
         let body = read_body(body, table.deployment.limits.body_bytes).await?;
-        let is_probe = self.admit_prompt(&metadata)?;
+        let customer_id = customer.map(|customer| &customer.id);
+        let identity = self.identify_request(&head, &body, customer_id);
+        let is_probe = self.admit_prompt(&metadata, identity)?;
         let service = pick_service(&route, rand::random())
             .cloned()
             .ok_or_else(|| Refusal::new(ErrorKind::NoEndpoint, "the route has no service"))?;
@@ -324,7 +328,8 @@
             .map(|model| DemandGuard::new(&self, model));
         let call = Call {
             service,
-            customer: customer.map(|customer| customer.id.clone()),
+            customer: customer_id.cloned(),
+            identity,
             engine_priority,
             outgoing: OutgoingRequest {
                 request_id: metadata.request_id.clone(),
@@ -363,14 +368,38 @@
             .ok_or_else(|| Refusal::new(ErrorKind::InvalidKey, ""))
     }
 
-    /// Refuses a request with a quarantined prompt part, and returns whether the request probes one.
-    fn admit_prompt(&self, metadata: &RequestMetadata) -> Result<bool, Refusal> {
+    /// Returns the id of a request that its repeats share, whichever process receives them: each of
+    /// them has a request id of its own.
+    fn identify_request(
+        &self,
+        head: &request::Parts,
+        body: &[u8],
+        customer: Option<&CustomerId>,
+    ) -> PromptPartId {
+        let host = head.headers.get(http::header::HOST);
+        let target = head.uri.path_and_query();
+        let digest = self.request_digester.digest(&[
+            customer.map_or("", CustomerId::as_str).as_bytes(),
+            head.method.as_str().as_bytes(),
+            host.map_or(&[], http::HeaderValue::as_bytes),
+            target.map_or("", |target| target.as_str()).as_bytes(),
+            body,
+        ]);
+        PromptPartId::of_request(digest)
+    }
+
+    /// Refuses a request that is quarantined or has a quarantined prompt part, and returns whether the
+    /// request is a probe.
+    fn admit_prompt(
+        &self,
+        metadata: &RequestMetadata,
+        identity: PromptPartId,
+    ) -> Result<bool, Refusal> {
         let mut guard = self.lock();
         let state = &mut *guard;
         let (quarantine, entry) = (&state.view.quarantine, &self.config.entry);
-        let admission = state
-            .prompts
-            .admit(quarantine, entry, metadata.shared_prompt_parts());
+        let suspects = metadata.shared_prompt_parts().chain([identity]);
+        let admission = state.prompts.admit(quarantine, entry, suspects);
         drop(guard);
         match admission {
             PromptAdmission::Admitted => Ok(false),
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -16,7 +16,7 @@
 use slog::info;
 use tokio::time::{Instant, timeout_at};
 use wasabipoint_kernel::{
-    CustomerId, EndpointId, ErrorKind, ForwardRoute, ModelName, Refusal, ServiceName,
+    CustomerId, EndpointId, ErrorKind, ForwardRoute, ModelName, PromptPartId, Refusal, ServiceName,
 };
 use wasabipoint_rpc::EndpointView;
 
@@ -55,6 +55,8 @@
     pub(crate) route: Arc<ForwardRoute>,
     pub(crate) service: ServiceName,
     pub(crate) customer: Option<CustomerId>,
+    /// Id that the request shares with its repeats.
+    pub(crate) identity: PromptPartId,
     pub(crate) engine_priority: Option<u8>,
     pub(crate) outgoing: OutgoingRequest,
     pub(crate) arrived_at: Instant,
--- a/crates/wasabipoint_entry/src/forward/call/prompts.rs
+++ b/crates/wasabipoint_entry/src/forward/call/prompts.rs
@@ -1,4 +1,5 @@
-//! Prompt parts of a request: evidence that they crash engines or do not, and their quarantine.
+//! Evidence that a request or a part of its prompt crashes endpoints or does not, and the quarantine of
+//! both.
 
 use std::time::Duration;
 
@@ -25,26 +26,27 @@
         }
     }
 
-    /// Records that the engine has written a response to the prompt, once per attempt.
+    /// Records that the endpoint has written a response to the request, once per attempt.
     pub(super) fn record_answered(&mut self) {
         if std::mem::replace(&mut self.attempts.is_answered, true) {
             return;
         }
-        let parts = self.metadata.shared_prompt_parts();
+        let parts = self.metadata.shared_prompt_parts().chain([self.identity]);
         let now_ms = self.forwarder.clock.now_ms();
         self.forwarder.lock().prompts.record_answered(parts, now_ms);
     }
 
-    /// Reports an attempt whose connection broke when the response had not begun, or just had: its
-    /// prompt may have crashed the engine.
+    /// Reports an attempt whose connection broke when the response had not begun, or just had: the
+    /// request may have crashed the endpoint.
     pub(super) fn record_failure(&self, endpoint: &EndpointView, failure: &ResponseFailure) {
         let is_connection_lost = matches!(failure, ResponseFailure::ConnectionLost(_));
-        let has_shared_parts = self.metadata.prompt_parts.len() > 1;
-        if !is_connection_lost || !has_shared_parts || self.attempts.is_answered {
+        if !is_connection_lost || self.attempts.is_answered {
             return;
         }
-        let parts = self.metadata.prompt_parts.iter();
-        let parts = parts.map(|(part, _)| PromptPartId(*part)).collect();
+        let own_part = self.metadata.prompt_parts.last();
+        let own_part = own_part.map_or(self.identity, |(part, _)| PromptPartId::of_part(*part));
+        let shared_parts = self.metadata.shared_prompt_parts();
+        let parts = shared_parts.chain([self.identity, own_part]).collect();
         let now_ms = self.forwarder.clock.now_ms();
         self.forwarder
             .lock()
@@ -53,12 +55,12 @@
         self.forwarder.report_requested.notify_one();
     }
 
-    /// Refuses the request if one of its prompt parts was quarantined since it was admitted.
+    /// Refuses the request if it or one of its prompt parts was quarantined since it was admitted.
     pub(super) fn check_quarantine(&self) -> Result<(), Refusal> {
         if self.is_probe {
             return Ok(());
         }
-        let Err(refusal) = self.forwarder.admit_prompt(&self.metadata) else {
+        let Err(refusal) = self.forwarder.admit_prompt(&self.metadata, self.identity) else {
             return Ok(());
         };
         info!(self.forwarder.logger, "routing: prompt part quarantined meanwhile";
@@ -66,7 +68,7 @@
             "runs" => self.attempts.executions);
         if self.attempts.executions > 0 {
             return Err(outcome_unknown_refusal(
-                "a part of the prompt is quarantined",
+                "the request or a part of its prompt is quarantined",
             ));
         }
         Err(refusal)
--- a/crates/wasabipoint_entry/src/forward/dialect.rs
+++ b/crates/wasabipoint_entry/src/forward/dialect.rs
@@ -28,7 +28,7 @@
     pub(crate) fn shared_prompt_parts(&self) -> impl Iterator<Item = PromptPartId> {
         let count = self.prompt_parts.len().saturating_sub(1);
         let shared = self.prompt_parts[..count].iter();
-        shared.map(|(part, _)| PromptPartId(*part))
+        shared.map(|(part, _)| PromptPartId::of_part(*part))
     }
 }
 
--- a/crates/wasabipoint_entry/src/forward/prompts.rs
+++ b/crates/wasabipoint_entry/src/forward/prompts.rs
@@ -1,5 +1,5 @@
-//! Prompt parts at one entry process: evidence about those that may crash engines, and refusal of
-//! those that are quarantined.
+//! Prompt parts and whole requests at one entry process: evidence about those that may crash endpoints,
+//! and refusal of those that are quarantined.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -40,6 +40,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct PromptMonitor {
     history: PromptHistory,
+    /// Answers to whole requests, apart from those to parts: most requests differ from all others, and
+    /// would displace the parts.
+    request_history: PromptHistory,
     failures: VecDeque<RecordedFailure>,
     last_sequence: u64,
     leader_term: u64,
@@ -52,17 +55,20 @@
 }
 
 impl PromptMonitor {
-    /// Records that an engine has written a response to a prompt with these parts.
+    /// Records that an endpoint has written a response to a request with these parts.
     pub(crate) fn record_answered(
         &mut self,
         parts: impl IntoIterator<Item = PromptPartId>,
         now_ms: u64,
     ) {
+        let (requests, parts): (Vec<_>, Vec<_>) =
+            parts.into_iter().partition(|part| part.is_request());
+        self.request_history.record_answered(requests, now_ms);
         self.history.record_answered(parts, now_ms);
     }
 
     /// Records a request whose connection to an endpoint broke when its response had not begun, or
-    /// just had.
+    /// just had. Its shared parts are followed by its own id and by its last part.
     pub(crate) fn record_failure(
         &mut self,
         endpoint: &EndpointView,
@@ -70,7 +76,7 @@
         now_ms: u64,
     ) {
         if parts.len() > MAX_PARTS_PER_PROMPT {
-            parts.drain(MAX_PARTS_PER_PROMPT - 1..parts.len() - 1);
+            parts.drain(MAX_PARTS_PER_PROMPT - 2..parts.len() - 2);
         }
         let open = self.failures.iter_mut().find(|recorded| {
             recorded.failure.endpoint == endpoint.id
@@ -156,7 +162,12 @@
         });
         let failures = failures.collect();
         let answered = self.suspects.iter().filter_map(|part| {
-            let answered_ms = self.history.answered_ms(*part)?;
+            let history = if part.is_request() {
+                &self.request_history
+            } else {
+                &self.history
+            };
+            let answered_ms = history.answered_ms(*part)?;
             Some(AnsweredPart {
                 part: *part,
                 age_ms: now_ms.saturating_sub(answered_ms),
--- a/crates/wasabipoint_kernel/src/error.rs
+++ b/crates/wasabipoint_kernel/src/error.rs
@@ -149,8 +149,8 @@
     DataFolderUnusable = "data_folder_unusable", 500, NotRun, Never, 12, "the data folder cannot be used";
     /// A bug in the program.
     Internal = "internal", 500, Unknown, Later, 1, "an internal error";
-    /// A part of the prompt is quarantined because engines crashed on it.
-    PromptQuarantined = "prompt_quarantined", 503, NotRun, Later, 6, "a part of the prompt is quarantined";
+    /// The request or a part of its prompt is quarantined because endpoints crashed on it.
+    PromptQuarantined = "prompt_quarantined", 503, NotRun, Later, 6, "the request or a part of its prompt is quarantined";
 }
 
 impl ErrorKind {
--- a/crates/wasabipoint_kernel/src/id.rs
+++ b/crates/wasabipoint_kernel/src/id.rs
@@ -93,21 +93,51 @@
 
 plain_data! {
     copy
-    /// A part of a prompt. Requests whose prompts share a part name it by the same id.
+    /// A part of a prompt, or a whole request. Requests whose prompts share a part name it by the same
+    /// id, and repeats of a request have the same digest.
     #[serde(transparent)]
     pub struct PromptPartId(pub u64);
 }
 
 impl PromptPartId {
+    /// Set in the ids of whole requests, clear in those of parts.
+    const REQUEST_FLAG: u64 = 1 << 63;
+
+    /// Prefix of whole requests in text.
+    const REQUEST_PREFIX: &str = "request-";
+
+    /// Returns the id of a part that callers named so. Only 63 bits are significant.
+    pub fn of_part(id: u64) -> Self {
+        Self(id & !Self::REQUEST_FLAG)
+    }
+
+    /// Returns the id of a whole request with this digest, which is suspected and quarantined like a
+    /// part of its prompt.
+    pub fn of_request(digest: u64) -> Self {
+        Self(digest | Self::REQUEST_FLAG)
+    }
+
+    /// Returns whether the id names a whole request.
+    pub fn is_request(self) -> bool {
+        self.0 & Self::REQUEST_FLAG != 0
+    }
+
     /// Parses the format that `Display` writes.
     pub fn parse(text: &str) -> Option<Self> {
-        u64::from_str_radix(text, 16).ok().map(Self)
+        let parse_hex = |text| u64::from_str_radix(text, 16).ok();
+        match text.strip_prefix(Self::REQUEST_PREFIX) {
+            Some(digest) => parse_hex(digest).map(Self::of_request),
+            None => parse_hex(text).map(Self::of_part),
+        }
     }
 }
 
 impl fmt::Display for PromptPartId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:x}", self.0)
+        if self.is_request() {
+            f.write_str(Self::REQUEST_PREFIX)?;
+        }
+        write!(f, "{:x}", self.0 & !Self::REQUEST_FLAG)
     }
 }
 
--- a/crates/wasabipoint_kernel/src/lib.rs
+++ b/crates/wasabipoint_kernel/src/lib.rs
@@ -15,6 +15,7 @@
 mod key;
 mod log;
 mod metrics;
+mod request_digest;
 mod rules;
 mod settings;
 mod shutdown;
@@ -37,6 +38,7 @@
 pub use key::{KeyDigest, KeyDigester};
 pub use log::{build_logger, build_logger_to, build_stdout_logger};
 pub use metrics::Metrics;
+pub use request_digest::RequestDigester;
 pub use rules::{
     AdmissionRules, PlacementRules, RouteAccess, RouteRule, RoutingRules, Rules, StoreRules,
 };
--- a/crates/wasabipoint_policy/src/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/src/prompt_suspicion.rs
@@ -5,6 +5,9 @@
 //! and other parts with the culprit. A part is cleared by each response that an engine wrote to it,
 //! so that shared parts clear themselves and the culprit remains. Engines also crash for other
 //! reasons; one crash, or several at one moment, are therefore no evidence against any part.
+//!
+//! A whole request that its caller sends again is a suspect like a part: in the reported prompts its id
+//! stands behind the parts that it shares with others.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -27,7 +30,7 @@
 const MIN_LEAD: usize = 2;
 
 /// Number of different requests that must contain the part. A bystander that is sent again after
-/// each crash is one request.
+/// each crash is one request. A whole request is always one.
 const MIN_REQUESTS: usize = 2;
 
 /// Crashes closer together than this are one event, such as the loss of a rack, in milliseconds,
@@ -55,7 +58,7 @@
 
 /// Maximum number of parts that are tracked. Beyond it, parts that were answered since their last
 /// crash are dropped first.
-const MAX_SUSPECTS: usize = 1_024;
+const MAX_SUSPECTS: usize = 4_096;
 
 /// Time that entry processes have to report when they received answers to a part, in milliseconds.
 /// A process that is silent for longer does not delay the verdict.
@@ -65,7 +68,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct SuspectPrompt {
     entry: EntryId,
-    /// The parts in order. The last one belongs to the request alone.
+    /// The parts in order. The last one belongs to the request alone, and the one before it may be the
+    /// id of the whole request.
     parts: Vec<PromptPartId>,
 }
 
@@ -99,6 +103,8 @@
     crashed_ms: u64,
     /// Time of the last answer by any engine.
     answered_ms: Option<u64>,
+    /// Whether the last crash was not the first one.
+    has_crashed_again: bool,
 }
 
 impl Suspect {
@@ -301,12 +307,11 @@
     }
 
     /// Returns the parts whose answers entry processes have to report: those without an answer since
-    /// the last crash.
+    /// the last crash. Whole requests count from their second crash on, since most are never sent again.
     pub fn suspects(&self) -> impl Iterator<Item = PromptPartId> {
-        let open = self
-            .suspects
-            .iter()
-            .filter(|(_, suspect)| suspect.is_open());
+        let open = self.suspects.iter().filter(|(part, suspect)| {
+            suspect.is_open() && (!part.is_request() || suspect.has_crashed_again)
+        });
         open.map(|(part, _)| *part)
     }
 
@@ -451,6 +456,18 @@
         occurrences
     }
 
+    /// Drops the whole request that was on a single crash, the longest time ago. Crashes of other causes
+    /// leave many such suspects.
+    fn drop_oldest_request(&mut self) {
+        let suspects = self.suspects.iter();
+        let single =
+            suspects.filter(|(part, suspect)| part.is_request() && !suspect.has_crashed_again);
+        let oldest = single.min_by_key(|(_, suspect)| suspect.crashed_ms);
+        if let Some(part) = oldest.map(|(part, _)| *part) {
+            self.suspects.remove(&part);
+        }
+    }
+
     /// Lists a part as a suspect of a crash.
     fn list_suspect(&mut self, part: PromptPartId, crashed_ms: u64, now_ms: u64) {
         let (revision, is_full) = (self.revision, self.suspects.len() >= MAX_SUSPECTS);
@@ -459,12 +476,16 @@
                 suspect.listed_ms = now_ms;
             }
             suspect.listed_revision = revision;
+            suspect.has_crashed_again |= crashed_ms > suspect.crashed_ms;
             suspect.crashed_ms = suspect.crashed_ms.max(crashed_ms);
             return;
         }
         if is_full {
             self.suspects.retain(|_, suspect| suspect.is_open());
         }
+        if self.suspects.len() >= MAX_SUSPECTS {
+            self.drop_oldest_request();
+        }
         if self.suspects.len() >= MAX_SUSPECTS {
             return;
         }
@@ -473,12 +494,13 @@
             listed_ms: now_ms,
             crashed_ms,
             answered_ms: None,
+            has_crashed_again: false,
         };
         self.suspects.insert(part, suspect);
     }
 }
 
-/// Returns the parts that other requests may share: all but the last.
+/// Returns the parts that other requests may share, and the id of the whole request: all but the last.
 fn shared_parts(parts: &[PromptPartId]) -> impl Iterator<Item = PromptPartId> {
     let count = parts.len().saturating_sub(1);
     parts[..count].iter().copied()
@@ -506,5 +528,6 @@
     };
     let has_witnesses =
         evidence.entries >= context.entries.min(2) || evidence.events >= MIN_CRASHES_OF_ONE_WITNESS;
-    evidence.events >= min_crashes && evidence.requests >= MIN_REQUESTS && has_witnesses
+    let has_requests = evidence.part.is_request() || evidence.requests >= MIN_REQUESTS;
+    evidence.events >= min_crashes && has_requests && has_witnesses
 }
--- a/crates/wasabipoint_policy/tests/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/tests/prompt_suspicion.rs
@@ -171,6 +171,74 @@
     assert_eq!(reports.blamed(), Vec::<u64>::new());
 }
 
+/// Returns the id of the whole request with this digest.
+fn request(digest: u64) -> u64 {
+    PromptPartId::of_request(digest).0
+}
+
+/// Guards against a request that crashes engines each time its caller sends it, while sound requests
+/// share all of its parts.
+#[test]
+fn a_request_that_is_sent_again_is_blamed_after_three_crashes() {
+    let mut reports = Reports::default();
+    let deadly = [FIRST, SUBJECT, request(1), 100];
+    for number in 0..3 {
+        assert_eq!(reports.blamed(), Vec::<u64>::new());
+        let at_ms = 1_000 + number * 2_000;
+        let bystander = [FIRST, SUBJECT, request(2 + number), 200 + number];
+        reports.crash(at_ms, &[(number as usize, &deadly), (3, &bystander)]);
+        reports.answer(FIRST, at_ms + 50);
+        reports.answer(SUBJECT, at_ms + 50);
+    }
+    assert_eq!(reports.blamed(), [request(1)]);
+}
+
+/// Guards against the same for requests without a prompt.
+#[test]
+fn a_request_without_a_prompt_is_blamed_after_three_crashes() {
+    let mut reports = Reports::default();
+    for number in 0..3 {
+        let (deadly, other) = ([request(1); 2], [request(2 + number); 2]);
+        let at_ms = 1_000 + number * 2_000;
+        reports.crash(at_ms, &[(number as usize, &deadly), (3, &other)]);
+    }
+    assert_eq!(reports.blamed(), [request(1)]);
+}
+
+/// Guards against blaming equal requests, such as lookups without a body, that are served between
+/// crashes of other causes.
+#[test]
+fn a_request_that_is_served_between_the_crashes_is_not_blamed() {
+    let mut reports = Reports::default();
+    for number in 0..8 {
+        let at_ms = 1_000 + number * 2_000;
+        reports.crash(at_ms, &[(number as usize % 4, &[request(1); 2])]);
+        reports.answer(request(1), at_ms + 500);
+    }
+    assert_eq!(reports.blamed(), Vec::<u64>::new());
+}
+
+/// Guards against a deadly request that is not tracked because crashes of other causes left too many
+/// suspects, and against a list of suspects that grows with them.
+#[test]
+fn requests_of_other_crashes_do_not_displace_a_deadly_one() {
+    let mut reports = Reports::default();
+    for number in 0..3 {
+        let at_ms = 1_000 + number * 2_000;
+        reports.crash(at_ms, &[(number as usize, &[request(1); 2])]);
+        for other in 0..60 {
+            let digests =
+                (0..20).map(|prompt| [request(10_000 + number * 2_000 + other * 20 + prompt); 2]);
+            let digests: Vec<[u64; 2]> = digests.collect();
+            let prompts: Vec<(usize, &[u64])> =
+                digests.iter().map(|parts| (3, parts.as_slice())).collect();
+            reports.report_crash(at_ms + 100, &prompts);
+        }
+        assert!(reports.suspicion.suspects().count() <= 1);
+    }
+    assert_eq!(reports.blamed(), [request(1)]);
+}
+
 /// Guards against broken connections that are taken for crashes.
 #[test]
 fn failures_of_engines_that_still_run_blame_nobody() {
--- a/crates/wasabipoint_rpc/src/prompt.rs
+++ b/crates/wasabipoint_rpc/src/prompt.rs
@@ -9,7 +9,8 @@
 /// Maximum number of prompts of one failure.
 pub const MAX_PROMPTS_PER_FAILURE: usize = 24;
 
-/// Maximum number of parts of a reported prompt. The last part is always among them.
+/// Maximum number of parts of a reported prompt. The id of the whole request and the last part are
+/// always among them.
 pub const MAX_PARTS_PER_PROMPT: usize = 16;
 
 plain_data! {
@@ -25,7 +26,8 @@
         pub incarnation: Incarnation,
         /// Time since the first of the connections broke, in milliseconds.
         pub age_ms: u64,
-        /// The prompts of the requests, each with its parts in order.
+        /// The prompts of the requests, each with its shared parts in order, the id of the whole request,
+        /// and the last part of the prompt.
         pub prompts: Vec<Vec<PromptPartId>>,
     }
 }
--- a/crates/wasabipoint_testbed/tests/forwarding/engine.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/engine.rs
@@ -1,4 +1,5 @@
-//! Engines on loopback that crash when they begin to write a response to a certain prompt part.
+//! Endpoints on loopback that crash when they begin to write a response to a certain prompt part, or
+//! to a request with a certain body.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
@@ -14,6 +15,9 @@
 /// Name of the service that the engines provide.
 pub(crate) const SERVICE: &str = "engines";
 
+/// Name of the plain service.
+pub(crate) const PLAIN_SERVICE: &str = "plain";
+
 /// The model that every engine has loaded.
 pub(crate) const MODEL: &str = "m1";
 
@@ -35,10 +39,13 @@
 /// An engine that keeps its address over restarts.
 pub(crate) struct Engine {
     id: EndpointId,
+    kind: EndpointKind,
     address: SocketAddr,
     incarnation: AtomicU64,
     deadly_part: Mutex<Option<String>>,
-    /// Requests with the deadly part that arrived.
+    /// The body of requests that crash the engine.
+    deadly_body: Mutex<Option<String>>,
+    /// Requests with the deadly part or body that arrived.
     pub(crate) deadly_arrivals: AtomicU32,
     pub(crate) crashes: AtomicU32,
     /// Limit in requests per second that the engine names in its responses.
@@ -58,13 +65,15 @@
 }
 
 impl Engine {
-    pub(crate) fn start(index: usize) -> Arc<Self> {
+    pub(crate) fn start(index: usize, kind: EndpointKind) -> Arc<Self> {
         let socket = bind("127.0.0.1:0".parse().unwrap());
         let engine = Arc::new(Self {
             id: EndpointId::new(format!("engine-{index}")),
+            kind,
             address: socket.local_addr().unwrap(),
             incarnation: AtomicU64::new(1),
             deadly_part: Mutex::new(None),
+            deadly_body: Mutex::new(None),
             deadly_arrivals: AtomicU32::new(0),
             crashes: AtomicU32::new(0),
             limit_per_s: Mutex::new(None),
@@ -84,6 +93,20 @@
         *self.deadly_part.lock().unwrap() = Some(part.to_owned());
     }
 
+    /// Makes the engine crash on requests with a body.
+    pub(crate) fn crash_on_body(&self, body: &str) {
+        *self.deadly_body.lock().unwrap() = Some(body.to_owned());
+    }
+
+    /// Returns whether a request with these parts and this body crashes the engine.
+    fn is_deadly(&self, parts: &str, body: &str) -> bool {
+        let deadly_part = self.deadly_part.lock().unwrap();
+        let deadly_body = self.deadly_body.lock().unwrap();
+        let has_part = |deadly: &String| parts.contains(&format!("{deadly}:"));
+        deadly_part.as_ref().is_some_and(has_part)
+            || deadly_body.as_deref().is_some_and(|deadly| deadly == body)
+    }
+
     /// Closes all connections and restarts the engine, whatever it serves.
     pub(crate) fn crash(&self) {
         self.crashes.fetch_add(1, Ordering::Relaxed);
@@ -145,9 +168,15 @@
             incarnation: Incarnation(self.incarnation.load(Ordering::Relaxed)),
             address: self.address,
             failure_domain: FailureDomain::new("here"),
-            kind: EndpointKind::Engine,
-            service: ServiceName::new(SERVICE),
-            models: vec![ModelName::new(MODEL)],
+            kind: self.kind,
+            service: ServiceName::new(match self.kind {
+                EndpointKind::Engine => SERVICE,
+                EndpointKind::Service => PLAIN_SERVICE,
+            }),
+            models: match self.kind {
+                EndpointKind::Engine => vec![ModelName::new(MODEL)],
+                EndpointKind::Service => Vec::new(),
+            },
             concurrency: 16,
             is_leaving: false,
         }
@@ -186,14 +215,14 @@
     }
 
     async fn serve_requests(&self, stream: &mut TcpStream) {
-        while let Some(head) = read_head(stream).await {
-            if self.respond(stream, &head).await.is_err() {
+        while let Some((head, body)) = read_request(stream).await {
+            if self.respond(stream, &head, &body).await.is_err() {
                 return;
             }
         }
     }
 
-    async fn respond(&self, stream: &mut TcpStream, head: &str) -> std::io::Result<()> {
+    async fn respond(&self, stream: &mut TcpStream, head: &str, body: &str) -> std::io::Result<()> {
         self.arrivals.lock().unwrap().push(Instant::now());
         let id = header(head, "id").unwrap();
         let entry = id.split('.').next().unwrap_or_default().to_owned();
@@ -222,9 +251,8 @@
             "HTTP/1.1 200 OK\r\nid: {id}\r\n{limit}{leaving}transfer-encoding: chunked\r\n\r\n"
         );
         stream.write_all(text.as_bytes()).await?;
-        let deadly_part = self.deadly_part.lock().unwrap().clone();
         let parts = header(head, "parts").unwrap_or_default();
-        if deadly_part.is_some_and(|deadly| parts.contains(&format!("{deadly}:"))) {
+        if self.is_deadly(&parts, body) {
             self.deadly_arrivals.fetch_add(1, Ordering::Relaxed);
             tokio::time::sleep(EVENT_INTERVAL).await;
             self.crash();
@@ -249,8 +277,8 @@
     socket
 }
 
-/// Reads a request with a body of known length and returns its head in lower case.
-async fn read_head(stream: &mut TcpStream) -> Option<String> {
+/// Reads a request with a body of known length and returns its head in lower case, and its body.
+async fn read_request(stream: &mut TcpStream) -> Option<(String, String)> {
     let mut received = Vec::new();
     loop {
         let end = received.windows(4).position(|end| end == b"\r\n\r\n");
@@ -258,8 +286,9 @@
             let head = String::from_utf8_lossy(&received[..end]).to_lowercase();
             let length: usize =
                 header(&head, "content-length").map_or(0, |length| length.parse().unwrap());
-            if received.len() >= end + 4 + length {
-                return Some(head);
+            let body = received.get(end + 4..end + 4 + length);
+            if let Some(body) = body {
+                return Some((head, String::from_utf8_lossy(body).into_owned()));
             }
         }
         let mut buffer = [0; 2_048];
--- a/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
@@ -23,9 +23,9 @@
     CallerLimits, Deployment, EngineModel, EngineSpec, EntryId, FailureDomain, ForwardRoute,
     ForwardService, Incarnation, MemberId, ModelName, RouteName, RunPolicy, ServiceName,
 };
-use wasabipoint_rpc::EndpointView;
+use wasabipoint_rpc::{EndpointKind, EndpointView};
 
-use super::engine::{Engine, MODEL, SERVICE};
+use super::engine::{Engine, MODEL, PLAIN_SERVICE, SERVICE};
 use super::test_dialect::TestDialect;
 
 /// Time limit for one step of a test.
@@ -106,10 +106,25 @@
         is_public: true,
         is_cacheable: true,
     };
+    let plain_service = ForwardService {
+        name: ServiceName::new(PLAIN_SERVICE),
+        max_connections: 100,
+        engine: None,
+    };
+    let plain_route = ForwardRoute {
+        name: RouteName::new("book"),
+        path_prefix: "/book/".to_owned(),
+        run_policy: RunPolicy::AtMostOnce,
+        services: vec![(plain_service.name.clone(), 1)],
+        ..route.clone()
+    };
+    let services = [service, plain_service];
     Deployment {
         version: 1,
-        routes: vec![route],
-        services: BTreeMap::from([(service.name.clone(), service)]),
+        routes: vec![route, plain_route],
+        services: services
+            .map(|service| (service.name.clone(), service))
+            .into(),
         customers: BTreeMap::new(),
         limits: CallerLimits {
             head_bytes: 16_384,
@@ -205,7 +220,18 @@
 impl Fleet {
     /// Starts a fleet and waits until every entry process serves.
     pub(crate) async fn start(members: usize, entries: usize, engines: usize) -> Self {
-        let engines: Vec<_> = (0..engines).map(Engine::start).collect();
+        Self::start_with(EndpointKind::Engine, members, entries, engines).await
+    }
+
+    /// Starts a fleet whose endpoints are all of one kind.
+    pub(crate) async fn start_with(
+        kind: EndpointKind,
+        members: usize,
+        entries: usize,
+        endpoints: usize,
+    ) -> Self {
+        let engines = (0..endpoints).map(|index| Engine::start(index, kind));
+        let engines: Vec<_> = engines.collect();
         let control = start_control(&engines, members).await;
         let mut fleet = Self {
             control,
@@ -291,15 +317,46 @@
     /// Sends a request with prompt parts through an entry process. Returns `None` if its response
     /// broke off.
     pub(crate) async fn send(&self, entry: usize, parts: &str) -> Option<http::Response<Bytes>> {
+        self.send_body(entry, parts, "prompt").await
+    }
+
+    /// Sends a request with prompt parts and a body.
+    pub(crate) async fn send_body(
+        &self,
+        entry: usize,
+        parts: &str,
+        body: &'static str,
+    ) -> Option<http::Response<Bytes>> {
+        let request = self.build_request(entry, "chat", body);
+        let request = request.header("model", MODEL).header("parts", parts);
+        self.fetch(request, body).await
+    }
+
+    /// Sends a request to the plain service.
+    pub(crate) async fn book(
+        &self,
+        entry: usize,
+        body: &'static str,
+    ) -> Option<http::Response<Bytes>> {
+        let request = self.build_request(entry, "book/bay", body);
+        self.fetch(request, body).await
+    }
+
+    fn build_request(&self, entry: usize, path: &str, body: &str) -> http::request::Builder {
         static NEXT_REQUEST: AtomicU32 = AtomicU32::new(0);
         let id = NEXT_REQUEST.fetch_add(1, Ordering::Relaxed);
-        let request = Request::post(format!("http://{}/chat", self.entries[entry].address))
+        Request::post(format!("http://{}/{path}", self.entries[entry].address))
             .header("host", "app.example")
             .header("id", format!("{entry}.{id}"))
-            .header("model", MODEL)
-            .header("parts", parts)
-            .body(Bytes::from_static(b"prompt"))
-            .unwrap();
+            .header("content-length", body.len())
+    }
+
+    async fn fetch(
+        &self,
+        request: http::request::Builder,
+        body: &'static str,
+    ) -> Option<http::Response<Bytes>> {
+        let request = request.body(Bytes::from_static(body.as_bytes())).unwrap();
         self.client.fetch(request, 65_536, STEP_TIMEOUT).await.ok()
     }
 
--- a/crates/wasabipoint_testbed/tests/forwarding/main.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/main.rs
@@ -9,5 +9,6 @@
 mod limits;
 mod pauses;
 mod quarantine;
+mod repeated_request;
 #[path = "../../../wasabipoint_entry/tests/fixtures/test_dialect.rs"]
 mod test_dialect;
