Count the broken repeats of a request, not only the crashes that broke them

Cause: the repeats wait while the only engine with their model is down, are sent together when it is back, and break together. They counted as one crash, and equal prompts of one entry process as one, so the verdict had to wait for a third crash; bystanders that were retried there had two crashes as well and hid the lead.

Change: reports keep the number of attempts per prompt. A whole request is blamed after three broken attempts on at least two crashed endpoints, and must lead all others by two broken attempts. Parts are judged as before.

--- a/crates/wasabipoint_policy/src/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/src/prompt_suspicion.rs
@@ -16,6 +16,11 @@
 /// Number of crashes after which a part is blamed that no engine is known to have answered.
 const MIN_CRASHES: usize = 3;
 
+/// Number of crashes that must have broken a whole request, and of its repeats that they must have
+/// broken in all. Several repeats may be on one engine.
+const MIN_CRASHES_OF_REQUEST: usize = 2;
+const MIN_BROKEN_REPEATS: usize = 3;
+
 /// Number of crashes since its last answer after which a part is blamed that engines answered
 /// before.
 const MIN_CRASHES_ONCE_ANSWERED: usize = 5;
@@ -89,7 +94,8 @@
     recorded_ms: u64,
     /// Whether another process than the reporting one found that the endpoint has ended.
     is_confirmed: bool,
-    prompts: BTreeSet<SuspectPrompt>,
+    /// Each prompt with the number of attempts that broke.
+    prompts: BTreeMap<SuspectPrompt, usize>,
 }
 
 /// A part of a prompt that was on a crashed engine.
@@ -157,15 +163,30 @@
     /// earlier one were the cause, it would crash engines without the later one as well.
     position: usize,
     events: usize,
+    /// Number of broken attempts.
+    attempts: usize,
     requests: usize,
     entries: usize,
     part: PromptPartId,
 }
 
+impl Evidence {
+    /// Returns how much speaks against the part: the number of crashes, or of broken attempts of a
+    /// whole request.
+    fn weight(&self) -> usize {
+        if self.part.is_request() {
+            self.attempts
+        } else {
+            self.events
+        }
+    }
+}
+
 /// Occurrences of one part on one crashed engine.
 #[derive(Debug, Default)]
 struct Occurrence<'c> {
     position: usize,
+    attempts: usize,
     /// The last parts of the prompts, which tell requests apart.
     requests: BTreeSet<PromptPartId>,
     entries: BTreeSet<&'c EntryId>,
@@ -179,6 +200,7 @@
     last_event_ms: Option<u64>,
     last_requests: BTreeSet<PromptPartId>,
     position: usize,
+    attempts: usize,
     requests: BTreeSet<PromptPartId>,
     entries: BTreeSet<&'c EntryId>,
 }
@@ -193,6 +215,7 @@
             self.last_event_ms = Some(crashed_ms);
         }
         self.position = occurrence.position;
+        self.attempts += occurrence.attempts;
         self.requests.extend(&occurrence.requests);
         self.entries.extend(occurrence.entries);
         self.last_requests = occurrence.requests;
@@ -217,10 +240,11 @@
             if crash.prompts.len() >= MAX_PROMPTS_PER_CRASH {
                 break;
             }
-            crash.prompts.insert(SuspectPrompt {
+            let prompt = SuspectPrompt {
                 entry: entry.clone(),
                 parts: parts.clone(),
-            });
+            };
+            *crash.prompts.entry(prompt).or_default() += 1;
         }
         let crash_ms = crash.at_ms;
         self.drop_excess_crashes();
@@ -255,7 +279,7 @@
                 at_ms,
                 recorded_ms: now_ms,
                 is_confirmed: false,
-                prompts: BTreeSet::new(),
+                prompts: BTreeMap::new(),
             });
             self.crashes.len() - 1
         });
@@ -295,7 +319,7 @@
         };
         crash.is_confirmed = true;
         let entries: BTreeSet<&EntryId> =
-            crash.prompts.iter().map(|prompt| &prompt.entry).collect();
+            crash.prompts.keys().map(|prompt| &prompt.entry).collect();
         (crash.prompts.len(), entries.len())
     }
 
@@ -386,7 +410,7 @@
         });
         let leading = sufficient.filter(|evidence| {
             evidence.events >= MIN_CRASHES_ONCE_ANSWERED
-                || evidence.events >= self.most_rival_events(evidence.part, crashes) + MIN_LEAD
+                || evidence.weight() >= self.heaviest_rival(evidence.part, crashes) + MIN_LEAD
         });
         leading.max()
     }
@@ -399,12 +423,12 @@
         })
     }
 
-    /// Returns the highest number of crashes that speak against another part which no engine
-    /// answered, without the prompts that contain the given part as well.
-    fn most_rival_events(&self, part: PromptPartId, crashes: &[&Crash]) -> usize {
+    /// Returns the most that speaks against another part which no engine answered, without the prompts
+    /// that contain the given part as well.
+    fn heaviest_rival(&self, part: PromptPartId, crashes: &[&Crash]) -> usize {
         let rivals = self.collect_evidence(crashes, Some(part));
         let unanswered = rivals.iter().filter(|rival| rival.is_never_answered);
-        unanswered.map(|rival| rival.events).max().unwrap_or(0)
+        unanswered.map(Evidence::weight).max().unwrap_or(0)
     }
 
     /// Collects the evidence against each part from the crashes since it was last answered. The
@@ -423,6 +447,7 @@
                 is_never_answered: suspect.is_some_and(|suspect| suspect.answered_ms.is_none()),
                 position: trace.position,
                 events: trace.events,
+                attempts: trace.attempts,
                 requests: trace.requests.len(),
                 entries: trace.entries.len(),
                 part,
@@ -438,7 +463,7 @@
         without: Option<PromptPartId>,
     ) -> BTreeMap<PromptPartId, Occurrence<'c>> {
         let mut occurrences: BTreeMap<PromptPartId, Occurrence<'c>> = BTreeMap::new();
-        for prompt in &crash.prompts {
+        for (prompt, attempts) in &crash.prompts {
             if without.is_some_and(|without| prompt.contains(without)) {
                 continue;
             }
@@ -449,6 +474,7 @@
                 }
                 let occurrence = occurrences.entry(part).or_default();
                 occurrence.position = position;
+                occurrence.attempts += attempts;
                 occurrence.requests.extend(prompt.parts.last());
                 occurrence.entries.insert(&prompt.entry);
             }
@@ -509,25 +535,27 @@
 fn is_explained(crash: &Crash, quarantined: &BTreeSet<PromptPartId>) -> bool {
     let mut parts = crash
         .prompts
-        .iter()
+        .keys()
         .flat_map(|prompt| shared_parts(&prompt.parts));
     parts.any(|part| quarantined.contains(&part))
 }
 
 /// Returns the position of a part in the prompts on a crashed engine.
 fn position_in(crash: &Crash, part: PromptPartId) -> Option<usize> {
-    let mut prompts = crash.prompts.iter();
+    let mut prompts = crash.prompts.keys();
     prompts.find_map(|prompt| shared_parts(&prompt.parts).position(|shared| shared == part))
 }
 
 fn is_sufficient(evidence: &Evidence, context: &VerdictContext<'_>) -> bool {
-    let min_crashes = if evidence.is_never_answered {
-        MIN_CRASHES
-    } else {
-        MIN_CRASHES_ONCE_ANSWERED
-    };
     let has_witnesses =
         evidence.entries >= context.entries.min(2) || evidence.events >= MIN_CRASHES_OF_ONE_WITNESS;
+    let has_crashes = if !evidence.is_never_answered {
+        evidence.events >= MIN_CRASHES_ONCE_ANSWERED
+    } else if evidence.part.is_request() {
+        evidence.events >= MIN_CRASHES_OF_REQUEST && evidence.attempts >= MIN_BROKEN_REPEATS
+    } else {
+        evidence.events >= MIN_CRASHES
+    };
     let has_requests = evidence.part.is_request() || evidence.requests >= MIN_REQUESTS;
-    evidence.events >= min_crashes && has_requests && has_witnesses
+    has_crashes && has_requests && has_witnesses
 }
--- a/crates/wasabipoint_policy/tests/prompt_suspicion.rs
+++ b/crates/wasabipoint_policy/tests/prompt_suspicion.rs
@@ -193,6 +193,27 @@
     assert_eq!(reports.blamed(), [request(1)]);
 }
 
+/// Guards against repeats on one engine that count as one: the next crash breaks several more, which
+/// waited for the only model to be loaded again, beside bystanders that were retried there.
+#[test]
+fn repeats_that_crash_together_are_blamed_after_the_second_crash() {
+    let mut reports = Reports::default();
+    let deadly = [FIRST, SUBJECT, request(1), 100];
+    let bystander = [FIRST, SUBJECT, request(2), 200];
+    reports.crash(1_000, &[(0, &deadly), (1, &bystander)]);
+    assert_eq!(reports.blamed(), Vec::<u64>::new());
+    let second = [
+        (1, &deadly[..]),
+        (1, &deadly),
+        (2, &deadly),
+        (3, &bystander),
+    ];
+    reports.crash(7_000, &second);
+    reports.answer(FIRST, 7_100);
+    reports.answer(SUBJECT, 7_100);
+    assert_eq!(reports.blamed(), [request(1)]);
+}
+
 /// Guards against the same for requests without a prompt.
 #[test]
 fn a_request_without_a_prompt_is_blamed_after_three_crashes() {
