Test that no cut of a response looks complete

Here it cannot happen for responses with a length or chunks: each byte position of a buffered response and of a stream, cut off by an orderly close and by a reset, ends in 502 or a broken stream. The tests passed on the code as it was.

--- a/crates/wasabipoint_entry/tests/forward_sockets.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets.rs
@@ -4,6 +4,8 @@
 
 #[path = "forward_sockets/announcements.rs"]
 mod announcements;
+#[path = "forward_sockets/cut_off.rs"]
+mod cut_off;
 #[path = "forward_sockets/endless.rs"]
 mod endless;
 #[path = "forward_sockets/evidence.rs"]
