Answer every request that a stopping entry process has accepted

Cause: a draining process looked at its phase when a head arrived, and not when the request was sent: after its body, its tokens or a wait, it was passed on however late. At the end of the grace the process exited with whatever was open. With a long grace it also accepted requests for longer than 3 s.

Change: the phase is checked again before each first send. At 90% of the grace requests without a response are answered: 502 if they were sent, 503 otherwise. Requests are accepted for at most 2.8 s of any grace. Streams that have begun and outlast the grace still break off. The refusals of a call moved to a file of their own.

--- a/crates/wasabipoint_entry/src/forward.rs
+++ b/crates/wasabipoint_entry/src/forward.rs
@@ -127,6 +127,8 @@
     report_requested: Notify,
     report_sequence: tokio::sync::Mutex<u64>,
     phase: AtomicU8,
+    /// Set when the drain is about to end and requests without a response are answered.
+    is_ending: watch::Sender<bool>,
     clock: MonotonicClock,
     metrics: ForwardMetrics,
     logger: Logger,
@@ -165,6 +167,7 @@
             report_requested: Notify::new(),
             report_sequence: tokio::sync::Mutex::new(0),
             phase: AtomicU8::new(SERVING),
+            is_ending: watch::Sender::new(false),
             clock,
             metrics: ForwardMetrics::new(),
             logger,
@@ -212,8 +215,16 @@
         let exit_at = Instant::now() + schedule.max_duration;
         info!(self.logger, "entry: draining";
             "end_after_ms" => schedule.max_duration.as_millis() as u64);
-        drain(&self, schedule, &closing_sender).await;
-        let is_drained = tokio::time::timeout_at(exit_at, &mut serving).await.is_ok();
+        let drained = async {
+            tokio::join!(
+                drain(&self, schedule, &closing_sender),
+                tokio::time::sleep_until(exit_at)
+            );
+        };
+        let is_drained = tokio::select! {
+            _ = &mut serving => true,
+            () = drained => false,
+        };
         info!(self.logger, "entry: stopped"; "is_drained" => is_drained);
     }
 
@@ -244,6 +255,24 @@
         self.phase.store(REFUSING, Ordering::Relaxed);
     }
 
+    /// Returns whether requests that were not sent to an endpoint yet are refused.
+    fn is_refusing(&self) -> bool {
+        self.phase.load(Ordering::Relaxed) == REFUSING
+    }
+
+    /// Ends all requests that have no response yet, so that their callers receive one before the
+    /// process exits.
+    fn answer_pending_requests(&self) {
+        self.is_ending.send_replace(true);
+    }
+
+    /// Waits until requests without a response are answered because the drain ends.
+    async fn wait_until_ending(&self) {
+        let mut is_ending = self.is_ending.subscribe();
+        // The sender is part of the forwarder and outlives the receiver.
+        let _ = is_ending.wait_for(|is_ending| *is_ending).await;
+    }
+
     /// Serves one caller request and converts a refusal into its response.
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Response<ForwardBody> {
         let arrived_at = Instant::now();
@@ -280,8 +309,8 @@
             return Err(Refusal::new(ErrorKind::ConfigurationStale, "starting")
                 .with_retry_after_ms(STARTUP_RETRY_AFTER_MS));
         };
-        if self.phase.load(Ordering::Relaxed) == REFUSING {
-            return Err(Refusal::new(ErrorKind::Draining, "").with_retry_after_ms(0));
+        if self.is_refusing() {
+            return Err(draining_refusal());
         }
         let route = find_route(&table, &head)?;
         let Some(metadata) = self.dialect.read_request(&head) else {
@@ -425,6 +454,12 @@
     }
 }
 
+/// Returns the refusal of a request that was not sent to an endpoint before the process stops. Other
+/// processes can serve it at once.
+fn draining_refusal() -> Refusal {
+    Refusal::new(ErrorKind::Draining, "").with_retry_after_ms(0)
+}
+
 /// Returns whether a successful request is logged. Depends on the request id only, so that all
 /// processes sample the same requests.
 fn is_sampled(request_id: &str) -> bool {
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -16,7 +16,7 @@
 use slog::info;
 use tokio::time::{Instant, timeout_at};
 use wasabipoint_kernel::{
-    CustomerId, EndpointId, ErrorKind, ForwardRoute, ModelName, PromptPartId, Refusal, ServiceName,
+    CustomerId, EndpointId, ForwardRoute, ModelName, PromptPartId, Refusal, ServiceName,
 };
 use wasabipoint_rpc::EndpointView;
 
@@ -29,7 +29,7 @@
 };
 use super::response::{ForwardBody, strip_hop_by_hop_headers};
 use crate::quota::Reservation;
-use refusals::{promises_not_run, unproven_refusal};
+use refusals::{outcome_unknown_refusal, promises_not_run, unproven_refusal};
 
 /// Number of refusals by endpoints after which a request is refused to the caller.
 const MAX_REFUSALS: u32 = 3;
@@ -44,10 +44,6 @@
 /// Minimum time before such a failover, in milliseconds.
 const MIN_FAILOVER_TIMEOUT_MS: u64 = 1_200;
 
-/// Retry delay announced to refused callers, in milliseconds. The load is expected to have changed
-/// by then.
-const RETRY_AFTER_MS: u64 = 500;
-
 /// An admitted request.
 pub(crate) struct Call {
     pub(crate) forwarder: Arc<Forwarder>,
@@ -149,14 +145,36 @@
     in_flight: InFlightGuard,
 }
 
+/// A response to a request.
+enum Served {
+    /// A complete response.
+    Response(Response<ForwardBody>),
+    /// A stream that has started.
+    Stream(ActiveExchange),
+}
+
 impl Call {
     /// Serves the request and returns its response.
     pub(crate) async fn run(mut self) -> Result<Response<ForwardBody>, Refusal> {
+        let forwarder = Arc::clone(&self.forwarder);
+        let served = tokio::select! {
+            biased;
+            served = self.serve() => served?,
+            () = forwarder.wait_until_ending() => return Err(self.drain_refusal()),
+        };
+        match served {
+            Served::Response(response) => Ok(response),
+            Served::Stream(active) => Ok(self.relay(active)),
+        }
+    }
+
+    /// Sends the request to endpoints until one of them responds to it.
+    async fn serve(&mut self) -> Result<Served, Refusal> {
         loop {
             let active = self.dispatch().await?;
             let status = active.started.head.status;
             if self.route.run_policy.is_stream() && status == StatusCode::OK {
-                return Ok(self.relay(active));
+                return Ok(Served::Stream(active));
             }
             let endpoint = active.in_flight.endpoint.clone();
             let pool = &self.forwarder.pool;
@@ -177,7 +195,7 @@
                         return Err(unproven_refusal(status));
                     }
                     self.log_response_end(&endpoint, status);
-                    return Ok(buffered_response(head, body));
+                    return Ok(Served::Response(buffered_response(head, body)));
                 }
                 Ok(Err(failure)) => {
                     self.record_failure(&endpoint, &failure);
@@ -195,6 +213,7 @@
         loop {
             let selected = self.find_endpoint().await?;
             self.check_quarantine()?;
+            self.check_drain()?;
             self.log_end_of_pause(&selected);
             let endpoint = selected.endpoint.clone();
             self.attempts.tried.insert(endpoint.id.clone());
@@ -549,43 +568,6 @@
             .saturating_duration_since(Instant::now());
         remaining.as_millis() as u64
     }
-
-    /// Returns the refusal of a request that cannot be served now. Its outcome is unknown if an
-    /// earlier attempt may have run.
-    fn unavailable_refusal(&self, detail: &str) -> Refusal {
-        if self.attempts.executions > 0 {
-            return outcome_unknown_refusal(detail);
-        }
-        Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after_ms(RETRY_AFTER_MS)
-    }
-
-    /// Returns the refusal of a request that the endpoints turned away, with the end of their pauses if
-    /// all of them pause.
-    fn full_refusal(&self) -> Refusal {
-        let refusal = self.unavailable_refusal("the endpoints are full");
-        match self.all_ready_in() {
-            Some(ready_in) if self.attempts.executions == 0 => refusal.with_retry_after(ready_in),
-            _ => refusal,
-        }
-    }
-
-    /// Returns the refusal of a request that reached its deadline.
-    fn timeout_refusal(&self) -> Refusal {
-        if self.attempts.executions == 0 {
-            return Refusal::new(ErrorKind::DeadlineUnreachable, "not started in time")
-                .with_retry_after_ms(RETRY_AFTER_MS);
-        }
-        Refusal::new(
-            ErrorKind::DeadlineExceeded,
-            "the endpoint did not answer in time",
-        )
-        .with_run_state(wasabipoint_kernel::RunState::Unknown)
-    }
-}
-
-/// Returns the refusal of a request that may have run and whose result is lost.
-fn outcome_unknown_refusal(detail: &str) -> Refusal {
-    Refusal::new(ErrorKind::OutcomeUnknown, detail)
 }
 
 fn buffered_response(mut head: http::response::Parts, body: Bytes) -> Response<ForwardBody> {
--- a/crates/wasabipoint_entry/src/forward/call/prompts.rs
+++ b/crates/wasabipoint_entry/src/forward/call/prompts.rs
@@ -8,7 +8,8 @@
 use wasabipoint_kernel::{PromptPartId, Refusal};
 use wasabipoint_rpc::EndpointView;
 
-use super::{Call, outcome_unknown_refusal};
+use super::Call;
+use super::refusals::outcome_unknown_refusal;
 use crate::forward::exchange::ResponseFailure;
 
 /// Time from the first event of a response after which its prompt did not crash the engine. Others
--- a/crates/wasabipoint_entry/src/forward/call/refusals.rs
+++ b/crates/wasabipoint_entry/src/forward/call/refusals.rs
@@ -1,9 +1,69 @@
 //! Refusals of requests, and what they promise to callers.
 
 use http::StatusCode;
-use wasabipoint_kernel::Refusal;
+use wasabipoint_kernel::{ErrorKind, Refusal, RunState};
 
-use super::outcome_unknown_refusal;
+use super::Call;
+use crate::forward::draining_refusal;
+
+/// Retry delay announced to refused callers, in milliseconds. The load is expected to have changed
+/// by then.
+const RETRY_AFTER_MS: u64 = 500;
+
+impl Call {
+    /// Returns the refusal of a request that cannot be served now. Its outcome is unknown if an
+    /// earlier attempt may have run.
+    pub(super) fn unavailable_refusal(&self, detail: &str) -> Refusal {
+        if self.attempts.executions > 0 {
+            return outcome_unknown_refusal(detail);
+        }
+        Refusal::new(ErrorKind::NoEndpoint, detail).with_retry_after_ms(RETRY_AFTER_MS)
+    }
+
+    /// Returns the refusal of a request that the endpoints turned away, with the end of their pauses if
+    /// all of them pause.
+    pub(super) fn full_refusal(&self) -> Refusal {
+        let refusal = self.unavailable_refusal("the endpoints are full");
+        match self.all_ready_in() {
+            Some(ready_in) if self.attempts.executions == 0 => refusal.with_retry_after(ready_in),
+            _ => refusal,
+        }
+    }
+
+    /// Returns the refusal of a request that reached its deadline.
+    pub(super) fn timeout_refusal(&self) -> Refusal {
+        if self.attempts.executions == 0 {
+            return Refusal::new(ErrorKind::DeadlineUnreachable, "not started in time")
+                .with_retry_after_ms(RETRY_AFTER_MS);
+        }
+        Refusal::new(
+            ErrorKind::DeadlineExceeded,
+            "the endpoint did not answer in time",
+        )
+        .with_run_state(RunState::Unknown)
+    }
+
+    /// Refuses a request that was not sent to an endpoint yet, once the drain leaves too little time.
+    pub(super) fn check_drain(&self) -> Result<(), Refusal> {
+        if self.forwarder.is_refusing() && self.attempts.executions == 0 {
+            return Err(draining_refusal());
+        }
+        Ok(())
+    }
+
+    /// Returns the refusal of a request that has no response when the process is about to exit.
+    pub(super) fn drain_refusal(&self) -> Refusal {
+        if self.attempts.executions > 0 {
+            return outcome_unknown_refusal("the process stops before the endpoint answered");
+        }
+        draining_refusal()
+    }
+}
+
+/// Returns the refusal of a request that may have run and whose result is lost.
+pub(super) fn outcome_unknown_refusal(detail: &str) -> Refusal {
+    Refusal::new(ErrorKind::OutcomeUnknown, detail)
+}
 
 /// Returns the refusal of an at-most-once request that an endpoint answered with a status for "not
 /// run" without stating that it did not run the request. The caller would send the request again if
--- a/crates/wasabipoint_entry/src/forward/server.rs
+++ b/crates/wasabipoint_entry/src/forward/server.rs
@@ -154,13 +154,20 @@
     socket.listen(BACKLOG)
 }
 
+/// Longest time for which a draining process accepts requests. The load balancer stops sending new
+/// connections after two failed readiness checks, one second apart; whatever is accepted later has less
+/// time to end within the grace period.
+const MAX_ACCEPT_TIME: Duration = Duration::from_millis(2_800);
+
 /// Phases of a graceful shutdown, measured from the stop signal.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct DrainSchedule {
-    /// Time after which new requests on open connections are refused.
+    /// Time after which requests that were not sent to an endpoint yet are refused.
     pub(crate) refuse_after: Duration,
     /// Time after which no connection is accepted and open ones are closed once idle.
     pub(crate) close_after: Duration,
+    /// Time at which requests without a response are answered.
+    pub(crate) answer_after: Duration,
     /// Maximum duration of the drain. The process then exits even with open connections.
     pub(crate) max_duration: Duration,
 }
@@ -169,15 +176,16 @@
     /// Divides the grace period of the platform into phases.
     pub(crate) fn new(grace: Duration) -> Self {
         Self {
-            refuse_after: grace.mul_f64(0.35),
+            refuse_after: grace.mul_f64(0.35).min(MAX_ACCEPT_TIME),
             close_after: grace.mul_f64(0.6),
+            answer_after: grace.mul_f64(0.9),
             max_duration: grace.mul_f64(0.95),
         }
     }
 }
 
-/// Drains the process: reports not ready at once but keeps serving, later refuses new requests, and
-/// finally closes connections.
+/// Drains the process: reports not ready at once but keeps serving, later refuses new requests, closes
+/// connections, and finally answers the requests that still have no response.
 pub(crate) async fn drain(
     forwarder: &Forwarder,
     schedule: DrainSchedule,
@@ -189,4 +197,6 @@
     forwarder.begin_refusing();
     tokio::time::sleep_until(drain_start + schedule.close_after).await;
     closing_sender.send_replace(true);
+    tokio::time::sleep_until(drain_start + schedule.answer_after).await;
+    forwarder.answer_pending_requests();
 }
