Test changes after each control disk was full in turn

Nine turns with real files, the leader of the moment among them: all later changes are acknowledged.

--- a/crates/wasabipoint_consensus/tests/driver.rs
+++ b/crates/wasabipoint_consensus/tests/driver.rs
@@ -272,3 +272,54 @@
     let other_members: Vec<u64> = (1..=3).filter(|other| *other != id).collect();
     [other_members[0], other_members[1]]
 }
+
+/// Proposes values to whoever leads, each until it is acknowledged or its outcome is unknown.
+async fn propose_until(cluster: &Cluster, end: Instant, next_value: &mut u64) {
+    while Instant::now() < end {
+        if let Some(leader) = cluster.current_leader() {
+            let handle = cluster.handle(leader);
+            let proposed = handle.propose(next_value.to_le_bytes().to_vec());
+            // A proposal at a full disk waits; the next one follows it.
+            let _ = timeout(Duration::from_millis(100), proposed).await;
+            *next_value += 1;
+        }
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// The disks are full one after another, among them that of the leader of the moment, while changes
+/// come. Guards against a cluster that acknowledges no change long after the last disk has room again,
+/// because a member remembers that its disk was full. Uses the real clock: writes at a full disk are
+/// retried by a thread.
+#[tokio::test]
+async fn changes_are_acknowledged_after_each_disk_was_full_in_turn() {
+    const FULL_TIME: Duration = Duration::from_millis(700);
+    const ROOM_TIME: Duration = Duration::from_millis(400);
+    const ACKNOWLEDGE_TIME: Duration = Duration::from_secs(5);
+    let cluster = Cluster::start(3).await;
+    let mut next_value = 0;
+    for turn in 0..9 {
+        let leader = cluster.leader().await;
+        let id = if turn < 3 { leader } else { turn % 3 + 1 };
+        cluster.set_disk_full(id, true);
+        propose_until(&cluster, Instant::now() + FULL_TIME, &mut next_value).await;
+        cluster.set_disk_full(id, false);
+        propose_until(&cluster, Instant::now() + ROOM_TIME, &mut next_value).await;
+    }
+    for _ in 0..20 {
+        next_value += 1;
+        let acknowledged = async {
+            loop {
+                let leader = cluster.leader().await;
+                if cluster.append(leader, next_value).await.is_ok() {
+                    return;
+                }
+            }
+        };
+        let in_time = timeout(ACKNOWLEDGE_TIME, acknowledged).await;
+        assert!(in_time.is_ok(), "change {next_value} is not acknowledged");
+    }
+    let count = cluster.values(cluster.leader().await).len();
+    cluster.wait_applied(count).await;
+    cluster.stop_all().await;
+}
--- a/crates/wasabipoint_consensus/tests/driver/cluster.rs
+++ b/crates/wasabipoint_consensus/tests/driver/cluster.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -86,6 +86,7 @@
     state_machines: BTreeMap<u64, Arc<Mutex<ValueList>>>,
     disk_limits: BTreeMap<u64, u64>,
     disk_operations: BTreeMap<u64, Arc<AtomicU64>>,
+    full_disks: BTreeMap<u64, Arc<AtomicBool>>,
 }
 
 impl Drop for Cluster {
@@ -105,6 +106,7 @@
             state_machines: BTreeMap::new(),
             disk_limits: BTreeMap::new(),
             disk_operations: BTreeMap::new(),
+            full_disks: BTreeMap::new(),
         }
     }
 
@@ -157,7 +159,11 @@
     fn disk_hook(&mut self, id: u64) -> DiskHook {
         let operations = self.count_disk_operations(id);
         let limit = self.disk_limits.get(&id).copied().unwrap_or(u64::MAX);
+        let is_full = Arc::clone(self.full_disks.entry(id).or_default());
         Box::new(move |_| {
+            if is_full.load(Ordering::Relaxed) {
+                return Err(io::Error::from(io::ErrorKind::StorageFull));
+            }
             if operations.fetch_add(1, Ordering::Relaxed) >= limit {
                 return Err(io::Error::from(io::ErrorKind::ReadOnlyFilesystem));
             }
@@ -173,6 +179,11 @@
         self.disk_limits.insert(id, operations);
     }
 
+    /// Takes all room from the disk of a member, or gives it back.
+    pub(crate) fn set_disk_full(&self, id: u64, is_full: bool) {
+        self.full_disks[&id].store(is_full, Ordering::Relaxed);
+    }
+
     pub(crate) fn repair_disk(&mut self, id: u64) {
         self.disk_limits.remove(&id);
     }
@@ -249,6 +260,14 @@
         leader
     }
 
+    /// Returns the member that leads now, if there is one.
+    pub(crate) fn current_leader(&self) -> Option<u64> {
+        let network = self.network.lock().unwrap();
+        let mut handles = network.handles.iter();
+        let leading = handles.find(|(_, handle)| handle.status().role == Role::Leader);
+        leading.map(|(id, _)| *id)
+    }
+
     pub(crate) async fn wait_applied(&self, count: usize) {
         let is_applied =
             |state_machine: &Arc<Mutex<ValueList>>| state_machine.lock().unwrap().0.len() >= count;
