--- a/crates/wasabipoint_control/src/quarantine.rs
+++ b/crates/wasabipoint_control/src/quarantine.rs
@@ -1,5 +1,5 @@
-//! Quarantine of requests and prompt parts that crash endpoints, decided by the leader from the reports of all entry
-//! processes.
+//! Quarantine of requests and prompt parts that crash endpoints, decided by the leader from the reports
+//! of all entry processes.
 
 mod tracker;
 
