Review case 6: no leader for good after one lost disk beside a replacement

Cause: a learner that alone holds the newest log never campaigns (may_campaign), and refuses its vote to the member that counts it as a voter by a promotion that nobody else has got. With one disk lost none of the others can win either.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -3,6 +3,7 @@
 mod flood;
 mod large_bodies;
 mod list_entry;
+mod no_leader;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
@@ -19,6 +20,7 @@
         "flood-head" => flood::run(flood::Place::Head, has_trouble, record),
         "flood-body" => flood::run(flood::Place::Body, has_trouble, record),
         "large-bodies" => large_bodies::run(has_trouble, record),
+        "no-leader" => no_leader::run(has_trouble, record),
         "list-entry" => list_entry::run(has_trouble, record),
         _ => Err(format!("unknown case {case}")),
     }
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -35,6 +35,9 @@
     pub listing: Listing,
     children: Vec<(String, Child)>,
     record: Record,
+    seeds: String,
+    rpc_port: u16,
+    platform: SocketAddr,
 }
 
 #[derive(Clone, Copy)]
@@ -97,7 +100,10 @@
         let cores: Vec<IpAddr> = (11..14_u8)
             .map(|last| Ipv4Addr::new(127, 0, 0, last).into())
             .collect();
-        let (rpc_port, http_port) = (free_port(&cores)?, free_port(&cores)?);
+        // A machine that is added later has the next address.
+        let mut addresses = cores.clone();
+        addresses.push(Ipv4Addr::new(127, 0, 0, 14).into());
+        let (rpc_port, http_port) = (free_port(&addresses)?, free_port(&addresses)?);
         let control_http: Vec<SocketAddr> =
             cores.iter().map(|ip| (*ip, http_port).into()).collect();
         let seeds: Vec<String> = control_http.iter().map(SocketAddr::to_string).collect();
@@ -109,19 +115,12 @@
             listing,
             children: Vec::new(),
             record: record.clone(),
+            seeds: seeds.clone(),
+            rpc_port,
+            platform,
         };
         for (index, address) in control_http.iter().enumerate() {
-            let data = folder.join(format!("core-{index}"));
-            fs::create_dir_all(&data)?;
-            let settings = format!(
-                "[control]\nnode = core-{index}\nfailure_domain = tanta\nseeds = {seeds}\n\
-                 rpc_port = {rpc_port}\nhttp_listen = {address}\nfirst_start = yes\n\
-                 data_folder = {}\ndirectory = {platform}\ncommand_lease_ms = 0\n\
-                 quota_window_s = 8\nquota_overshoot = 0.1\nquota_slack = 7500\n\
-                 cold_over =\ncold_slack =\n",
-                data.display()
-            );
-            fleet.spawn(&format!("core-{index}"), CONTROL_PROGRAM, &settings)?;
+            fleet.start_member(index, *address, true)?;
         }
         for index in 0..entry_count {
             let ip: IpAddr = Ipv4Addr::new(127, 0, 0, 31 + index as u8).into();
@@ -141,10 +140,56 @@
         Ok(fleet)
     }
 
+    /// Starts a control member. A new machine has an empty disk and joins, unless it is the first start
+    /// of the system.
+    pub fn start_member(
+        &mut self,
+        index: usize,
+        address: SocketAddr,
+        is_first_start: bool,
+    ) -> io::Result<()> {
+        let data = self.folder.join(format!("core-{index}"));
+        fs::create_dir_all(&data)?;
+        let settings = format!(
+            "[control]\nnode = core-{index}\nfailure_domain = tanta\nseeds = {}\n\
+             rpc_port = {}\nhttp_listen = {address}\nfirst_start = {}\n\
+             data_folder = {}\ndirectory = {}\ncommand_lease_ms = 0\n\
+             quota_window_s = 8\nquota_overshoot = 0.1\nquota_slack = 7500\n\
+             cold_over =\ncold_slack =\n",
+            self.seeds,
+            self.rpc_port,
+            if is_first_start { "yes" } else { "no" },
+            data.display(),
+            self.platform
+        );
+        self.spawn(&format!("core-{index}"), CONTROL_PROGRAM, &settings)
+    }
+
+    /// Starts an entry process again with its settings.
+    pub fn restart_entry(&mut self, index: usize) -> io::Result<()> {
+        let name = format!("front-{index}");
+        let settings = fs::read_to_string(self.folder.join(format!("{name}.ini")))?;
+        self.spawn(&name, ENTRY_PROGRAM, &settings)
+    }
+
+    /// Empties the disk of a control member that does not run.
+    pub fn lose_disk(&self, index: usize) -> io::Result<()> {
+        self.record.line(&format!("core-{index} loses its disk"));
+        fs::remove_dir_all(self.folder.join(format!("core-{index}")))
+    }
+
+    /// Returns lines of a process's log that contain a text.
+    pub fn log_lines(&self, name: &str, text: &str) -> Vec<String> {
+        let log = fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default();
+        let lines = log.lines().filter(|line| line.contains(text));
+        lines.map(str::to_owned).collect()
+    }
+
     fn spawn(&mut self, name: &str, program: &str, settings: &str) -> io::Result<()> {
         let path = self.folder.join(format!("{name}.ini"));
         fs::write(&path, settings)?;
-        let output = fs::File::create(self.folder.join(format!("{name}.log")))?;
+        let log = self.folder.join(format!("{name}.log"));
+        let output = fs::File::options().create(true).append(true).open(log)?;
         let child = Command::new(program)
             .env_clear()
             .env("PATH", std::env::var("PATH").unwrap_or_default())
@@ -154,6 +199,7 @@
             .stderr(output)
             .spawn()?;
         self.record.line(&format!("started {name}: {program}"));
+        self.children.retain(|(known, _)| known != name);
         self.children.push((name.to_owned(), child));
         Ok(())
     }
