Know the software version of endpoints, and record take-ups and resumed streams

The records could not tell whether streams of two software versions were joined by the entry process itself, by a take-up of the caller, or because a version was outdated: no record named a version or a take-up.

Change: the version of the platform's list is part of the endpoint in the fleet view. "routing: attempt" names version, last event and the resumed attempt, and is written for every attempt that resumes a stream; "routing: stream resumed" is new.

--- a/crates/wasabipoint_control/src/directory.rs
+++ b/crates/wasabipoint_control/src/directory.rs
@@ -108,7 +108,8 @@
         info!(control.logger, "control: endpoint changed"; "endpoint" => %endpoint.id,
             "incarnation" => endpoint.incarnation.0, "address" => %endpoint.address,
             "service" => %endpoint.service, "is_leaving" => endpoint.is_leaving,
-            "models" => endpoint.models.len());
+            "models" => endpoint.models.len(),
+            "software_version" => %endpoint.software_version);
     }
     for endpoint in &changes.removed {
         info!(control.logger, "control: endpoint gone"; "endpoint" => %endpoint);
--- a/crates/wasabipoint_control/src/lib.rs
+++ b/crates/wasabipoint_control/src/lib.rs
@@ -38,9 +38,9 @@
 pub use server::{ControlConfig, ControlServer, ControlStartError, PlatformIntegration};
 pub use state::{
     Bucket, ClaimState, Command, CommandOutcome, ConfigBody, ConfigChange, ConfigState,
-    ControlState, DeploymentRecord, EndpointChanges, FleetState, GrantPhase, GrantRecord,
-    GrantRequest, LastExchange, MemberAddresses, QuotaState, RateAllowance, Registration,
-    SliceRecord, StampedCommand, VmState,
+    ControlState, DeploymentRecord, EarlierEndpointChanges, EndpointChanges, FleetState,
+    GrantPhase, GrantRecord, GrantRequest, LastExchange, MemberAddresses, QuotaState,
+    RateAllowance, Registration, SliceRecord, StampedCommand, VmState,
 };
 pub use state_machine::ControlStateMachine;
 pub use stores::{OperatorStores, StoreError};
--- a/crates/wasabipoint_control/src/state.rs
+++ b/crates/wasabipoint_control/src/state.rs
@@ -24,7 +24,7 @@
 
 pub use claims::ClaimState;
 pub use config::ConfigState;
-pub use deployment::{DeploymentRecord, EndpointChanges, RateAllowance};
+pub use deployment::{DeploymentRecord, EarlierEndpointChanges, EndpointChanges, RateAllowance};
 pub use fleet::{FleetState, GrantPhase, GrantRecord, GrantRequest, Registration};
 pub use quota::{Bucket, LastExchange, QuotaState, SliceRecord};
 
@@ -144,8 +144,8 @@
             /// What customers may use beyond their rate and burst.
             allowance: RateAllowance,
         },
-        /// Adds, changes and removes endpoints of the fleet view.
-        ChangeEndpoints(EndpointChanges),
+        /// Adds, changes and removes endpoints of the fleet view, in the layout of earlier releases.
+        ChangeEarlierEndpoints(EarlierEndpointChanges),
         /// Quarantines a prompt part, or changes its probe.
         PutQuarantine(Box<QuarantinedPart>),
         /// Ends the quarantine of a prompt part.
@@ -163,6 +163,8 @@
         TakeOutOfService(FailureDomain),
         /// Returns a failure domain to service.
         ReturnToService(FailureDomain),
+        /// Adds, changes and removes endpoints of the fleet view.
+        ChangeEndpoints(EndpointChanges),
     }
 }
 
@@ -349,6 +351,7 @@
                 deployment,
                 allowance,
             } => self.apply_deployment(document, deployment, allowance),
+            Command::ChangeEarlierEndpoints(changes) => self.change_endpoints(changes.into()),
             Command::ChangeEndpoints(changes) => self.change_endpoints(changes),
             Command::PutQuarantine(quarantined) => self.put_quarantine(quarantined),
             Command::LiftQuarantine(part) => self.lift_quarantine(part),
--- a/crates/wasabipoint_control/src/state/deployment.rs
+++ b/crates/wasabipoint_control/src/state/deployment.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use wasabipoint_kernel::{Customer, CustomerId, Deployment, EndpointId, plain_data};
-use wasabipoint_rpc::{EndpointView, FleetChange};
+use wasabipoint_rpc::{EarlierEndpointView, EndpointView, FleetChange};
 
 use super::{CommandOutcome, ControlState};
 
@@ -56,6 +56,24 @@
     }
 }
 
+plain_data! {
+    data
+    /// Changes of the endpoints in the layout of earlier releases.
+    pub struct EarlierEndpointChanges {
+        put: Vec<EarlierEndpointView>,
+        removed: Vec<EndpointId>,
+    }
+}
+
+impl From<EarlierEndpointChanges> for EndpointChanges {
+    fn from(earlier: EarlierEndpointChanges) -> Self {
+        Self {
+            put: earlier.put.into_iter().map(EndpointView::from).collect(),
+            removed: earlier.removed,
+        }
+    }
+}
+
 impl ControlState {
     /// Applies a configuration if its version is higher than the current one.
     pub(super) fn apply_deployment(
--- a/crates/wasabipoint_control/src/state/fleet.rs
+++ b/crates/wasabipoint_control/src/state/fleet.rs
@@ -13,8 +13,8 @@
 use std::net::SocketAddr;
 
 use wasabipoint_kernel::{
-    EndpointId, ErrorKind, FailureDomain, FencingToken, Incarnation, ModelName, ServiceName, VmId,
-    plain_data,
+    EndpointId, ErrorKind, FailureDomain, FencingToken, Incarnation, ModelName, ServiceName,
+    SoftwareVersion, VmId, plain_data,
 };
 use wasabipoint_rpc::{
     AgentReport, EndpointKind, EndpointView, FencingMode, FleetChange, Grant, ReplicaReport,
@@ -520,6 +520,7 @@
             models,
             concurrency: registration.concurrency,
             is_leaving: registration.is_leaving,
+            software_version: SoftwareVersion::new(""),
         };
         if self.view.endpoints.get(endpoint) != Some(&view) {
             self.publish_change(FleetChange::PutEndpoint(Box::new(view)));
--- a/crates/wasabipoint_control/src/state_machine.rs
+++ b/crates/wasabipoint_control/src/state_machine.rs
@@ -9,7 +9,7 @@
 use crate::state::{CommandOutcome, ControlState, StampedCommand};
 
 /// Version of the snapshot encoding, stored as the first byte.
-const SNAPSHOT_VERSION: u8 = 4;
+const SNAPSHOT_VERSION: u8 = 5;
 
 /// The replicated state, with notification of new revisions of the fleet view.
 pub struct ControlStateMachine {
@@ -72,6 +72,7 @@
     fn restore(&mut self, snapshot: &[u8]) -> Result<(), RestoreError> {
         let decoded = match snapshot.split_first() {
             Some((&SNAPSHOT_VERSION, encoded)) => postcard::from_bytes(encoded),
+            Some((&earlier::VERSION_4, encoded)) => earlier::decode_version_4(encoded),
             Some((&earlier::VERSION_3, encoded)) => earlier::decode_version_3(encoded),
             Some((&earlier::VERSION_2, encoded)) => earlier::decode_version_2(encoded),
             _ => {
--- a/crates/wasabipoint_control/tests/cold_endpoints.rs
+++ b/crates/wasabipoint_control/tests/cold_endpoints.rs
@@ -5,7 +5,7 @@
 use wasabipoint_control::{ColdEndpoints, EndpointKey};
 use wasabipoint_kernel::{
     CallerLimits, ColdLimit, Deployment, EndpointId, FailureDomain, ForwardService, Incarnation,
-    ServiceName,
+    ServiceName, SoftwareVersion,
 };
 use wasabipoint_rpc::{ColdReport, EndpointKind, EndpointView, FleetView};
 
@@ -25,6 +25,7 @@
         models: Vec::new(),
         concurrency: 32,
         is_leaving: false,
+        software_version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/wasabipoint_control/tests/engine_changes.rs
+++ b/crates/wasabipoint_control/tests/engine_changes.rs
@@ -24,7 +24,7 @@
 };
 use wasabipoint_kernel::{
     CallerLimits, Deployment, EndpointId, EngineModel, EngineSpec, EntryId, FailureDomain,
-    ForwardService, Incarnation, MemberId, ModelName, ServiceName,
+    ForwardService, Incarnation, MemberId, ModelName, ServiceName, SoftwareVersion,
 };
 use wasabipoint_rpc::{
     AdapterReply, AdapterRequest, ControlClient, ControlError, EndpointKind, EndpointView,
@@ -67,6 +67,7 @@
             models: names(listed),
             concurrency: 64,
             is_leaving: false,
+            software_version: SoftwareVersion::new("v1"),
         });
         let states = engines.iter().map(|(id, _, loaded)| {
             let state = EngineState {
--- a/crates/wasabipoint_control/tests/state_machine/snapshots.rs
+++ b/crates/wasabipoint_control/tests/state_machine/snapshots.rs
@@ -366,8 +366,79 @@
     assert_is_earlier_deployment(state.view.deployment.as_ref().unwrap());
 }
 
+/// An endpoint as releases up to snapshot version 4 encode it.
+fn earlier_endpoint() -> impl serde::Serialize {
+    const ENGINE: u32 = 0;
+    let address: std::net::SocketAddr = "10.1.0.7:8080".parse().unwrap();
+    let models = vec!["chat", "chat/a1"];
+    let place = ("east", ENGINE, "app");
+    ("engine-7", 3_u64, address, place, models, 48_u32, true)
+}
+
+fn assert_is_earlier_endpoint(endpoint: &EndpointView) {
+    assert_eq!(endpoint.id.as_str(), "engine-7");
+    assert_eq!(endpoint.incarnation, Incarnation(3));
+    assert_eq!(endpoint.address.port(), 8080);
+    assert_eq!(endpoint.failure_domain.as_str(), "east");
+    assert_eq!(endpoint.service.as_str(), "app");
+    assert_eq!(endpoint.models.len(), 2);
+    assert!(endpoint.concurrency == 48 && endpoint.is_leaving);
+    assert_eq!(endpoint.software_version.as_str(), "");
+}
+
+/// Guards against endpoints in the log of the previous release that are lost or misread.
+#[test]
+fn endpoints_in_the_log_of_an_earlier_release_are_applied() {
+    const CHANGE_EARLIER_ENDPOINTS: u32 = 14;
+    let changes = (vec![earlier_endpoint()], Vec::<String>::new());
+    let command = (5_u64, CHANGE_EARLIER_ENDPOINTS, changes);
+    let mut machine = ControlStateMachine::new();
+    machine.apply(1, &postcard::to_stdvec(&command).unwrap());
+    let endpoints = &machine.state().view.endpoints;
+    assert_is_earlier_endpoint(endpoints.values().next().unwrap());
+}
+
 /// Guards against a data folder of the previous release that loses state or is refused.
 #[test]
+fn snapshots_of_encoding_version_4_are_restored() {
+    const EARLIER_ENDPOINT: u32 = 5;
+    let mut state = ControlState::new();
+    for change in 0..20 {
+        apply(&mut state, u64::from(change), add_key(change));
+    }
+    let domain = Command::TakeOutOfService(FailureDomain::new("east"));
+    apply(&mut state, 20, domain);
+    let view = &state.view;
+    let revision = view.revision + 1;
+    let changes = vec![(revision, EARLIER_ENDPOINT, earlier_endpoint())];
+    let encoded = postcard::to_stdvec(&(
+        (state.time_ms, &state.config, &state.fleet, &state.quota),
+        (&state.claims, &state.profile, &state.members),
+        &state.deployment,
+        (revision, view.config_version, &view.inventory, &view.rules),
+        (
+            &view.keys,
+            BTreeMap::from([("engine-7", earlier_endpoint())]),
+        ),
+        (&view.deployment, &view.quarantine, &view.out_of_service),
+        changes,
+    ));
+    let mut snapshot = vec![4];
+    snapshot.extend(encoded.unwrap());
+    let mut machine = ControlStateMachine::new();
+    machine.restore(&snapshot).unwrap();
+    let restored = machine.state();
+    assert_eq!(restored.view.keys, view.keys);
+    assert_eq!(restored.view.out_of_service, view.out_of_service);
+    let endpoint = restored.view.endpoints.values().next();
+    assert_is_earlier_endpoint(endpoint.unwrap());
+    let mut caller_view = view.clone();
+    update_view(&mut caller_view, restored);
+    assert_eq!(caller_view, restored.view);
+}
+
+/// Guards against a data folder of an earlier release that loses state or is refused.
+#[test]
 fn snapshots_of_encoding_version_3_are_restored() {
     const EARLIER_DEPLOYMENT: u32 = 7;
     let mut state = ControlState::new();
--- a/crates/wasabipoint_entry/examples/select_cost.rs
+++ b/crates/wasabipoint_entry/examples/select_cost.rs
@@ -6,7 +6,9 @@
 use std::time::Instant;
 
 use wasabipoint_entry::{Endpoints, ReportedLoad, SelectionCriteria};
-use wasabipoint_kernel::{EndpointId, FailureDomain, Incarnation, ModelName, ServiceName};
+use wasabipoint_kernel::{
+    EndpointId, FailureDomain, Incarnation, ModelName, ServiceName, SoftwareVersion,
+};
 use wasabipoint_policy::RequestWork;
 use wasabipoint_rpc::{EndpointKind, EndpointView};
 
@@ -28,6 +30,7 @@
             models: vec![ModelName::new("model-1"), ModelName::new("model-2")],
             concurrency: 28,
             is_leaving: false,
+            software_version: SoftwareVersion::new("v1"),
         };
         views.insert(id, view);
     }
--- a/crates/wasabipoint_entry/src/forward/call/records.rs
+++ b/crates/wasabipoint_entry/src/forward/call/records.rs
@@ -11,6 +11,9 @@
 use crate::forward::exchange::ExchangeOutcome;
 use crate::forward::is_sampled;
 
+/// Maximum length of a request id in a record, in characters.
+const MAX_LOGGED_ID_CHARS: usize = 64;
+
 impl Call {
     pub(super) fn log_attempt(
         &self,
@@ -32,7 +35,8 @@
         };
         let outcome = match outcome {
             Some(ExchangeOutcome::Started(started)) if started.head.status.is_success() => {
-                if !is_sampled(&self.metadata.request_id) {
+                let is_resumed = self.metadata.last_event_id.is_some();
+                if !is_resumed && !is_sampled(&self.metadata.request_id) {
                     return;
                 }
                 "started".to_owned()
@@ -59,6 +63,9 @@
             "model" => self.metadata.model.as_ref().map(ModelName::as_str),
             "endpoint" => %selected.endpoint.id,
             "incarnation" => selected.endpoint.incarnation.0,
+            "software_version" => %selected.endpoint.software_version,
+            "resumes" => self.resumes_for_log(),
+            "last_event_id" => self.metadata.last_event_id,
             "connection" => connection, "is_not_run_stated" => is_stated,
             "load" => selected.load, "candidates" => selected.candidates,
             "speed" => selected.work.map(|work| (work.speed * 100.0).round() / 100.0),
@@ -139,6 +146,15 @@
             "elapsed_ms" => self.arrived_at.elapsed().as_millis() as u64, "is_late" => is_late);
     }
 
+    /// Logs that a stream which broke off at one endpoint goes on at another one.
+    pub(super) fn log_stream_resumed(&self, from: &EndpointView, to: &EndpointView) {
+        info!(self.forwarder.logger, "routing: stream resumed";
+            "request" => &self.metadata.request_id, "endpoint" => %to.id,
+            "software_version" => %to.software_version, "broken_at" => %from.id,
+            "broken_version" => %from.software_version,
+            "last_event_id" => self.metadata.last_event_id);
+    }
+
     pub(super) fn log_caller_disconnected(&self, endpoint: &EndpointView) {
         self.forwarder.metrics.count_outcome("caller_left");
         info!(self.forwarder.logger, "routing: caller disconnected";
@@ -151,10 +167,17 @@
         self.forwarder.metrics.count_outcome("broken_off");
         warn!(self.forwarder.logger, "routing: stream aborted";
             "request" => &self.metadata.request_id, "endpoint" => %endpoint.id,
+            "software_version" => %endpoint.software_version,
             "detail" => detail, "elapsed_ms" => self.arrived_at.elapsed().as_millis() as u64,
             "events" => self.attempts.events, "parts" => self.parts_for_log());
     }
 
+    /// Returns the id of the attempt that the caller resumes, cut to a bounded length.
+    pub(super) fn resumes_for_log(&self) -> Option<String> {
+        let id = self.metadata.resumes.as_deref()?;
+        Some(id.chars().take(MAX_LOGGED_ID_CHARS).collect())
+    }
+
     /// Returns the ids of the request's prompt parts in order, in hexadecimal, separated by commas.
     pub(super) fn parts_for_log(&self) -> String {
         let parts = self.metadata.prompt_parts.iter();
--- a/crates/wasabipoint_entry/src/forward/call/relay.rs
+++ b/crates/wasabipoint_entry/src/forward/call/relay.rs
@@ -105,6 +105,7 @@
                         self.log_stream_aborted(&next.in_flight.endpoint, &detail);
                         return;
                     }
+                    self.log_stream_resumed(&endpoint, &next.in_flight.endpoint);
                     active = next;
                 }
                 Err(refusal) => {
--- a/crates/wasabipoint_entry/src/forward/dialect.rs
+++ b/crates/wasabipoint_entry/src/forward/dialect.rs
@@ -21,6 +21,8 @@
     pub prompt_parts: Vec<(u64, u64)>,
     /// Id of the last event that the caller received.
     pub last_event_id: Option<u64>,
+    /// Request id of the caller's attempt that brought the first event of the stream that it takes up.
+    pub resumes: Option<String>,
 }
 
 impl RequestMetadata {
--- a/crates/wasabipoint_entry/tests/cold_endpoints.rs
+++ b/crates/wasabipoint_entry/tests/cold_endpoints.rs
@@ -5,7 +5,7 @@
 use wasabipoint_entry::{Endpoints, HomeRegions, ReportedLoad, SelectionCriteria};
 use wasabipoint_kernel::{
     CallerLimits, ColdLimit, Deployment, EndpointId, FailureDomain, ForwardService, Incarnation,
-    ServiceName,
+    ServiceName, SoftwareVersion,
 };
 use wasabipoint_rpc::{ColdDirective, EndpointKind, EndpointView, FleetView, LimitDirective};
 
@@ -24,6 +24,7 @@
         models: Vec::new(),
         concurrency: 32,
         is_leaving: false,
+        software_version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/wasabipoint_entry/tests/endpoint_choice.rs
+++ b/crates/wasabipoint_entry/tests/endpoint_choice.rs
@@ -6,7 +6,7 @@
 use wasabipoint_entry::{Endpoints, ReportedLoad, SelectionCriteria};
 use wasabipoint_kernel::{
     CallerLimits, Deployment, EndpointId, EngineSpec, FailureDomain, ForwardService, Incarnation,
-    ModelName, ServiceName,
+    ModelName, ServiceName, SoftwareVersion,
 };
 use wasabipoint_policy::{LoadEstimate, RequestWork, choose_lowest_cost, mean_load};
 use wasabipoint_rpc::{EndpointKind, EndpointView, SpeedDirective};
@@ -24,6 +24,7 @@
         models: vec![ModelName::new("m")],
         concurrency: SLOTS,
         is_leaving: false,
+        software_version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/wasabipoint_entry/tests/entry/harness.rs
+++ b/crates/wasabipoint_entry/tests/entry/harness.rs
@@ -12,7 +12,7 @@
 use wasabipoint_http::{BodyError, HttpResponse, OutgoingBody};
 use wasabipoint_kernel::{
     CustomerId, EndpointId, EntryId, FailureDomain, Incarnation, Inventory, KeyDigester, KeyId,
-    ModelName, Rules, ServiceName,
+    ModelName, Rules, ServiceName, SoftwareVersion,
 };
 use wasabipoint_rpc::{EndpointKind, EndpointView, FleetView, KeyRecord};
 
@@ -231,6 +231,7 @@
         models: vec![ModelName::new("small")],
         concurrency,
         is_leaving: false,
+        software_version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/wasabipoint_entry/tests/forward_policies.rs
+++ b/crates/wasabipoint_entry/tests/forward_policies.rs
@@ -13,7 +13,7 @@
 };
 use wasabipoint_kernel::{
     CallerLimits, Deployment, EndpointId, FailureDomain, ForwardRoute, Incarnation, ModelName,
-    RouteName, RunPolicy, ServiceName,
+    RouteName, RunPolicy, ServiceName, SoftwareVersion,
 };
 use wasabipoint_policy::RequestWork;
 use wasabipoint_rpc::{EndpointKind, EndpointView, LimitDirective};
@@ -29,6 +29,7 @@
         models: models.iter().map(|model| ModelName::new(*model)).collect(),
         concurrency: 64,
         is_leaving: false,
+        software_version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
@@ -19,7 +19,7 @@
 use wasabipoint_kernel::{
     CallerLimits, CustomerId, Deployment, EndpointId, EntryId, FailureDomain, ForwardCustomer,
     ForwardRoute, ForwardService, Incarnation, KeyDigester, RateUnit, RouteName, RunPolicy,
-    ServiceName,
+    ServiceName, SoftwareVersion,
 };
 use wasabipoint_rpc::{
     ClaimOutcome, ClaimRequest, ControlError, EndpointKind, EndpointView, EntryDirective,
@@ -443,6 +443,7 @@
             models: Vec::new(),
             concurrency: 8,
             is_leaving: false,
+            software_version: SoftwareVersion::new("v1"),
         };
         fleet_view.endpoints.insert(id, listed);
     }
--- a/crates/wasabipoint_entry/tests/home_regions.rs
+++ b/crates/wasabipoint_entry/tests/home_regions.rs
@@ -3,7 +3,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use wasabipoint_entry::{Endpoints, HomeRegions, Regions, RequestLimit, SelectionCriteria};
-use wasabipoint_kernel::{EndpointId, FailureDomain, Incarnation, ModelName, Region, ServiceName};
+use wasabipoint_kernel::{
+    EndpointId, FailureDomain, Incarnation, ModelName, Region, ServiceName, SoftwareVersion,
+};
 use wasabipoint_rpc::{EndpointKind, EndpointView};
 
 const SERVICE: &str = "assistant";
@@ -19,6 +21,7 @@
         models: vec![ModelName::new("m")],
         concurrency: 16,
         is_leaving: false,
+        software_version: SoftwareVersion::new("v1"),
     }
 }
 
--- a/crates/wasabipoint_entry/tests/sockets.rs
+++ b/crates/wasabipoint_entry/tests/sockets.rs
@@ -21,7 +21,7 @@
 };
 use wasabipoint_kernel::{
     CustomerId, ENTRY_SETTINGS, EndpointId, FailureDomain, Incarnation, Inventory, KeyDigester,
-    KeyId, ModelName, Rules, ServiceName, Settings,
+    KeyId, ModelName, Rules, ServiceName, Settings, SoftwareVersion,
 };
 use wasabipoint_rpc::{
     AgentDirective, AgentReport, ClaimOutcome, ClaimRequest, ControlRefusal, ControlRpc,
@@ -231,6 +231,7 @@
         models: vec![ModelName::new("small")],
         concurrency: 4,
         is_leaving: false,
+        software_version: SoftwareVersion::new("v1"),
     };
     view.endpoints.insert(endpoint.id.clone(), endpoint);
     view
--- a/crates/wasabipoint_kernel/src/id.rs
+++ b/crates/wasabipoint_kernel/src/id.rs
@@ -80,6 +80,9 @@
     RouteName;
     /// A service, which one or more endpoints provide.
     ServiceName;
+    /// The version of an endpoint's software, not of its models. Versions have no order. Empty where
+    /// the platform states none.
+    SoftwareVersion;
 }
 
 number_id! {
--- a/crates/wasabipoint_kernel/src/lib.rs
+++ b/crates/wasabipoint_kernel/src/lib.rs
@@ -31,7 +31,7 @@
 pub use id::{
     AdapterName, ChangeId, ConfigVersion, CustomerId, EndpointId, EntryId, FailureDomain,
     FencingToken, Incarnation, KeyId, MemberId, ModelName, PromptPartId, Region, RequestId,
-    RouteName, ServiceName, VmId,
+    RouteName, ServiceName, SoftwareVersion, VmId,
 };
 pub use ini_document::{IniDocument, IniEntry, IniSection, SettingError, SettingErrors};
 pub use inventory::{Adapter, Customer, Inventory, InventoryChange, Model};
--- a/crates/wasabipoint_rpc/src/fleet.rs
+++ b/crates/wasabipoint_rpc/src/fleet.rs
@@ -1,14 +1,18 @@
 //! The fleet view of entry processes, and its updates.
 
+mod earlier;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use wasabipoint_kernel::{
     ConfigVersion, CustomerId, Deployment, EarlierDeployment, EndpointId, FailureDomain,
     Incarnation, Inventory, InventoryChange, KeyDigest, KeyId, ModelName, PromptPartId, Rules,
-    ServiceName, plain_data,
+    ServiceName, SoftwareVersion, plain_data,
 };
 
+pub use earlier::EarlierEndpointView;
+
 use crate::agent::EndpointKind;
 use crate::prompt::QuarantinedPart;
 
@@ -47,6 +51,8 @@
         pub concurrency: u32,
         /// Whether the endpoint is leaving and receives no new requests.
         pub is_leaving: bool,
+        /// Version of its software.
+        pub software_version: SoftwareVersion,
     }
 }
 
@@ -114,6 +120,10 @@
             FleetChange::RevokeKey(id) => {
                 self.keys.remove(id);
             }
+            FleetChange::EarlierEndpoint(endpoint) => {
+                let endpoint = EndpointView::from((**endpoint).clone());
+                self.endpoints.insert(endpoint.id.clone(), endpoint);
+            }
             FleetChange::PutEndpoint(endpoint) => {
                 self.endpoints
                     .insert(endpoint.id.clone(), (**endpoint).clone());
@@ -163,8 +173,8 @@
         PutKey(KeyRecord),
         /// A key was revoked.
         RevokeKey(KeyId),
-        /// An endpoint registered or changed.
-        PutEndpoint(Box<EndpointView>),
+        /// An endpoint registered or changed, in the layout of earlier releases.
+        EarlierEndpoint(Box<EarlierEndpointView>),
         /// An endpoint was removed.
         RemoveEndpoint(EndpointId),
         /// A complete configuration took effect, in the layout of earlier releases.
@@ -181,6 +191,8 @@
         TakeOutOfService(FailureDomain),
         /// The endpoints of a failure domain get requests again.
         ReturnToService(FailureDomain),
+        /// An endpoint registered or changed.
+        PutEndpoint(Box<EndpointView>),
     }
 }
 
--- a/crates/wasabipoint_rpc/src/lib.rs
+++ b/crates/wasabipoint_rpc/src/lib.rs
@@ -22,7 +22,8 @@
     QuotaSlice, QuotaTicket, QuotaVerdict, QuotaWait, SliceSettlement,
 };
 pub use fleet::{
-    EndpointView, FleetChange, FleetUpdate, FleetView, KeyRecord, WatchReply, WatchRequest,
+    EarlierEndpointView, EndpointView, FleetChange, FleetUpdate, FleetView, KeyRecord, WatchReply,
+    WatchRequest,
 };
 pub use frame::{
     CacheEvent, DispatchRequest, FrameDecoder, FrameError, FramePayload, LoadReport, Outcome,
--- a/crates/wasabipoint_testbed/tests/forwarding/engine.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/engine.rs
@@ -9,7 +9,9 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::sync::watch;
-use wasabipoint_kernel::{EndpointId, FailureDomain, Incarnation, ModelName, ServiceName};
+use wasabipoint_kernel::{
+    EndpointId, FailureDomain, Incarnation, ModelName, ServiceName, SoftwareVersion,
+};
 use wasabipoint_rpc::{EndpointKind, EndpointView};
 
 /// Name of the service that the engines provide.
@@ -245,6 +247,7 @@
             },
             concurrency: 16,
             is_leaving: false,
+            software_version: SoftwareVersion::new("v1"),
         }
     }
 
