Resume streams only at the software version that began them

Cause: the entry process resumes a broken stream at any endpoint with the model. The choice did not know software versions.

Evidence: a_stream_is_not_resumed_at_another_software_version and a_stream_is_resumed_at_its_own_software_version fail without the binding (the caller gets events of v1 and v1.1; the endpoint of the right version gets no request).

Change: a stream is bound to the version of the endpoint whose first event the caller gets. The version is a condition of eligibility, so that it binds every choice: retries, waits, permissions, hedges, adapters. Without an endpoint of the version in service the stream is aborted at once. endpoints_with_model takes the criteria of the request in place of some of them.

--- a/crates/wasabipoint_entry/examples/select_cost.rs
+++ b/crates/wasabipoint_entry/examples/select_cost.rs
@@ -66,6 +66,7 @@
             max_gap_ms: 200,
             latency_objective_ms: 450,
         },
+        software_version: None,
         random,
     };
     let selected = endpoints.select(&criteria(0), 1_100)?;
--- a/crates/wasabipoint_entry/src/forward.rs
+++ b/crates/wasabipoint_entry/src/forward.rs
@@ -419,6 +419,7 @@
             caller_deadline: arrived_at + Duration::from_millis(caller_timeout_ms),
             reservation,
             attempts: AttemptHistory::default(),
+            software_version: None,
             is_probe,
             _demand_guard: demand_guard,
             forwarder: self,
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -20,6 +20,7 @@
 use tokio::time::{Instant, timeout_at};
 use wasabipoint_kernel::{
     CustomerId, EndpointId, ForwardRoute, ModelName, PromptPartId, Refusal, Region, ServiceName,
+    SoftwareVersion,
 };
 use wasabipoint_rpc::EndpointView;
 
@@ -52,6 +53,8 @@
     pub(crate) caller_deadline: Instant,
     pub(crate) reservation: Option<Reservation>,
     pub(crate) attempts: AttemptHistory,
+    /// Software version that wrote the events of the stream that the caller has.
+    pub(crate) software_version: Option<SoftwareVersion>,
     /// Whether the request probes a quarantined prompt part, and is therefore sent only once.
     pub(crate) is_probe: bool,
     /// Counts the request as demand until the call is dropped.
@@ -234,6 +237,7 @@
             tried: &self.attempts.tried,
             work: self.request_work(),
             homes: self.homes(),
+            software_version: self.software_version.as_ref(),
             random: rand::random(),
         }
     }
--- a/crates/wasabipoint_entry/src/forward/call/refusals.rs
+++ b/crates/wasabipoint_entry/src/forward/call/refusals.rs
@@ -65,14 +65,34 @@
         Err(refusal.with_retry_after_ms(OUT_OF_SERVICE_RETRY_AFTER_MS))
     }
 
+    /// Refuses a request at once if no endpoint of the service fulfils its lasting conditions.
+    pub(super) fn check_conditions(&self) -> Result<(), Refusal> {
+        self.check_homes()?;
+        self.check_version()
+    }
+
     /// Refuses a request for which no endpoint of the service is in the home regions.
-    pub(super) fn check_homes(&self) -> Result<(), Refusal> {
+    fn check_homes(&self) -> Result<(), Refusal> {
         if self.forwarder.is_outside(&self.service, &self.homes()) {
             return Err(self.unavailable_refusal(OUTSIDE_DETAIL));
         }
         Ok(())
     }
 
+    /// Refuses to continue a stream if no endpoint of the software version that began it is in service.
+    fn check_version(&self) -> Result<(), Refusal> {
+        let Some(version) = &self.software_version else {
+            return Ok(());
+        };
+        let state = self.forwarder.lock();
+        if state.endpoints.has_version(&self.service, version) {
+            return Ok(());
+        }
+        drop(state);
+        let detail = "no endpoint of the software version that began the stream is in service";
+        Err(self.unavailable_refusal(detail))
+    }
+
     /// Returns the refusal of a request that the endpoints turned away, with the end of their pauses if
     /// all of them pause.
     pub(super) fn full_refusal(&self) -> Refusal {
--- a/crates/wasabipoint_entry/src/forward/call/relay.rs
+++ b/crates/wasabipoint_entry/src/forward/call/relay.rs
@@ -6,6 +6,7 @@
 use slog::warn;
 use tokio::sync::mpsc;
 use wasabipoint_kernel::RunPolicy;
+use wasabipoint_rpc::EndpointView;
 
 use super::work::StreamTiming;
 use super::{ActiveExchange, Call};
@@ -48,6 +49,7 @@
                     Ok(RelayedChunk::PartialEvent) => continue,
                     Ok(RelayedChunk::CompleteEvents) => {
                         has_relayed_events = true;
+                        self.bind_to_version(&active.in_flight.endpoint);
                         self.record_events();
                         // A full buffer means that the caller is slow, not the endpoint.
                         let is_waiting = sender.capacity() > 0;
@@ -117,6 +119,15 @@
     }
 }
 
+impl Call {
+    /// Binds the stream to the software version of the endpoint that wrote its first event.
+    fn bind_to_version(&mut self, endpoint: &EndpointView) {
+        if self.software_version.is_none() {
+            self.software_version = Some(endpoint.software_version.clone());
+        }
+    }
+}
+
 /// Result of relaying one chunk of a stream.
 enum RelayedChunk {
     /// The chunk completed no event.
--- a/crates/wasabipoint_entry/src/forward/call/wait.rs
+++ b/crates/wasabipoint_entry/src/forward/call/wait.rs
@@ -102,7 +102,7 @@
             if Instant::now() >= self.deadline {
                 return Err(self.timeout_refusal());
             }
-            self.check_homes()?;
+            self.check_conditions()?;
             if let Some(ready_in) = self.permission_ready_in() {
                 if let (None, Some(model)) = (&wait_guard, &model) {
                     wait_guard = Some(WaitGuard::new(&forwarder, model));
@@ -326,7 +326,7 @@
         let now_ms = self.forwarder.clock.now_ms();
         !state
             .endpoints
-            .endpoints_with_model(&self.service, model, self.homes(), now_ms)
+            .endpoints_with_model(model, &self.selection_criteria(), now_ms)
             .is_empty()
     }
 
@@ -338,9 +338,8 @@
         let now_ms = self.forwarder.clock.now_ms();
         let base = ModelName::new(base);
         let candidates = self.forwarder.lock().endpoints.endpoints_with_model(
-            &self.service,
             &base,
-            self.homes(),
+            &self.selection_criteria(),
             now_ms,
         );
         if candidates.is_empty() {
--- a/crates/wasabipoint_entry/src/forward/endpoints.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints.rs
@@ -11,6 +11,7 @@
 
 use wasabipoint_kernel::{
     ColdLimit, EndpointId, FailureDomain, Incarnation, ModelName, Region, ServiceName,
+    SoftwareVersion,
 };
 use wasabipoint_policy::{
     Announcement, AvailabilityChange, EndpointAvailability, LoadEstimate, RequestAllowance,
@@ -100,6 +101,9 @@
     pub work: RequestWork,
     /// Regions whose endpoints may serve the request.
     pub homes: HomeRegions<'a>,
+    /// Software version at which the stream of the request began, if it did. No other version may
+    /// continue it.
+    pub software_version: Option<&'a SoftwareVersion>,
     /// Random number that breaks ties between endpoints of equal cost.
     pub random: u64,
 }
@@ -271,6 +275,9 @@
                 && state.replaced_until_ms <= now_ms
                 && !criteria.tried.contains(&view.id)
                 && criteria.homes.allow(&state.region)
+                && criteria
+                    .software_version
+                    .is_none_or(|version| view.software_version == *version)
                 && criteria.model.is_none_or(|model| {
                     view.models.contains(model)
                         && state
@@ -327,25 +334,30 @@
         states.any(|state| state.view.service == *service && state.is_in_service())
     }
 
-    /// Returns the endpoints that hold a model and are in the home regions of a request, in order of
-    /// increasing load.
+    /// Returns whether a service has an endpoint of a software version that may get new requests.
+    pub fn has_version(&self, service: &ServiceName, version: &SoftwareVersion) -> bool {
+        let mut states = self.states.values();
+        states.any(|state| {
+            state.view.service == *service
+                && state.view.software_version == *version
+                && state.is_in_service()
+        })
+    }
+
+    /// Returns the endpoints that could serve a request if they were not tried yet, in order of
+    /// increasing load. They hold `model` in place of the requested one.
     pub fn endpoints_with_model(
         &self,
-        service: &ServiceName,
         model: &ModelName,
-        homes: HomeRegions<'_>,
+        criteria: &SelectionCriteria<'_>,
         now_ms: u64,
     ) -> Vec<EndpointId> {
         let criteria = SelectionCriteria {
-            service,
             model: Some(model),
-            prompt_parts: &[],
             tried: &BTreeSet::new(),
-            work: RequestWork::default(),
-            homes,
-            random: 0,
+            ..criteria.clone()
         };
-        let mean = self.mean_load(service, now_ms);
+        let mean = self.mean_load(criteria.service, now_ms);
         let mut by_load: Vec<_> = self
             .eligible_endpoints(&criteria, now_ms)
             .map(|state| (estimated_load(state, mean, now_ms), state.view.id.clone()))
--- a/crates/wasabipoint_entry/tests/cold_endpoints.rs
+++ b/crates/wasabipoint_entry/tests/cold_endpoints.rs
@@ -91,6 +91,7 @@
         prompt_parts: &[],
         tried: &tried,
         homes: HomeRegions::default(),
+        software_version: None,
         random: 0,
         work: wasabipoint_policy::RequestWork::default(),
     };
@@ -240,6 +241,7 @@
         prompt_parts: &[],
         tried: &tried,
         homes: HomeRegions::default(),
+        software_version: None,
         random: 0,
         work: wasabipoint_policy::RequestWork::default(),
     };
--- a/crates/wasabipoint_entry/tests/endpoint_choice.rs
+++ b/crates/wasabipoint_entry/tests/endpoint_choice.rs
@@ -74,6 +74,7 @@
             prompt_parts: &self.parts,
             tried: &self.tried,
             work: self.work,
+            software_version: None,
             random,
         }
     }
--- a/crates/wasabipoint_entry/tests/forward_policies.rs
+++ b/crates/wasabipoint_entry/tests/forward_policies.rs
@@ -65,6 +65,7 @@
             tried: &self.tried,
             work: RequestWork::default(),
             homes: HomeRegions::default(),
+            software_version: None,
             random: 0,
         }
     }
--- a/crates/wasabipoint_entry/tests/forward_policies/domains.rs
+++ b/crates/wasabipoint_entry/tests/forward_policies/domains.rs
@@ -43,14 +43,8 @@
     assert_eq!(taken.map(|taken| taken.endpoint.id), Some(b.clone()));
     assert!(!endpoints.may_still_send(&a, first, 0));
     assert!(endpoints.may_still_send(&b, first, 0));
-    let (service, model) = (ServiceName::new("assistant"), ModelName::new("m"));
     assert_eq!(
-        endpoints.endpoints_with_model(
-            &service,
-            &model,
-            wasabipoint_entry::HomeRegions::default(),
-            0
-        ),
+        endpoints.endpoints_with_model(&ModelName::new("m"), &request.selection_criteria(), 0),
         std::slice::from_ref(&b)
     );
     // The only other endpoint failed: it is used again before one out of service.
--- a/crates/wasabipoint_entry/tests/forward_sockets.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets.rs
@@ -36,6 +36,8 @@
 mod test_dialect;
 #[path = "forward_sockets/unframed.rs"]
 mod unframed;
+#[path = "forward_sockets/versions.rs"]
+mod versions;
 
 use std::time::Duration;
 
--- a/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
@@ -450,6 +450,16 @@
     fleet_view
 }
 
+/// A fleet view whose endpoints have the given software versions.
+pub(crate) fn fleet_view_of_versions(endpoints: &[(&Endpoint, &str)]) -> FleetView {
+    let plain: Vec<&Endpoint> = endpoints.iter().map(|(endpoint, _)| *endpoint).collect();
+    let mut fleet_view = fleet_view(&plain);
+    for (listed, (_, version)) in fleet_view.endpoints.values_mut().zip(endpoints) {
+        listed.software_version = SoftwareVersion::new(*version);
+    }
+    fleet_view
+}
+
 /// A forwarding entry process and a client for it.
 pub(crate) struct Fixture {
     pub(crate) address: SocketAddr,
--- a/crates/wasabipoint_entry/tests/home_regions.rs
+++ b/crates/wasabipoint_entry/tests/home_regions.rs
@@ -61,6 +61,7 @@
                 route: &route,
                 customer: &customer,
             },
+            software_version: None,
             random: 0,
             work: wasabipoint_policy::RequestWork::default(),
         };
@@ -98,25 +99,24 @@
     let limit = RequestLimit::PerSecond(0.1);
     endpoints.record_limit(&EndpointId::new("c"), Incarnation(1), limit, 10);
     let tried = BTreeSet::from([EndpointId::new("a"), EndpointId::new("b")]);
-    let ready_in_ms = |homes| {
-        let criteria = SelectionCriteria {
-            service: &service,
-            model: Some(&model),
-            prompt_parts: &[],
-            tried: &tried,
-            homes,
-            random: 0,
-            work: wasabipoint_policy::RequestWork::default(),
-        };
-        endpoints.permission_ready_in_ms(&criteria, 20)
+    let criteria = |homes| SelectionCriteria {
+        service: &service,
+        model: Some(&model),
+        prompt_parts: &[],
+        tried: &tried,
+        homes,
+        software_version: None,
+        random: 0,
+        work: wasabipoint_policy::RequestWork::default(),
     };
+    let ready_in_ms = |homes| endpoints.permission_ready_in_ms(&criteria(homes), 20);
     let homes = |route| HomeRegions {
         route,
         customer: &anywhere,
     };
     assert!(ready_in_ms(homes(&south)).is_some());
     assert_eq!(ready_in_ms(homes(&north)), None);
-    let with_model = endpoints.endpoints_with_model(&service, &model, homes(&north), 20);
+    let with_model = endpoints.endpoints_with_model(&model, &criteria(homes(&north)), 20);
     assert_eq!(with_model, [EndpointId::new("a"), EndpointId::new("b")]);
 }
 
