--- a/crates/wasabipoint_agent/tests/process.rs
+++ b/crates/wasabipoint_agent/tests/process.rs
@@ -101,6 +101,22 @@
         Err(wasabipoint_rpc::ControlRefusal::Unavailable)
     }
 
+    async fn record_streams(
+        self,
+        _: CallContext,
+        _: Vec<wasabipoint_rpc::StreamRecord>,
+    ) -> Result<(), ControlRefusal> {
+        Err(ControlRefusal::Unavailable)
+    }
+
+    async fn find_stream(
+        self,
+        _: CallContext,
+        _: wasabipoint_rpc::StreamQuery,
+    ) -> Result<wasabipoint_rpc::StreamOrigin, ControlRefusal> {
+        Err(ControlRefusal::Unavailable)
+    }
+
     async fn load_adapter(
         self,
         _: tarpc::context::Context,
--- a/crates/wasabipoint_control/src/directory.rs
+++ b/crates/wasabipoint_control/src/directory.rs
@@ -7,7 +7,7 @@
 use futures::future::BoxFuture;
 use slog::{info, warn};
 use tokio::time::{Instant, MissedTickBehavior};
-use wasabipoint_kernel::{EndpointId, EntryId, Incarnation};
+use wasabipoint_kernel::{EndpointId, EntryId, Incarnation, SoftwareVersion};
 use wasabipoint_rpc::EndpointView;
 
 use crate::context::ControlContext;
@@ -101,7 +101,7 @@
     let changes = control
         .member
         .read(|state| diff_endpoints(&state.view.endpoints, listed));
-    if changes.put.is_empty() && changes.removed.is_empty() {
+    if changes.put.is_empty() && changes.removed.is_empty() && !has_retired_base(control).await {
         return;
     }
     for endpoint in &changes.put {
@@ -117,6 +117,15 @@
     commit_endpoint_changes(control, changes).await;
 }
 
+/// Returns whether the base version of a service is to be replaced, which any change of the endpoints
+/// does, also an empty one.
+async fn has_retired_base(control: &ControlContext) -> bool {
+    match control.member.log_time_ms().await {
+        Ok(now_ms) => control.member.read(|state| state.has_retired_base(now_ms)),
+        Err(_) => false,
+    }
+}
+
 /// Commits that endpoints of the directory leave, as an entry process learnt from their responses.
 pub(crate) async fn mark_endpoints_leaving(
     control: &ControlContext,
@@ -153,11 +162,25 @@
 /// Commits endpoint changes. A failure is only logged, since the next poll finds the same
 /// difference.
 pub(crate) async fn commit_endpoint_changes(control: &ControlContext, changes: EndpointChanges) {
+    let read_base = || {
+        control
+            .member
+            .read(|state| state.view.base_versions.clone())
+    };
+    let before = read_base();
     let proposed = control.member.propose(Command::ChangeEndpoints(changes));
     if let Err(error) = proposed.await {
         warn!(control.logger, "control: endpoint changes were not committed";
             "error" => %error);
     }
+    for (service, version) in read_base() {
+        let before = before.get(&service);
+        if before != Some(&version) {
+            info!(control.logger, "control: base version of a service changed";
+                "service" => %service, "software_version" => %version,
+                "before" => before.map(SoftwareVersion::as_str));
+        }
+    }
 }
 
 fn diff_endpoints(
--- a/crates/wasabipoint_control/src/lib.rs
+++ b/crates/wasabipoint_control/src/lib.rs
@@ -40,7 +40,7 @@
     Bucket, ClaimState, Command, CommandOutcome, ConfigBody, ConfigChange, ConfigState,
     ControlState, DeploymentRecord, EarlierEndpointChanges, EndpointChanges, FleetState,
     GrantPhase, GrantRecord, GrantRequest, LastExchange, MemberAddresses, QuotaState,
-    RateAllowance, Registration, SliceRecord, StampedCommand, VmState,
+    RateAllowance, Registration, SliceRecord, StampedCommand, StreamState, VersionRecords, VmState,
 };
 pub use state_machine::ControlStateMachine;
 pub use stores::{OperatorStores, StoreError};
--- a/crates/wasabipoint_control/src/rpc.rs
+++ b/crates/wasabipoint_control/src/rpc.rs
@@ -17,8 +17,9 @@
 use wasabipoint_rpc::{
     AdapterReply, AdapterRequest, AgentDirective, AgentReport, ClaimOutcome, ClaimRequest,
     ColdEstimate, ControlRefusal, ControlRpc, EntryDirective, EntryReport, FleetUpdate, JoinReply,
-    JoinRequest, MAX_RPC_FRAME_BYTES, PeerBatch, PeerRpc, QuotaExchange, QuotaGrants, QuotaReply,
-    QuotaRequest, WatchReply, WatchRequest,
+    JoinRequest, MAX_RPC_FRAME_BYTES, MAX_STREAMS_PER_CALL, PeerBatch, PeerRpc, QuotaExchange,
+    QuotaGrants, QuotaReply, QuotaRequest, StreamOrigin, StreamQuery, StreamRecord, WatchReply,
+    WatchRequest,
 };
 
 use crate::context::ControlContext;
@@ -497,4 +498,36 @@
         let term = self.require_leading_term()?;
         self.control.load_adapter(term, &request).await
     }
+
+    async fn record_streams(
+        self,
+        _: Context,
+        streams: Vec<StreamRecord>,
+    ) -> Result<(), ControlRefusal> {
+        self.control.metrics.count_call("record_streams");
+        self.require_leading_term()?;
+        if streams.len() > MAX_STREAMS_PER_CALL {
+            return Err(malformed_request("a call records at most 1000 streams"));
+        }
+        for stream in &streams {
+            validate_name(stream.service.as_str())?;
+            if stream.software_version.as_str().len() > MAX_NAME_BYTES {
+                return Err(malformed_request(
+                    "a software version has at most 256 bytes",
+                ));
+            }
+        }
+        self.propose(Command::RecordStreams(streams)).await?;
+        Ok(())
+    }
+
+    async fn find_stream(
+        self,
+        _: Context,
+        query: StreamQuery,
+    ) -> Result<StreamOrigin, ControlRefusal> {
+        self.control.metrics.count_call("find_stream");
+        self.confirm_current().await?;
+        Ok(self.control.member.read(|state| state.find_stream(&query)))
+    }
 }
--- a/crates/wasabipoint_control/src/state.rs
+++ b/crates/wasabipoint_control/src/state.rs
@@ -1,5 +1,5 @@
 //! The replicated state machine of control. Its state depends only on the committed commands, and
-//! its code only on the kernel and the RPC messages.
+//! its code only on the kernel, the RPC messages and constants of policies.
 
 mod claims;
 mod config;
@@ -8,6 +8,7 @@
 mod fleet;
 mod quarantine;
 mod quota;
+mod streams;
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -19,7 +20,7 @@
 };
 use wasabipoint_rpc::{
     AgentReport, ClaimOutcome, ClaimRequest, FleetChange, FleetUpdate, FleetView, KeyRecord,
-    QuarantinedPart, QuotaExchange, QuotaGrants, WatchReply,
+    QuarantinedPart, QuotaExchange, QuotaGrants, StreamRecord, WatchReply,
 };
 
 pub use claims::ClaimState;
@@ -27,6 +28,7 @@
 pub use deployment::{DeploymentRecord, EarlierEndpointChanges, EndpointChanges, RateAllowance};
 pub use fleet::{FleetState, GrantPhase, GrantRecord, GrantRequest, Registration};
 pub use quota::{Bucket, LastExchange, QuotaState, SliceRecord};
+pub use streams::{StreamState, VersionRecords};
 
 /// Number of fleet changes kept for callers that are behind. Callers that are further behind get a
 /// snapshot.
@@ -165,6 +167,8 @@
         ReturnToService(FailureDomain),
         /// Adds, changes and removes endpoints of the fleet view.
         ChangeEndpoints(EndpointChanges),
+        /// Records which software versions began streams.
+        RecordStreams(Vec<StreamRecord>),
     }
 }
 
@@ -261,6 +265,8 @@
         pub view: FleetView,
         /// Recent changes of the view, each with the revision that it led to.
         pub changes: VecDeque<(u64, FleetChange)>,
+        /// Software versions that began streams.
+        pub streams: StreamState,
     }
 }
 
@@ -278,6 +284,7 @@
             deployment: DeploymentRecord::default(),
             view: FleetView::new(),
             changes: VecDeque::new(),
+            streams: StreamState::default(),
         }
     }
 
@@ -353,6 +360,7 @@
             } => self.apply_deployment(document, deployment, allowance),
             Command::ChangeEarlierEndpoints(changes) => self.change_endpoints(changes.into()),
             Command::ChangeEndpoints(changes) => self.change_endpoints(changes),
+            Command::RecordStreams(streams) => self.record_streams(streams),
             Command::PutQuarantine(quarantined) => self.put_quarantine(quarantined),
             Command::LiftQuarantine(part) => self.lift_quarantine(part),
             Command::TakeOutOfService(domain) => self.take_out_of_service(domain),
--- a/crates/wasabipoint_control/src/state/deployment.rs
+++ b/crates/wasabipoint_control/src/state/deployment.rs
@@ -117,6 +117,7 @@
                 self.publish_change(FleetChange::PutEndpoint(Box::new(endpoint)));
             }
         }
+        self.update_base_versions();
         CommandOutcome::Done
     }
 }
--- a/crates/wasabipoint_control/src/state_machine/earlier.rs
+++ b/crates/wasabipoint_control/src/state_machine/earlier.rs
@@ -16,7 +16,7 @@
 
 use crate::state::{
     ClaimState, ConfigState, ControlState, DeploymentRecord, FleetState, MemberAddresses,
-    QuotaState,
+    QuotaState, StreamState,
 };
 
 /// First byte of snapshots of version 2.
@@ -84,6 +84,7 @@
             deployment: deployment.map(|deployment| Box::new((*deployment).into())),
             quarantine: BTreeMap::new(),
             out_of_service: BTreeSet::new(),
+            base_versions: BTreeMap::new(),
         }
     }
 }
@@ -135,5 +136,6 @@
         deployment: state.deployment,
         view: state.view.into(),
         changes: state.changes,
+        streams: StreamState::default(),
     })
 }
--- a/crates/wasabipoint_control/tests/cluster/three_members.rs
+++ b/crates/wasabipoint_control/tests/cluster/three_members.rs
@@ -8,8 +8,10 @@
 use serde_json::Value;
 use wasabipoint_consensus::Role;
 use wasabipoint_control::{ControlConfig, ControlServer};
-use wasabipoint_kernel::MemberId;
-use wasabipoint_rpc::{ControlClient, ControlError, FleetUpdate, WatchRequest};
+use wasabipoint_kernel::{MemberId, ServiceName, SoftwareVersion};
+use wasabipoint_rpc::{
+    ControlClient, ControlError, FleetUpdate, StreamOrigin, StreamQuery, StreamRecord, WatchRequest,
+};
 
 use crate::fixture::{
     INVENTORY, RULES, STEP_TIMEOUT, TestAgent, apply_document, bind_listener, discard_logger,
@@ -180,6 +182,57 @@
     cluster.stop().await;
 }
 
+fn stream_query(digest: u64) -> StreamQuery {
+    StreamQuery {
+        digest: Some(digest),
+        service: ServiceName::new("app"),
+    }
+}
+
+async fn find_stream(client: &ControlClient, digest: u64) -> StreamOrigin {
+    let found = client.call(Duration::ZERO, STEP_TIMEOUT, |client, context| {
+        let query = stream_query(digest);
+        async move { client.find_stream(context, query).await }
+    });
+    found.await.unwrap()
+}
+
+/// Guards against the loss of a stream's software version with the leader or with all members: its
+/// caller would take it up at another version.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn recorded_streams_survive_the_leader_and_a_stop_of_all_members() {
+    let mut cluster = Cluster::start().await;
+    let client = cluster.client();
+    let stream = StreamRecord {
+        digest: 7,
+        service: ServiceName::new("app"),
+        software_version: SoftwareVersion::new("v1.1"),
+        lifetime_ms: 60_000,
+    };
+    let recorded = client.call(Duration::ZERO, STEP_TIMEOUT, |client, context| {
+        let streams = vec![stream.clone()];
+        async move { client.record_streams(context, streams).await }
+    });
+    recorded.await.unwrap();
+    let origin = StreamOrigin::Recorded {
+        service: stream.service.clone(),
+        software_version: stream.software_version.clone(),
+    };
+    let leader = cluster.wait_for_leader(None).await;
+    cluster.stop_member(leader).await;
+    assert_eq!(find_stream(&client, 7).await, origin);
+    let members: Vec<u64> = cluster.configs.keys().copied().collect();
+    for member in members.iter().filter(|member| **member != leader) {
+        cluster.stop_member(*member).await;
+    }
+    for member in members {
+        cluster.restart(member).await;
+    }
+    assert_eq!(find_stream(&client, 7).await, origin);
+    assert_eq!(find_stream(&client, 8).await, StreamOrigin::Unknown);
+    cluster.stop().await;
+}
+
 /// Guards against a partitioned leader that still serves reads, or that acknowledges a change which
 /// the other members never receive.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -208,6 +261,11 @@
         })
         .await;
     assert_eq!(watched, Err(ControlError::Unavailable));
+    let found = client.call(Duration::ZERO, Duration::from_secs(1), |rpc, context| {
+        let query = stream_query(7);
+        async move { rpc.find_stream(context, query).await }
+    });
+    assert_eq!(found.await, Err(ControlError::Unavailable));
     let headers = [("expected-version", "1"), ("change-id", "isolated")];
     let refused = send_request(http, Method::PUT, "/v1/rules", &headers, RULES).await;
     assert!(
--- a/crates/wasabipoint_control/tests/state_machine/main.rs
+++ b/crates/wasabipoint_control/tests/state_machine/main.rs
@@ -9,3 +9,4 @@
 mod quota;
 mod samples;
 mod snapshots;
+mod streams;
--- a/crates/wasabipoint_control/tests/state_machine/snapshots.rs
+++ b/crates/wasabipoint_control/tests/state_machine/snapshots.rs
@@ -21,6 +21,7 @@
     add_key, apply, apply_inventory, claim, customer, endpoint_id, exchange, inventory, model,
     model_name, report, revoke_key,
 };
+use crate::streams::{list_versions, record};
 
 fn replica() -> impl Strategy<Value = ReplicaReport> {
     let state = prop::sample::select(vec![
@@ -99,6 +100,11 @@
         }),
         (0_usize..4).prop_map(|domain| Command::TakeOutOfService(failure_domain(domain))),
         (0_usize..4).prop_map(|domain| Command::ReturnToService(failure_domain(domain))),
+        prop::collection::vec(0_usize..3, 0..4)
+            .prop_map(|versions| list_versions(&ControlState::new(), &versions)),
+        (0_u64..20, 0_usize..3, 0_u64..5_000).prop_map(|(digest, version, lifetime_ms)| {
+            Command::RecordStreams(vec![record(digest, version, lifetime_ms)])
+        }),
     ]
 }
 
--- a/crates/wasabipoint_entry/src/forward.rs
+++ b/crates/wasabipoint_entry/src/forward.rs
@@ -12,6 +12,7 @@
 mod events;
 mod exchange;
 mod metrics;
+mod origins;
 mod pool;
 mod prompts;
 mod response;
@@ -60,6 +61,7 @@
 use demand::DemandTracker;
 use exchange::OutgoingRequest;
 use metrics::ForwardMetrics;
+use origins::{StreamBinding, StreamRecorder};
 use pool::Pool;
 use prompts::{PromptAdmission, PromptMonitor};
 use response::{refusal_response, strip_hop_by_hop_headers};
@@ -117,6 +119,8 @@
     demand: DemandTracker,
     prompts: PromptMonitor,
     view: FleetView,
+    /// Time before the last call that confirmed the view.
+    view_confirmed_at: Option<Instant>,
     /// For each model that no endpoint holds: the time at which control expects it to be loaded,
     /// and the time of that estimate.
     load_times: HashMap<ModelName, (Instant, Instant)>,
@@ -150,6 +154,7 @@
     fleet_changed: watch::Sender<u64>,
     quota: Arc<QuotaClient>,
     refusals: RefusalSampler,
+    recorder: StreamRecorder,
     pool: Arc<Pool>,
     digester: KeyDigester,
     request_digester: RequestDigester,
@@ -182,11 +187,13 @@
                 demand: DemandTracker::default(),
                 prompts: PromptMonitor::default(),
                 view: FleetView::new(),
+                view_confirmed_at: None,
                 load_times: HashMap::new(),
                 permissions_requested_at: None,
             }),
             quota: Arc::new(QuotaClient::new(config.entry.clone(), incarnation, clock)),
             refusals: RefusalSampler::default(),
+            recorder: StreamRecorder::default(),
             digester: KeyDigester::new(&config.key_secret),
             request_digester: RequestDigester::new(&config.key_secret),
             config,
@@ -238,6 +245,8 @@
         tasks.spawn(Arc::clone(&self).report_demand());
         tasks.spawn(Arc::clone(&self).prune_connections());
         let this = Arc::clone(&self);
+        tasks.spawn(async move { this.recorder.run(&this.control).await });
+        let this = Arc::clone(&self);
         tasks.spawn(async move {
             this.quota.run(this.control.as_ref(), &this.logger).await;
         });
@@ -359,6 +368,16 @@
         let service = pick_service(&route, rand::random())
             .cloned()
             .ok_or_else(|| Refusal::new(ErrorKind::NoEndpoint, "the route has no service"))?;
+        let effective_timeout_ms = metadata
+            .deadline_ms
+            .unwrap_or(route.timeout_ms)
+            .min(route.timeout_ms);
+        let deadline = arrived_at + Duration::from_millis(effective_timeout_ms);
+        let binding = self.bind_stream(&route, service, customer_id, &metadata, deadline);
+        let StreamBinding {
+            service,
+            software_version,
+        } = binding.await?;
         let customer_homes =
             customer.map_or_else(BTreeSet::new, |customer| customer.home_regions.clone());
         let homes = HomeRegions {
@@ -367,10 +386,6 @@
         };
         self.check_homes(&service, &homes)?;
         self.lock().count_request(&service, self.clock.now_ms());
-        let effective_timeout_ms = metadata
-            .deadline_ms
-            .unwrap_or(route.timeout_ms)
-            .min(route.timeout_ms);
         let caller_timeout_ms = metadata.deadline_ms.unwrap_or(route.timeout_ms);
         let cost = customer.and_then(|customer| request_cost(customer, &metadata));
         let reservation = match cost {
@@ -415,11 +430,11 @@
             metadata,
             route,
             arrived_at,
-            deadline: arrived_at + Duration::from_millis(effective_timeout_ms),
+            deadline,
             caller_deadline: arrived_at + Duration::from_millis(caller_timeout_ms),
             reservation,
             attempts: AttemptHistory::default(),
-            software_version: None,
+            software_version,
             is_probe,
             _demand_guard: demand_guard,
             forwarder: self,
--- a/crates/wasabipoint_entry/src/forward/call/records.rs
+++ b/crates/wasabipoint_entry/src/forward/call/records.rs
@@ -11,9 +11,6 @@
 use crate::forward::exchange::ExchangeOutcome;
 use crate::forward::is_sampled;
 
-/// Maximum length of a request id in a record, in characters.
-const MAX_LOGGED_ID_CHARS: usize = 64;
-
 impl Call {
     pub(super) fn log_attempt(
         &self,
@@ -64,7 +61,7 @@
             "endpoint" => %selected.endpoint.id,
             "incarnation" => selected.endpoint.incarnation.0,
             "software_version" => %selected.endpoint.software_version,
-            "resumes" => self.resumes_for_log(),
+            "resumes" => self.metadata.resumes_for_log(),
             "last_event_id" => self.metadata.last_event_id,
             "connection" => connection, "is_not_run_stated" => is_stated,
             "load" => selected.load, "candidates" => selected.candidates,
@@ -172,12 +169,6 @@
             "events" => self.attempts.events, "parts" => self.parts_for_log());
     }
 
-    /// Returns the id of the attempt that the caller resumes, cut to a bounded length.
-    pub(super) fn resumes_for_log(&self) -> Option<String> {
-        let id = self.metadata.resumes.as_deref()?;
-        Some(id.chars().take(MAX_LOGGED_ID_CHARS).collect())
-    }
-
     /// Returns the ids of the request's prompt parts in order, in hexadecimal, separated by commas.
     pub(super) fn parts_for_log(&self) -> String {
         let parts = self.metadata.prompt_parts.iter();
--- a/crates/wasabipoint_entry/src/forward/call/relay.rs
+++ b/crates/wasabipoint_entry/src/forward/call/relay.rs
@@ -12,6 +12,7 @@
 use super::{ActiveExchange, Call};
 use crate::forward::events::{EventSplitter, NotResumed};
 use crate::forward::exchange::{ResponseFailure, StartedResponse};
+use crate::forward::origins::BeginningStream;
 use crate::forward::response::{ForwardBody, strip_hop_by_hop_headers};
 
 /// Maximum number of chunks buffered per stream. A full buffer applies backpressure to the endpoint.
@@ -47,9 +48,14 @@
                 }
                 relayed = relay_chunk(&mut active.started, &mut events, has_events, &sender) => match relayed {
                     Ok(RelayedChunk::PartialEvent) => continue,
-                    Ok(RelayedChunk::CompleteEvents) => {
+                    Ok(RelayedChunk::CompleteEvents(complete_events)) => {
+                        if !self.bind_to_version(&active.in_flight.endpoint, &sender).await {
+                            return;
+                        }
+                        // A closed channel means that the caller disconnected, which the next turn
+                        // detects.
+                        let _ = sender.send(Some(complete_events)).await;
                         has_relayed_events = true;
-                        self.bind_to_version(&active.in_flight.endpoint);
                         self.record_events();
                         // A full buffer means that the caller is slow, not the endpoint.
                         let is_waiting = sender.capacity() > 0;
@@ -120,11 +126,37 @@
 }
 
 impl Call {
-    /// Binds the stream to the software version of the endpoint that wrote its first event.
-    fn bind_to_version(&mut self, endpoint: &EndpointView) {
-        if self.software_version.is_none() {
-            self.software_version = Some(endpoint.software_version.clone());
+    /// Binds the stream to the software version of the endpoint that wrote its first event, before the
+    /// caller gets the event. Returns whether the caller may get it.
+    async fn bind_to_version(
+        &mut self,
+        endpoint: &EndpointView,
+        sender: &mpsc::Sender<Option<Bytes>>,
+    ) -> bool {
+        if self.software_version.is_some() {
+            return true;
+        }
+        self.software_version = Some(endpoint.software_version.clone());
+        let stream = BeginningStream {
+            route: &self.route,
+            customer: self.customer.as_ref(),
+            request_id: &self.metadata.request_id,
+            endpoint,
+            remaining_ms: self.remaining_ms(),
+            deadline: self.wait_deadline(),
+        };
+        let is_recorded = tokio::select! {
+            biased;
+            () = sender.closed() => {
+                self.log_caller_disconnected(endpoint);
+                return false;
+            }
+            is_recorded = self.forwarder.record_stream(stream) => is_recorded,
+        };
+        if !is_recorded {
+            self.log_stream_aborted(endpoint, "the software version is not recorded in time");
         }
+        is_recorded
     }
 }
 
@@ -132,13 +164,13 @@
 enum RelayedChunk {
     /// The chunk completed no event.
     PartialEvent,
-    /// The chunk completed one or more events.
-    CompleteEvents,
+    /// The chunk completed these events.
+    CompleteEvents(Bytes),
     /// The stream is complete.
     EndOfStream,
 }
 
-/// Reads the next chunk and relays the events that it completes. `has_events` tells whether the
+/// Reads the next chunk and returns the events that it completes. `has_events` tells whether the
 /// endpoint has already sent some.
 async fn relay_chunk(
     started: &mut StartedResponse,
@@ -170,6 +202,5 @@
     if complete_events.is_empty() {
         return Ok(RelayedChunk::PartialEvent);
     }
-    let _ = sender.send(Some(complete_events)).await;
-    Ok(RelayedChunk::CompleteEvents)
+    Ok(RelayedChunk::CompleteEvents(complete_events))
 }
--- a/crates/wasabipoint_entry/src/forward/call/wait.rs
+++ b/crates/wasabipoint_entry/src/forward/call/wait.rs
@@ -300,7 +300,7 @@
 
     /// Returns the time until which the request can wait to be sent. For a stream this leaves time
     /// for the first event before the caller is expected to disconnect.
-    fn wait_deadline(&self) -> Instant {
+    pub(super) fn wait_deadline(&self) -> Instant {
         if !self.route.run_policy.is_stream() {
             return self.deadline;
         }
--- a/crates/wasabipoint_entry/src/forward/control.rs
+++ b/crates/wasabipoint_entry/src/forward/control.rs
@@ -44,6 +44,7 @@
                 known_revision,
                 wait_ms: MAX_WATCH_WAIT_MS,
             };
+            let asked_at = Instant::now();
             match self.control.watch(request).await {
                 Ok(reply) => {
                     if std::mem::take(&mut is_disconnected) {
@@ -51,6 +52,7 @@
                             "revision" => reply.revision);
                     }
                     self.apply_update(reply.revision, reply.update);
+                    self.lock().view_confirmed_at = Some(asked_at);
                 }
                 Err(error) => {
                     if !std::mem::replace(&mut is_disconnected, true) {
--- a/crates/wasabipoint_entry/src/forward/dialect.rs
+++ b/crates/wasabipoint_entry/src/forward/dialect.rs
@@ -25,7 +25,16 @@
     pub resumes: Option<String>,
 }
 
+/// Maximum length of the id of another request in a record, in characters.
+const MAX_LOGGED_ID_CHARS: usize = 64;
+
 impl RequestMetadata {
+    /// Returns the id of the attempt that the caller resumes, cut to a bounded length.
+    pub(crate) fn resumes_for_log(&self) -> Option<String> {
+        let id = self.resumes.as_deref()?;
+        Some(id.chars().take(MAX_LOGGED_ID_CHARS).collect())
+    }
+
     /// Returns the prompt parts that other requests may share: all but the last.
     pub(crate) fn shared_prompt_parts(&self) -> impl Iterator<Item = PromptPartId> {
         let count = self.prompt_parts.len().saturating_sub(1);
--- a/crates/wasabipoint_entry/src/forward/metrics.rs
+++ b/crates/wasabipoint_entry/src/forward/metrics.rs
@@ -29,6 +29,8 @@
     longest_pause: Histogram<f64>,
     endpoint_speed: Histogram<f64>,
     late_streams: Counter<u64>,
+    take_ups: Counter<u64>,
+    stream_record: Histogram<f64>,
     token_wait: Histogram<f64>,
     waiting: UpDownCounter<i64>,
     token_refusals: Counter<u64>,
@@ -111,6 +113,14 @@
                 .u64_counter("wasabipoint_forward_late_streams")
                 .with_description("Complete streams beyond an objective of their route, by cause.")
                 .build(),
+            take_ups: meter
+                .u64_counter("wasabipoint_forward_take_ups")
+                .with_description("Streams that callers took up, by how their origin was found.")
+                .build(),
+            stream_record: histogram(
+                "wasabipoint_forward_stream_record",
+                "Time for which the first event of a stream waited for the record of its version.",
+            ),
             token_wait: histogram(
                 "wasabipoint_forward_token_wait",
                 "Time for which a served request waited for tokens of its customer, by class.",
@@ -135,6 +145,16 @@
         self.announcements.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a stream that its caller takes up. `origin` tells how its software version was found.
+    pub(crate) fn count_take_up(&self, origin: &'static str) {
+        self.take_ups.add(1, &[KeyValue::new("origin", origin)]);
+    }
+
+    pub(crate) fn record_stream_record(&self, wait: Duration, is_recorded: bool) {
+        let attributes = [KeyValue::new("is_recorded", is_recorded)];
+        self.stream_record.record(wait.as_secs_f64(), &attributes);
+    }
+
     pub(crate) fn count_hedge(&self, event: &'static str) {
         self.hedges.add(1, &[KeyValue::new("event", event)]);
     }
--- a/crates/wasabipoint_entry/src/link.rs
+++ b/crates/wasabipoint_entry/src/link.rs
@@ -12,8 +12,8 @@
 use wasabipoint_rpc::{
     AdapterReply, AdapterRequest, ClaimOutcome, ClaimRequest, ControlClient, ControlError,
     DispatchRequest, EntryDirective, EntryReport, Outcome, OutcomeRequest, QuotaExchange,
-    QuotaGrants, QuotaReply, QuotaRequest, WatchReply, WatchRequest, decode_message,
-    encode_message,
+    QuotaGrants, QuotaReply, QuotaRequest, StreamOrigin, StreamQuery, StreamRecord, WatchReply,
+    WatchRequest, decode_message, encode_message,
 };
 
 /// Timeout of a call that does not long-poll, over all control members that are tried.
@@ -65,6 +65,20 @@
     ) -> BoxFuture<'_, Result<AdapterReply, ControlError>> {
         Box::pin(async { Err(ControlError::Unavailable) })
     }
+    /// Commits which software versions began streams.
+    fn record_streams(
+        &self,
+        _streams: Vec<StreamRecord>,
+    ) -> BoxFuture<'_, Result<(), ControlError>> {
+        Box::pin(async { Err(ControlError::Unavailable) })
+    }
+    /// Returns where a stream began that a caller takes up.
+    fn find_stream(
+        &self,
+        _query: StreamQuery,
+    ) -> BoxFuture<'_, Result<StreamOrigin, ControlError>> {
+        Box::pin(async { Err(ControlError::Unavailable) })
+    }
 }
 
 /// Error of a call to an agent.
@@ -207,6 +221,31 @@
                 .await
         })
     }
+
+    fn record_streams(
+        &self,
+        streams: Vec<StreamRecord>,
+    ) -> BoxFuture<'_, Result<(), ControlError>> {
+        Box::pin(async move {
+            self.call_client
+                .call(Duration::ZERO, CONTROL_CALL_TIMEOUT, |client, context| {
+                    let streams = streams.clone();
+                    async move { client.record_streams(context, streams).await }
+                })
+                .await
+        })
+    }
+
+    fn find_stream(&self, query: StreamQuery) -> BoxFuture<'_, Result<StreamOrigin, ControlError>> {
+        Box::pin(async move {
+            self.call_client
+                .call(Duration::ZERO, CONTROL_CALL_TIMEOUT, |client, context| {
+                    let query = query.clone();
+                    async move { client.find_stream(context, query).await }
+                })
+                .await
+        })
+    }
 }
 
 /// Calls agents over HTTP/1.1.
--- a/crates/wasabipoint_entry/tests/forward_sockets.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets.rs
@@ -4,6 +4,8 @@
 
 #[path = "forward_sockets/announcements.rs"]
 mod announcements;
+#[path = "forward_sockets/control.rs"]
+mod control;
 #[path = "forward_sockets/cut_off.rs"]
 mod cut_off;
 #[path = "forward_sockets/domains.rs"]
--- a/crates/wasabipoint_entry/tests/forward_sockets/evidence.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/evidence.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use super::fixture::{Endpoint, Fixture, PromptLeader, ScriptStep, fleet_view};
+use super::control::PromptLeader;
+use super::fixture::{Endpoint, Fixture, ScriptStep, fleet_view};
 
 async fn send_broken_request(fixture: &Fixture, id: &str) {
     let mut request = fixture.build_request("once", id);
--- a/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
@@ -3,209 +3,29 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt::Write as _;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::future::BoxFuture;
 use http::Request;
 use slog::{Discard, Logger, o};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
-use wasabipoint_entry::{ControlLink, ForwardConfig, Forwarder, Regions};
+use wasabipoint_entry::{ForwardConfig, Forwarder, Regions};
 use wasabipoint_http::{ClientError, HttpClient};
 use wasabipoint_kernel::{
     CallerLimits, CustomerId, Deployment, EndpointId, EntryId, FailureDomain, ForwardCustomer,
     ForwardRoute, ForwardService, Incarnation, KeyDigester, RateUnit, RouteName, RunPolicy,
     ServiceName, SoftwareVersion,
 };
-use wasabipoint_rpc::{
-    ClaimOutcome, ClaimRequest, ControlError, EndpointKind, EndpointView, EntryDirective,
-    EntryReport, FleetUpdate, FleetView, PromptDirective, QuotaExchange, QuotaGrants, QuotaReply,
-    QuotaRequest, QuotaSlice, SpeedReport, WatchReply, WatchRequest,
-};
+use wasabipoint_rpc::{EndpointKind, EndpointView, FleetView};
 
-use super::scarce_quota::ScarceQuota;
+use super::control::{GenerousQuota, PromptLeader, StaticControl};
 use crate::test_dialect::TestDialect;
 
 const KEY_SECRET: &str = "test";
 
-/// Control stub that serves a fixed fleet view, or none.
-pub(crate) struct StaticControl {
-    pub(crate) fleet_view: Option<FleetView>,
-    pub(crate) quota: Option<Arc<GenerousQuota>>,
-    pub(crate) leader: Option<Arc<PromptLeader>>,
-    pub(crate) scarce: Option<Arc<ScarceQuota>>,
-}
-
-/// A leader that receives evidence about prompt parts.
-#[derive(Default)]
-pub(crate) struct PromptLeader {
-    state: Mutex<PromptLeaderState>,
-}
-
-#[derive(Default)]
-struct PromptLeaderState {
-    term: u64,
-    received_sequence: u64,
-    /// Endpoints of the failures that the leader of this term received.
-    endpoints: BTreeSet<EndpointId>,
-    /// Speeds that were reported.
-    speeds: Vec<SpeedReport>,
-}
-
-impl PromptLeader {
-    /// Replaces the leader by one that has received nothing.
-    pub(crate) fn change(&self) {
-        let mut state = self.state.lock().unwrap();
-        let term = state.term + 1;
-        *state = PromptLeaderState {
-            term,
-            ..PromptLeaderState::default()
-        };
-    }
-
-    /// Waits until the leader of this term has received failures of a number of endpoints.
-    pub(crate) async fn wait_for_failures(&self, count: usize) {
-        let received = async {
-            while self.state.lock().unwrap().endpoints.len() < count {
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-        };
-        let limit = Duration::from_secs(5);
-        tokio::time::timeout(limit, received).await.unwrap();
-    }
-
-    /// Waits until a speed is reported.
-    pub(crate) async fn wait_for_speed(&self) -> SpeedReport {
-        let received = async {
-            loop {
-                if let Some(speed) = self.state.lock().unwrap().speeds.first() {
-                    return speed.clone();
-                }
-                tokio::time::sleep(Duration::from_millis(5)).await;
-            }
-        };
-        let limit = Duration::from_secs(5);
-        tokio::time::timeout(limit, received).await.unwrap()
-    }
-
-    fn receive(&self, report: EntryReport) -> EntryDirective {
-        let mut state = self.state.lock().unwrap();
-        let received_sequence = state.received_sequence;
-        let failures = report.prompts.failures.into_iter();
-        for failure in failures.filter(|failure| failure.sequence > received_sequence) {
-            state.received_sequence = state.received_sequence.max(failure.sequence);
-            state.endpoints.insert(failure.endpoint);
-        }
-        state.speeds.extend(report.speeds);
-        EntryDirective {
-            cold_estimates: Vec::new(),
-            next_report_ms: 500,
-            prompts: PromptDirective {
-                term: state.term,
-                received_sequence: state.received_sequence,
-                suspects_revision: 0,
-                suspects: None,
-            },
-            limits: Vec::new(),
-            entry_processes: 1,
-            speeds: Vec::new(),
-        }
-    }
-}
-
-/// Grants all tokens that are requested, and adds up those that are reported as spent.
-#[derive(Default)]
-pub(crate) struct GenerousQuota {
-    pub(crate) spent_tokens: AtomicU64,
-    pub(crate) returned_tokens: AtomicU64,
-    granted_slices: AtomicU64,
-}
-
-impl GenerousQuota {
-    fn exchange(&self, exchange: QuotaExchange) -> QuotaGrants {
-        let mut slices = Vec::new();
-        for item in exchange.items {
-            for settlement in item.settlements {
-                let spent = settlement.spent_tokens;
-                self.spent_tokens.fetch_add(spent, Ordering::Relaxed);
-                let returned = settlement.returned_tokens;
-                self.returned_tokens.fetch_add(returned, Ordering::Relaxed);
-            }
-            if item.wanted_tokens > 0 {
-                slices.push(QuotaSlice {
-                    slice_id: self.granted_slices.fetch_add(1, Ordering::Relaxed),
-                    customer: item.customer,
-                    tokens: item.wanted_tokens,
-                    lifetime_ms: 60_000,
-                });
-            }
-        }
-        QuotaGrants {
-            slices,
-            waits: Vec::new(),
-        }
-    }
-}
-
-impl ControlLink for StaticControl {
-    fn watch(&self, request: WatchRequest) -> BoxFuture<'_, Result<WatchReply, ControlError>> {
-        Box::pin(async move {
-            let Some(fleet_view) = &self.fleet_view else {
-                return Err(ControlError::Unavailable);
-            };
-            if request.known_revision == fleet_view.revision {
-                tokio::time::sleep(Duration::from_millis(request.wait_ms)).await;
-                return Ok(WatchReply {
-                    revision: fleet_view.revision,
-                    update: FleetUpdate::Delta(Vec::new()),
-                });
-            }
-            Ok(WatchReply {
-                revision: fleet_view.revision,
-                update: FleetUpdate::Snapshot(Box::new(fleet_view.clone())),
-            })
-        })
-    }
-
-    fn report(&self, report: EntryReport) -> BoxFuture<'_, Result<EntryDirective, ControlError>> {
-        let leader = self.leader.as_ref();
-        let directive = leader.map(|leader| leader.receive(report));
-        Box::pin(async { directive.ok_or(ControlError::Unavailable) })
-    }
-
-    fn exchange_quota(
-        &self,
-        exchange: QuotaExchange,
-    ) -> BoxFuture<'_, Result<QuotaGrants, ControlError>> {
-        let quota = self.quota.as_ref();
-        let grants = quota.map(|quota| quota.exchange(exchange));
-        Box::pin(async { grants.ok_or(ControlError::Unavailable) })
-    }
-
-    fn request_quota(
-        &self,
-        request: QuotaRequest,
-    ) -> BoxFuture<'_, Result<QuotaReply, ControlError>> {
-        Box::pin(async move {
-            match &self.scarce {
-                Some(scarce) => Ok(scarce.reply(request)),
-                None => Ok(QuotaReply {
-                    grants: self.exchange_quota(request.exchange).await?,
-                    verdicts: Vec::new(),
-                }),
-            }
-        })
-    }
-
-    fn claim(&self, _: ClaimRequest) -> BoxFuture<'_, Result<ClaimOutcome, ControlError>> {
-        Box::pin(async { Err(ControlError::Unavailable) })
-    }
-}
-
 /// How an endpoint handles the next request that it has read.
 pub(crate) enum ScriptStep {
     /// Sends the bytes and keeps the connection open.
@@ -378,6 +198,8 @@
 fn deployment() -> Deployment {
     let mut keyed = route("keyed", RunPolicy::Idempotent);
     keyed.is_public = false;
+    let mut keyed_stream = route("keyed-stream", RunPolicy::ResumableStream);
+    keyed_stream.is_public = false;
     let mut thrice = route("thrice", RunPolicy::ResumableStream);
     thrice.max_attempts = 3;
     let service = ForwardService {
@@ -411,6 +233,7 @@
             route("stream", RunPolicy::Stream),
             route("resumable", RunPolicy::ResumableStream),
             keyed,
+            keyed_stream,
             thrice,
         ],
         services: BTreeMap::from([(service.name.clone(), service)]),
@@ -430,6 +253,8 @@
     let mut fleet_view = FleetView::new();
     fleet_view.revision = 1;
     fleet_view.deployment = Some(Box::new(deployment()));
+    let base = (ServiceName::new("app"), SoftwareVersion::new("v1"));
+    fleet_view.base_versions = BTreeMap::from([base]);
     for (index, endpoint) in endpoints.iter().enumerate() {
         let id = EndpointId::new(format!("endpoint-{index}"));
         let listed = EndpointView {
@@ -476,9 +301,7 @@
     pub(crate) async fn start_logged(fleet_view: Option<FleetView>, logger: Logger) -> Self {
         let control = StaticControl {
             fleet_view,
-            quota: None,
-            leader: None,
-            scarce: None,
+            ..StaticControl::default()
         };
         Self::start_with(control, logger).await
     }
@@ -490,9 +313,8 @@
     ) -> Self {
         let control = StaticControl {
             fleet_view: Some(fleet_view),
-            quota: None,
             leader: Some(Arc::clone(leader)),
-            scarce: None,
+            ..StaticControl::default()
         };
         Self::start_with(control, Logger::root(Discard, o!())).await
     }
@@ -505,8 +327,7 @@
         let control = StaticControl {
             fleet_view: Some(fleet_view),
             quota: Some(Arc::clone(quota)),
-            leader: None,
-            scarce: None,
+            ..StaticControl::default()
         };
         Self::start_with(control, Logger::root(Discard, o!())).await
     }
--- a/crates/wasabipoint_entry/tests/forward_sockets/hedged.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/hedged.rs
@@ -12,9 +12,9 @@
 use tokio::sync::oneshot;
 use wasabipoint_http::ClientError;
 
+use super::control::{GenerousQuota, PromptLeader, StaticControl};
 use super::fixture::{
-    Endpoint, Fixture, GenerousQuota, PromptLeader, ScriptStep, StaticControl, chunked_response,
-    fleet_view, full_response, not_run_response,
+    Endpoint, Fixture, ScriptStep, chunked_response, fleet_view, full_response, not_run_response,
 };
 
 /// Number of latencies from which requests are hedged.
@@ -34,9 +34,7 @@
 fn control(endpoints: &[&Endpoint]) -> StaticControl {
     StaticControl {
         fleet_view: Some(fleet_view(endpoints)),
-        quota: None,
-        leader: None,
-        scarce: None,
+        ..StaticControl::default()
     }
 }
 
--- a/crates/wasabipoint_entry/tests/forward_sockets/quota.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/quota.rs
@@ -10,9 +10,8 @@
 use tokio::sync::oneshot;
 use wasabipoint_rpc::QuotaVerdict;
 
-use super::fixture::{
-    Endpoint, Fixture, GenerousQuota, ScriptStep, fleet_view, full_response, not_run_response,
-};
+use super::control::GenerousQuota;
+use super::fixture::{Endpoint, Fixture, ScriptStep, fleet_view, full_response, not_run_response};
 use super::scarce_quota::ScarceQuota;
 
 const STEP_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/wasabipoint_entry/tests/forward_sockets/records.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/records.rs
@@ -12,9 +12,8 @@
 
 use wasabipoint_rpc::QuotaVerdict;
 
-use super::fixture::{
-    Endpoint, Fixture, ScriptStep, StaticControl, chunked_response, fleet_view, full_response,
-};
+use super::control::StaticControl;
+use super::fixture::{Endpoint, Fixture, ScriptStep, chunked_response, fleet_view, full_response};
 use super::hedged::{after_warm_up, warm_up};
 use super::scarce_quota::ScarceQuota;
 
@@ -285,9 +284,7 @@
             let second = Endpoint::start(vec![second]).await;
             let control = StaticControl {
                 fleet_view: Some(fleet_view(&[&first, &second])),
-                quota: None,
-                leader: None,
-                scarce: None,
+                ..StaticControl::default()
             };
             let fixture = Fixture::start_hedged(control, 20, logger).await;
             warm_up(&fixture, "safe").await;
--- a/crates/wasabipoint_entry/tests/forward_sockets/scarce_quota.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/scarce_quota.rs
@@ -5,7 +5,8 @@
 use slog::Logger;
 use wasabipoint_rpc::{FleetView, QuotaGrants, QuotaReply, QuotaRequest, QuotaSlice, QuotaVerdict};
 
-use super::fixture::{Fixture, StaticControl};
+use super::control::StaticControl;
+use super::fixture::Fixture;
 
 impl Fixture {
     /// Starts an entry process whose customers are short of tokens.
@@ -16,9 +17,8 @@
     ) -> Self {
         let control = StaticControl {
             fleet_view: Some(fleet_view),
-            quota: None,
-            leader: None,
             scarce: Some(Arc::clone(scarce)),
+            ..StaticControl::default()
         };
         Self::start_with(control, logger).await
     }
--- a/crates/wasabipoint_entry/tests/forward_sockets/speeds.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/speeds.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::fixture::{Endpoint, Fixture, PromptLeader, ScriptStep, chunked_response, fleet_view};
+use super::control::PromptLeader;
+use super::fixture::{Endpoint, Fixture, ScriptStep, chunked_response, fleet_view};
 
 /// Interval between the events of the stream.
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
--- a/crates/wasabipoint_entry/tests/forward_sockets/versions.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/versions.rs
@@ -1,8 +1,14 @@
 //! Streams in a service whose endpoints have several software versions.
 
-use http::StatusCode;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode};
+use slog::{Discard, Logger, o};
 use wasabipoint_http::ClientError;
 
+use super::control::{StaticControl, StreamOrigins};
 use super::fixture::{Endpoint, Fixture, ScriptStep, chunked_response, fleet_view_of_versions};
 
 const FIRST_EVENTS: [&str; 2] = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"];
@@ -20,6 +26,32 @@
     Endpoint::start(vec![ScriptStep::Send(rest)]).await
 }
 
+/// Starts an entry process in front of endpoints of the given software versions.
+async fn start_entry(endpoints: &[(&Endpoint, &str)], origins: &Arc<StreamOrigins>) -> Fixture {
+    let control = StaticControl {
+        fleet_view: Some(fleet_view_of_versions(endpoints)),
+        origins: Arc::clone(origins),
+        ..StaticControl::default()
+    };
+    Fixture::start_with(control, Logger::root(Discard, o!())).await
+}
+
+/// Builds a request that takes a stream up after its second event.
+fn take_up(fixture: &Fixture, id: &str, resumes: Option<&str>) -> Request<Bytes> {
+    let mut request = fixture.build_request("resumable", id);
+    let headers = request.headers_mut();
+    headers.insert("last-event-id", HeaderValue::from_static("2"));
+    if let Some(resumes) = resumes {
+        headers.insert("resumes", HeaderValue::from_str(resumes).unwrap());
+    }
+    request
+}
+
+async fn fetch(fixture: &Fixture, request: Request<Bytes>) -> Response<Bytes> {
+    let limit = std::time::Duration::from_secs(10);
+    fixture.client.fetch(request, 65_536, limit).await.unwrap()
+}
+
 /// Sends a request and returns what the caller receives: the bytes, and whether the stream ended as
 /// complete.
 async fn receive(fixture: &Fixture) -> (String, bool) {
@@ -79,3 +111,114 @@
     assert_eq!(received, FIRST_EVENTS.concat());
     assert!(is_complete);
 }
+
+/// Guards against a take-up that goes on at another software version: it comes to an entry process that
+/// has just started and that prefers an endpoint of the other version.
+#[tokio::test]
+async fn a_stream_is_taken_up_at_its_own_software_version() {
+    for (first_version, other_version) in [("v1.1", "v1"), ("v1", "v1.1")] {
+        let origins = StreamOrigins::with_base("v1");
+        let first = start_breaking().await;
+        let before = start_entry(&[(&first, first_version)], &origins).await;
+        let (received, is_complete) = receive(&before).await;
+        assert_eq!(received, FIRST_EVENTS.concat());
+        assert!(!is_complete);
+        drop(before);
+        let (other, same) = (
+            start_continuing().await,
+            Endpoint::start(rest_for("b2")).await,
+        );
+        let endpoints = [(&other, other_version), (&same, first_version)];
+        let after = start_entry(&endpoints, &origins).await;
+        let response = fetch(&after, take_up(&after, "b2", Some("a1"))).await;
+        assert_eq!(response.status(), StatusCode::OK);
+        assert_eq!(response.body(), LAST_EVENTS[0].as_bytes());
+        assert_eq!((other.request_count(), same.request_count()), (0, 1));
+    }
+}
+
+fn rest_for(id: &str) -> Vec<ScriptStep> {
+    let rest = chunked_response(id, &LAST_EVENTS, true);
+    vec![ScriptStep::Send(rest)]
+}
+
+/// Guards against a take-up at another software version where no endpoint of its own is in service: it is
+/// refused at once, as not run.
+#[tokio::test]
+async fn a_take_up_is_refused_when_its_software_version_is_gone() {
+    let origins = StreamOrigins::with_base("v1");
+    let other = Endpoint::start(rest_for("b2")).await;
+    let fixture = start_entry(&[(&other, "v1.1")], &origins).await;
+    let response = fetch(&fixture, take_up(&fixture, "b2", Some("a1"))).await;
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(String::from_utf8_lossy(response.body()).contains("not run"));
+    assert_eq!(other.request_count(), 0);
+}
+
+/// Guards against a take-up that is sent somewhere although nothing tells where its stream began.
+#[tokio::test]
+async fn a_take_up_of_unknown_origin_is_refused() {
+    let endpoint = Endpoint::start(rest_for("b2")).await;
+    let origins = Arc::new(StreamOrigins::default());
+    let fixture = start_entry(&[(&endpoint, "v1")], &origins).await;
+    let long = "x".repeat(10_000);
+    for resumes in [None, Some("b2"), Some(long.as_str())] {
+        let response = fetch(&fixture, take_up(&fixture, "b2", resumes)).await;
+        assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let unavailable = StreamOrigins::with_base("v1");
+    unavailable.is_unavailable.store(true, Ordering::Relaxed);
+    let fixture = start_entry(&[(&endpoint, "v1")], &unavailable).await;
+    let response = fetch(&fixture, take_up(&fixture, "b2", Some("a1"))).await;
+    assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert!(response.headers().contains_key("retry-after"));
+    assert_eq!(endpoint.request_count(), 0);
+}
+
+/// Guards against an event that reaches the caller before every entry process can tell which software
+/// version wrote it.
+#[tokio::test]
+async fn the_first_event_waits_for_the_record_of_its_version() {
+    let origins = StreamOrigins::with_base("v1");
+    origins.is_unavailable.store(true, Ordering::Relaxed);
+    let whole = chunked_response("a1", &FIRST_EVENTS, true);
+    let endpoint = Endpoint::start(vec![ScriptStep::Send(whole)]).await;
+    let fixture = start_entry(&[(&endpoint, "v1.1")], &origins).await;
+    let (received, is_complete) = receive(&fixture).await;
+    assert_eq!(received, "");
+    assert!(!is_complete);
+}
+
+/// Guards against records of streams that need none: those of the base version.
+#[tokio::test]
+async fn streams_of_the_base_version_are_not_recorded() {
+    let origins = StreamOrigins::with_base("v1");
+    let whole = chunked_response("a1", &FIRST_EVENTS, true);
+    let endpoint = Endpoint::start(vec![ScriptStep::Send(whole)]).await;
+    let fixture = start_entry(&[(&endpoint, "v1")], &origins).await;
+    let (received, is_complete) = receive(&fixture).await;
+    assert_eq!(received, FIRST_EVENTS.concat());
+    assert!(is_complete);
+    assert!(origins.records.lock().unwrap().is_empty());
+}
+
+/// Guards against a caller that learns of, or goes on with, the stream of another customer by naming its
+/// request.
+#[tokio::test]
+async fn records_of_customers_are_apart() {
+    let origins = StreamOrigins::with_base("v1");
+    let first = start_breaking().await;
+    let fixture = start_entry(&[(&first, "v1.1")], &origins).await;
+    receive(&fixture).await;
+    let public = *origins.records.lock().unwrap().keys().next().unwrap();
+    let first = start_breaking().await;
+    let fixture = start_entry(&[(&first, "v1.1")], &origins).await;
+    let mut request = fixture.build_request("keyed-stream", "a1");
+    let key = HeaderValue::from_static("right");
+    request.headers_mut().insert("key", key);
+    let mut body = fixture.client.send(request).await.unwrap().into_body();
+    while let Ok(Some(_)) = body.next_chunk().await {}
+    let records = origins.records.lock().unwrap();
+    assert_eq!(records.len(), 2);
+    assert!(records.contains_key(&public));
+}
--- a/crates/wasabipoint_entry/tests/sockets.rs
+++ b/crates/wasabipoint_entry/tests/sockets.rs
@@ -120,6 +120,22 @@
         Err(wasabipoint_rpc::ControlRefusal::Unavailable)
     }
 
+    async fn record_streams(
+        self,
+        _: tarpc::context::Context,
+        _: Vec<wasabipoint_rpc::StreamRecord>,
+    ) -> Result<(), wasabipoint_rpc::ControlRefusal> {
+        Err(wasabipoint_rpc::ControlRefusal::Unavailable)
+    }
+
+    async fn find_stream(
+        self,
+        _: tarpc::context::Context,
+        _: wasabipoint_rpc::StreamQuery,
+    ) -> Result<wasabipoint_rpc::StreamOrigin, wasabipoint_rpc::ControlRefusal> {
+        Err(wasabipoint_rpc::ControlRefusal::Unavailable)
+    }
+
     async fn load_adapter(
         self,
         _: tarpc::context::Context,
--- a/crates/wasabipoint_policy/src/lib.rs
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -25,6 +25,7 @@
 mod routing;
 mod shared_speed;
 mod store_concurrency;
+mod stream_origin;
 
 pub use allowance_queue::{
     AllowanceClass, AllowanceDeal, AllowanceQueue, AllowanceTicket, BucketState,
@@ -71,3 +72,7 @@
 };
 pub use shared_speed::{MAX_SPEEDS, SharedSpeeds, StatedSpeed};
 pub use store_concurrency::StoreConcurrency;
+pub use stream_origin::{
+    BASE_RETIREMENT_MS, MAX_BASE_VERSION_AGE_MS, MAX_STREAM_LIFETIME_MS, StreamStart,
+    record_lifetime_ms,
+};
--- /dev/null
+++ b/crates/wasabipoint_policy/src/stream_origin.rs
@@ -0,0 +1,55 @@
+//! Which streams need a durable record of the software version that began them.
+//!
+//! What endpoints of two software versions write does not fit together, and a caller may take a stream
+//! up at any entry process, also after all of them were restarted. A stream without a record belongs to
+//! the base version of its service, so that a service with a single version needs no records.
+
+use wasabipoint_kernel::SoftwareVersion;
+
+/// Longest time for which a record is kept, in milliseconds. Callers that wait longer for a stream can
+/// take it up only within this time.
+pub const MAX_STREAM_LIFETIME_MS: u64 = 600_000;
+
+/// Greatest age at which a fleet view tells the base version, in milliseconds.
+pub const MAX_BASE_VERSION_AGE_MS: u64 = 300_000;
+
+/// Time after which the base version of a service is replaced, counted from the moment at which its last
+/// endpoint is gone, in milliseconds. By then no caller takes up a stream without a record that the old
+/// base version began, and no entry process begins one.
+pub const BASE_RETIREMENT_MS: u64 = 1_200_000;
+
+const _: () = assert!(BASE_RETIREMENT_MS > MAX_STREAM_LIFETIME_MS + MAX_BASE_VERSION_AGE_MS);
+
+/// Margin added to the time for which the caller of a stream still waits, in milliseconds. It covers the
+/// way of the record and of the caller's last attempt.
+const LIFETIME_MARGIN_MS: u64 = 5_000;
+
+/// What an entry process knows when a stream is about to begin.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StreamStart<'a> {
+    /// Software version of the endpoint that writes the stream.
+    pub version: &'a SoftwareVersion,
+    /// Base version of the endpoint's service, `None` if it is not known.
+    pub base_version: Option<&'a SoftwareVersion>,
+    /// Time since the base version was confirmed, in milliseconds.
+    pub base_age_ms: u64,
+    /// Number of services that the route may select.
+    pub services: usize,
+}
+
+impl StreamStart<'_> {
+    /// Returns whether the stream has to be recorded before its caller gets an event.
+    pub fn needs_record(&self) -> bool {
+        let is_implied = self.base_version == Some(self.version)
+            && self.base_age_ms <= MAX_BASE_VERSION_AGE_MS
+            && self.services <= 1;
+        !is_implied
+    }
+}
+
+/// Returns for how long a stream is recorded whose caller waits for `remaining_ms` more.
+pub fn record_lifetime_ms(remaining_ms: u64) -> u64 {
+    remaining_ms
+        .saturating_add(LIFETIME_MARGIN_MS)
+        .min(MAX_STREAM_LIFETIME_MS)
+}
--- /dev/null
+++ b/crates/wasabipoint_policy/tests/stream_origin.rs
@@ -0,0 +1,54 @@
+//! Which streams need a record of their software version.
+
+use wasabipoint_kernel::SoftwareVersion;
+use wasabipoint_policy::{
+    MAX_BASE_VERSION_AGE_MS, MAX_STREAM_LIFETIME_MS, StreamStart, record_lifetime_ms,
+};
+
+/// Guards against streams without a record that are not streams of the base version for every process.
+#[test]
+fn only_streams_of_a_fresh_base_version_need_no_record() {
+    let (base, other) = (SoftwareVersion::new("v1"), SoftwareVersion::new("v1.1"));
+    let start = StreamStart {
+        version: &base,
+        base_version: Some(&base),
+        base_age_ms: MAX_BASE_VERSION_AGE_MS,
+        services: 1,
+    };
+    assert!(!start.needs_record());
+    let version = &other;
+    assert!(StreamStart { version, ..start }.needs_record());
+    let base_version = None;
+    assert!(
+        StreamStart {
+            base_version,
+            ..start
+        }
+        .needs_record()
+    );
+    let base_age_ms = MAX_BASE_VERSION_AGE_MS + 1;
+    assert!(
+        StreamStart {
+            base_age_ms,
+            ..start
+        }
+        .needs_record()
+    );
+    assert!(
+        StreamStart {
+            services: 2,
+            ..start
+        }
+        .needs_record()
+    );
+}
+
+/// Guards against a record that ends before its caller stops waiting, and against one that is kept for
+/// good because its caller claims to wait.
+#[test]
+fn a_record_lasts_longer_than_its_caller_waits() {
+    for remaining_ms in [0, 4_000, 25_000] {
+        assert!(record_lifetime_ms(remaining_ms) > remaining_ms);
+    }
+    assert_eq!(record_lifetime_ms(u64::MAX), MAX_STREAM_LIFETIME_MS);
+}
--- a/crates/wasabipoint_rpc/src/fleet.rs
+++ b/crates/wasabipoint_rpc/src/fleet.rs
@@ -78,6 +78,8 @@
         pub quarantine: BTreeMap<PromptPartId, QuarantinedPart>,
         /// Failure domains whose endpoints get no new requests, by order of an operator.
         pub out_of_service: BTreeSet<FailureDomain>,
+        /// Software version of each service that began the streams without a record.
+        pub base_versions: BTreeMap<ServiceName, SoftwareVersion>,
     }
 }
 
@@ -94,6 +96,7 @@
             deployment: None,
             quarantine: BTreeMap::new(),
             out_of_service: BTreeSet::new(),
+            base_versions: BTreeMap::new(),
         }
     }
 
@@ -149,6 +152,9 @@
             FleetChange::ReturnToService(domain) => {
                 self.out_of_service.remove(domain);
             }
+            FleetChange::SetBaseVersion(service, version) => {
+                self.base_versions.insert(service.clone(), version.clone());
+            }
         }
     }
 }
@@ -193,6 +199,8 @@
         ReturnToService(FailureDomain),
         /// An endpoint registered or changed.
         PutEndpoint(Box<EndpointView>),
+        /// Streams of a service without a record belong to this software version from now on.
+        SetBaseVersion(ServiceName, SoftwareVersion),
     }
 }
 
--- a/crates/wasabipoint_rpc/src/lib.rs
+++ b/crates/wasabipoint_rpc/src/lib.rs
@@ -10,6 +10,7 @@
 mod prompt;
 mod service;
 mod speed;
+mod stream;
 
 pub use agent::{
     AgentDirective, AgentReport, CheckpointTier, EndpointKind, FencingMode, Grant, ReplicaReport,
@@ -41,3 +42,4 @@
     connect_peer, listen_rpc,
 };
 pub use speed::{SpeedDirective, SpeedReport};
+pub use stream::{MAX_STREAMS_PER_CALL, StreamOrigin, StreamQuery, StreamRecord};
--- a/crates/wasabipoint_rpc/src/service.rs
+++ b/crates/wasabipoint_rpc/src/service.rs
@@ -13,6 +13,7 @@
     QuotaReply, QuotaRequest,
 };
 use crate::fleet::{WatchReply, WatchRequest};
+use crate::stream::{StreamOrigin, StreamQuery, StreamRecord};
 
 /// Maximum size of a tarpc frame. A complete fleet view at the design size takes about 1 MB.
 pub const MAX_RPC_FRAME_BYTES: usize = 8 * 1_024 * 1_024;
@@ -125,6 +126,10 @@
     async fn load_adapter(request: AdapterRequest) -> Result<AdapterReply, ControlRefusal>;
     /// Settles quota slices, and divides tokens among the requests that wait for them.
     async fn request_quota(request: QuotaRequest) -> Result<QuotaReply, ControlRefusal>;
+    /// Commits which software versions began streams, before their callers get an event.
+    async fn record_streams(streams: Vec<StreamRecord>) -> Result<(), ControlRefusal>;
+    /// Returns where a stream began that a caller takes up, as confirmed by a quorum.
+    async fn find_stream(query: StreamQuery) -> Result<StreamOrigin, ControlRefusal>;
 }
 
 /// Messages between control members.
--- a/crates/wasabipoint_testbed/tests/forwarding/engine.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/engine.rs
@@ -23,6 +23,9 @@
 /// The model that every engine has loaded.
 pub(crate) const MODEL: &str = "m1";
 
+/// Software version of an engine until it is replaced.
+pub(crate) const FIRST_VERSION: &str = "v1";
+
 /// Time from a crash of an engine until it accepts connections again.
 const RESTART_TIME: Duration = Duration::from_millis(700);
 
@@ -45,6 +48,8 @@
     address: SocketAddr,
     failure_domain: Mutex<&'static str>,
     incarnation: AtomicU64,
+    /// Version of the engine's software, which it writes into its events.
+    software_version: Mutex<&'static str>,
     deadly_part: Mutex<Option<String>>,
     /// The body of requests that crash the engine.
     deadly_body: Mutex<Option<String>>,
@@ -81,6 +86,7 @@
             address: socket.local_addr().unwrap(),
             failure_domain: Mutex::new("here"),
             incarnation: AtomicU64::new(1),
+            software_version: Mutex::new(FIRST_VERSION),
             deadly_part: Mutex::new(None),
             deadly_body: Mutex::new(None),
             deadly_arrivals: AtomicU32::new(0),
@@ -125,6 +131,12 @@
         self.crash_sender.send_modify(|crashes| *crashes += 1);
     }
 
+    /// Restarts the engine with other software.
+    pub(crate) fn replace_software(&self, version: &'static str) {
+        *self.software_version.lock().unwrap() = version;
+        self.crash();
+    }
+
     /// Makes the engine name a limit in its responses, or none.
     pub(crate) fn name_limit(&self, limit_per_s: Option<f64>) {
         *self.limit_per_s.lock().unwrap() = limit_per_s;
@@ -247,7 +259,7 @@
             },
             concurrency: 16,
             is_leaving: false,
-            software_version: SoftwareVersion::new("v1"),
+            software_version: SoftwareVersion::new(*self.software_version.lock().unwrap()),
         }
     }
 
@@ -333,10 +345,11 @@
             self.crash();
             std::future::pending::<()>().await;
         }
+        let version = *self.software_version.lock().unwrap();
         let last_event = header(head, "last-event-id").map_or(0, |id| id.parse().unwrap());
         for event in last_event + 1..=EVENTS {
             tokio::time::sleep(EVENT_INTERVAL).await;
-            let event = format!("id: {event}\ndata: x\n\n");
+            let event = format!("id: {event}\ndata: {version}\n\n");
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             stream.write_all(chunk.as_bytes()).await?;
         }
--- a/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/fixture.rs
@@ -18,7 +18,7 @@
     EngineCommand, EngineCommander, EngineState, PlatformIntegration, RateAllowance,
 };
 use wasabipoint_entry::{ForwardConfig, Forwarder, Regions, RpcControlLink};
-use wasabipoint_http::HttpClient;
+use wasabipoint_http::{HttpClient, ResponseBody};
 use wasabipoint_kernel::{
     CallerLimits, ColdLimit, Deployment, EngineModel, EngineSpec, EntryId, FailureDomain,
     ForwardRoute, ForwardService, Incarnation, MemberId, ModelName, RouteName, RunPolicy,
@@ -429,6 +429,31 @@
             .header("content-length", body.len())
     }
 
+    /// Sends a request with further headers and returns its response as soon as it begins.
+    pub(crate) async fn open(
+        &self,
+        entry: usize,
+        id: &str,
+        headers: &[(&'static str, String)],
+    ) -> Option<http::Response<ResponseBody>> {
+        let body = Bytes::from_static(b"prompt");
+        let mut request = self.build_request(entry, "chat", "prompt");
+        request = request.header("model", MODEL);
+        for (name, value) in headers {
+            request = request.header(*name, value);
+        }
+        let mut request = request.body(body).unwrap();
+        request.headers_mut().insert("id", id.parse().unwrap());
+        self.client.send(request).await.ok()
+    }
+
+    /// Removes an engine from the directory. It goes on with what it serves.
+    pub(crate) fn delist(&self, engine: usize) {
+        let address = self.engines[engine].view().address;
+        let mut listed = self.listed_engines.lock().unwrap();
+        listed.retain(|engine| engine.view().address != address);
+    }
+
     async fn fetch(
         &self,
         request: http::request::Builder,
--- a/crates/wasabipoint_testbed/tests/forwarding/main.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/main.rs
@@ -14,3 +14,4 @@
 mod repeated_request;
 #[path = "../../../wasabipoint_entry/tests/fixtures/test_dialect.rs"]
 mod test_dialect;
+mod versions;
