Take no interim status for a response

Cause: the HTTP library refuses 000, 001, 099 and statuses that are not three digits, but delivers 101 as a final response. The forwarding path relayed it, and the client of reports, commands and agents returned it as a response.

Evidence: a_status_that_is_none_is_no_answer fails on with 101 (left 101, right 502), a_status_that_is_none_is_no_response as well. With 000 in three forms, 001, 099, 00, 1000 and -200 both passed before: on the plain path, for streams, streams that resume, after a complete answer, and in the client of reports.

Change: an interim status ends the attempt like a lost answer: the request may have run, so that repeatable ones are tried elsewhere and others get 502.

--- a/crates/wasabipoint_entry/src/forward/exchange.rs
+++ b/crates/wasabipoint_entry/src/forward/exchange.rs
@@ -119,6 +119,10 @@
     if metadata.request_id.as_deref() != Some(outgoing.request_id.as_str()) {
         return ExchangeOutcome::Unknown(invalid("the response belongs to another request"));
     }
+    // No request asks for another protocol, so that an interim status answers nothing.
+    if head.status.is_informational() {
+        return ExchangeOutcome::Unknown(invalid("an interim status as the response"));
+    }
     if let Some(seconds) = metadata.keep_alive_s {
         connection.set_idle_timeout(seconds);
     }
--- a/crates/wasabipoint_entry/tests/forward_sockets.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets.rs
@@ -34,6 +34,8 @@
 mod scarce_quota;
 #[path = "forward_sockets/speeds.rs"]
 mod speeds;
+#[path = "forward_sockets/statuses.rs"]
+mod statuses;
 #[path = "fixtures/test_dialect.rs"]
 mod test_dialect;
 #[path = "forward_sockets/unframed.rs"]
--- a/crates/wasabipoint_http/src/client.rs
+++ b/crates/wasabipoint_http/src/client.rs
@@ -121,6 +121,14 @@
                     ClientError::Interrupted(format_error_chain(&error))
                 }
             })?;
+        // No request asks for another protocol, so that an interim status answers nothing.
+        if response.status().is_informational() {
+            let detail = format!(
+                "interim status {} as the response",
+                response.status().as_u16()
+            );
+            return Err(ClientError::Interrupted(detail));
+        }
         Ok(response.map(|incoming| ResponseBody { incoming }))
     }
 
