Bound bytes of endpoints that belong to no response

The entry process is one thread; it read as long as bytes arrived, until the deadline of the request.

Cause: the limits on heads, bodies and events count what the HTTP library has parsed. Framing, interim heads and blank lines fill no memory and were not counted. The client of reports, commands and agents had no such bound either.

Memory was bounded before in all forms that were tried: header fields, names, interim heads, bodies, events.

Change: a connection counts what was read and not claimed since by a response head or a part of a body, and fails beyond 128 KiB. The attempt ends at once like a lost response. Read buffers of connections to endpoints are 64 KiB, which is also the largest response head.

New direct dependency: tower-service, which is part of the tree already.

--- a/crates/wasabipoint_entry/src/forward/exchange.rs
+++ b/crates/wasabipoint_entry/src/forward/exchange.rs
@@ -184,6 +184,7 @@
             let frame =
                 frame.map_err(|error| ResponseFailure::ConnectionLost(error.to_string()))?;
             if let Ok(chunk) = frame.into_data() {
+                self.connection.claim_body(chunk.len());
                 return Ok(Some(chunk));
             }
         }
--- a/crates/wasabipoint_entry/src/forward/pool.rs
+++ b/crates/wasabipoint_entry/src/forward/pool.rs
@@ -17,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
+use wasabipoint_http::{MAX_READ_BUFFER_BYTES, MeteredStream, ReadMeter};
 
 use super::body_buffer::BodyBudget;
 
@@ -63,6 +64,7 @@
     carried_ids: Vec<u64>,
     address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    meter: ReadMeter,
     task: AbortHandle,
     last_used: Instant,
     max_idle: Duration,
@@ -81,7 +83,10 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.meter.claim_head();
+                Ok(response)
+            }
             // hyper returns the request only if no byte of it was written.
             Err(mut failed) => {
                 let detail = failed.error().to_string();
@@ -94,6 +99,11 @@
         }
     }
 
+    /// Counts a part of a response body as received.
+    pub(crate) fn claim_body(&self, bytes: usize) {
+        self.meter.claim_body(bytes);
+    }
+
     /// Applies the idle timeout that the endpoint announced, less `IDLE_MARGIN`.
     pub(crate) fn set_idle_timeout(&mut self, seconds: u64) {
         self.max_idle = Duration::from_secs(seconds).saturating_sub(IDLE_MARGIN);
@@ -209,7 +219,10 @@
         .map_err(|_| not_sent("connection timed out".to_owned()))?
         .map_err(|error| not_sent(error.to_string()))?;
     set_socket_options(&stream).map_err(|error| not_sent(error.to_string()))?;
+    let meter = ReadMeter::default();
+    let stream = MeteredStream::new(stream, meter.clone());
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| not_sent(error.to_string()))?;
@@ -220,6 +233,7 @@
         carried_ids: Vec::new(),
         address,
         sender,
+        meter,
         task,
         last_used: Instant::now(),
         max_idle: MAX_IDLE,
--- a/crates/wasabipoint_entry/tests/forward_sockets/endless.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/endless.rs
@@ -13,7 +13,7 @@
 
 /// Returns one chunk of a chunked body.
 fn chunk() -> String {
-    format!("{:x}\r\n{}\r\n", 65_536, "x".repeat(65_536))
+    chunk_of(&"x".repeat(65_536))
 }
 
 fn head(extra: &str) -> String {
@@ -23,6 +23,12 @@
 /// Sends a request to an endpoint with an endless response and returns the status that the caller
 /// receives.
 async fn send_to_endless_endpoint(route: &str, first: &str, repeated: &str) -> u16 {
+    measure_endless_endpoint(route, first, repeated).await.0
+}
+
+/// Sends a request to an endpoint with an endless response and returns the status that the caller
+/// receives, and the number of bytes that the endpoint could send.
+async fn measure_endless_endpoint(route: &str, first: &str, repeated: &str) -> (u16, usize) {
     let (closed, closed_receiver) = oneshot::channel();
     let step = ScriptStep::Endless(first.to_owned(), repeated.to_owned(), closed);
     let endless = Endpoint::start(vec![step]).await;
@@ -31,8 +37,75 @@
     let result = timeout(TIMEOUT, fixture.send_request(route, "a1")).await;
     let status = result.expect("no response in time").unwrap().status();
     let ended = timeout(TIMEOUT, closed_receiver).await;
-    ended.expect("the connection stays open").unwrap();
-    status.as_u16()
+    let sent_bytes = ended.expect("the connection stays open").unwrap();
+    (status.as_u16(), sent_bytes)
+}
+
+/// Maximum number of bytes that an endpoint can send until it notices that they are not read: they fill
+/// the buffers of both sockets.
+const MAX_UNREAD_BYTES: usize = 16 * 1_024 * 1_024;
+
+/// Guards against bytes without end that fill no memory, and use up the time of the process until the
+/// deadline of the request.
+#[tokio::test]
+async fn bytes_that_belong_to_no_response_are_bounded() {
+    let chunked = head("transfer-encoding: chunked\r\n\r\n");
+    let interim = "HTTP/1.1 100 Continue\r\n\r\n".repeat(100);
+    let cases = [
+        ("interim heads", String::new(), interim),
+        (
+            "blank lines before a head",
+            String::new(),
+            "\r\n".repeat(1_000),
+        ),
+        ("digits of a chunk size", chunked.clone(), "0".repeat(4_096)),
+        (
+            "a chunk extension",
+            chunked.clone() + "1;",
+            "x".repeat(4_096),
+        ),
+        (
+            "extensions of many chunks",
+            chunked.clone(),
+            format!("1;{}\r\nx\r\n", "e".repeat(200)),
+        ),
+        (
+            "trailers",
+            chunked.clone() + "0\r\n",
+            "x: y\r\n".repeat(1_000),
+        ),
+        ("a trailer", chunked.clone() + "0\r\nx: ", "y".repeat(4_096)),
+        ("names of header fields", head(""), "x".repeat(4_096)),
+    ];
+    for (name, first, repeated) in cases {
+        let (status, sent_bytes) = measure_endless_endpoint("once", &first, &repeated).await;
+        assert_eq!(status, 502, "{name}");
+        assert!(sent_bytes < MAX_UNREAD_BYTES, "{name}: {sent_bytes} bytes");
+    }
+}
+
+/// Guards against a stream whose endpoint goes on with framing in place of events.
+#[tokio::test]
+async fn framing_without_end_aborts_a_stream() {
+    let events = chunk_of("id: 1\ndata: a\n\n");
+    let first = head("transfer-encoding: chunked\r\n\r\n") + &events;
+    for repeated in [
+        "0".repeat(4_096),
+        format!("1;{}\r\n\n\r\n", "e".repeat(200)),
+    ] {
+        let (closed, closed_receiver) = oneshot::channel();
+        let step = ScriptStep::Endless(first.clone(), repeated, closed);
+        let endless = Endpoint::start(vec![step]).await;
+        let fixture = Fixture::start(Some(fleet_view(&[&endless]))).await;
+        let result = timeout(TIMEOUT, fixture.send_request("stream", "a1")).await;
+        assert!(result.expect("no end in time").is_err());
+        let sent_bytes = timeout(TIMEOUT, closed_receiver).await.unwrap().unwrap();
+        assert!(sent_bytes < MAX_UNREAD_BYTES, "{sent_bytes} bytes");
+    }
+}
+
+fn chunk_of(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
 }
 
 /// Guards against an endless body that is buffered until the process runs out of memory.
--- a/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/fixture.rs
@@ -42,9 +42,9 @@
     SendInIntervals(Vec<String>, Duration),
     /// Closes the connection.
     Close,
-    /// Sends the first text, then repeats the second one, and signals when the peer closes the
-    /// connection.
-    Endless(String, String, oneshot::Sender<()>),
+    /// Sends the first text, then repeats the second one until the peer closes the connection, and
+    /// returns the number of bytes that were written.
+    Endless(String, String, oneshot::Sender<usize>),
     /// Sends nothing, and signals when the peer closes the connection.
     StaySilent(oneshot::Sender<()>),
 }
@@ -139,11 +139,13 @@
                 return;
             }
             ScriptStep::Endless(first, repeated, closed) => {
+                let mut written = first.len();
                 let mut next = stream.write_all(first.as_bytes()).await;
                 while next.is_ok() {
+                    written += repeated.len();
                     next = stream.write_all(repeated.as_bytes()).await;
                 }
-                let _ = closed.send(());
+                let _ = closed.send(written);
                 return;
             }
             ScriptStep::Close => return,
--- a/crates/wasabipoint_http/src/client.rs
+++ b/crates/wasabipoint_http/src/client.rs
@@ -1,14 +1,20 @@
 //! The HTTP client.
 
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response};
+use http::{Request, Response, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use tokio::net::TcpStream;
+use tower_service::Service;
+
+use crate::metered::{MAX_READ_BUFFER_BYTES, MeteredStream, ReadMeter};
 
 /// Maximum number of idle connections in the pool per host.
 const MAX_IDLE_CONNECTIONS_PER_HOST: usize = 64;
@@ -47,6 +53,7 @@
 #[derive(Debug)]
 pub struct ResponseBody {
     incoming: Incoming,
+    meter: ReadMeter,
 }
 
 impl ResponseBody {
@@ -55,6 +62,7 @@
         while let Some(frame) = self.incoming.frame().await {
             let frame = frame.map_err(|error| ClientError::Interrupted(error.to_string()))?;
             if let Ok(data) = frame.into_data() {
+                self.meter.claim_body(data.len());
                 return Ok(Some(data));
             }
         }
@@ -74,10 +82,39 @@
     }
 }
 
+/// Opens connections whose peers cannot send without end.
+#[derive(Debug, Clone)]
+struct MeteredConnector(HttpConnector);
+
+impl Service<Uri> for MeteredConnector {
+    type Response = TokioIo<MeteredStream<TcpStream>>;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(context)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let connecting = self.0.call(uri);
+        Box::pin(async move {
+            let stream = connecting.await?.into_inner();
+            let metered = MeteredStream::new(stream, ReadMeter::default());
+            Ok(TokioIo::new(metered))
+        })
+    }
+}
+
+impl Connection for MeteredStream<TcpStream> {
+    fn connected(&self) -> Connected {
+        self.inner().connected().extra(self.meter().clone())
+    }
+}
+
 /// An HTTP/1.1 client. It never retries a request by itself.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<MeteredConnector, Full<Bytes>>,
 }
 
 impl HttpClient {
@@ -101,7 +138,8 @@
             .pool_max_idle_per_host(idle_connections)
             // A retry could execute a non-idempotent call twice, so callers decide on retries.
             .retry_canceled_requests(false)
-            .build(connector);
+            .http1_max_buf_size(MAX_READ_BUFFER_BYTES)
+            .build(MeteredConnector(connector));
         Self { client }
     }
 
@@ -129,7 +167,10 @@
             );
             return Err(ClientError::Interrupted(detail));
         }
-        Ok(response.map(|incoming| ResponseBody { incoming }))
+        let meter = response.extensions().get::<ReadMeter>().cloned();
+        let meter = meter.expect("the connector adds the meter of each connection");
+        meter.claim_head();
+        Ok(response.map(|incoming| ResponseBody { incoming, meter }))
     }
 
     /// Sends a request and reads the complete response within `timeout`.
