Keep used models at two engines of one software version

Cause: the engine planner and the choice of endpoints did not know software versions. During a release models had one replica at each version, on which all of their streams were lost with the engine.

Change: while several versions serve, a used model whose replicas are all at different versions gets a second one where memory is free, in the order of demand with cold models. Relief prefers the version that has the model, evictions spare pairs, new streams prefer versions with several endpoints. Nothing changes with one version.

--- a/crates/wasabipoint_control/src/engines/planner_input.rs
+++ b/crates/wasabipoint_control/src/engines/planner_input.rs
@@ -121,6 +121,7 @@
             serves_adapters: held.iter().any(uses_adapters),
             speed: speeds.get(&(id.clone(), endpoint.incarnation)).copied(),
             models: held.into_iter().filter(is_model).collect(),
+            software_version: endpoint.software_version.clone(),
         }
     });
     engine_views.collect()
--- a/crates/wasabipoint_entry/examples/select_cost.rs
+++ b/crates/wasabipoint_entry/examples/select_cost.rs
@@ -67,6 +67,7 @@
             latency_objective_ms: 450,
         },
         software_version: None,
+        begins_stream: false,
         random,
     };
     let selected = endpoints.select(&criteria(0), 1_100)?;
--- a/crates/wasabipoint_entry/src/forward/call.rs
+++ b/crates/wasabipoint_entry/src/forward/call.rs
@@ -19,8 +19,8 @@
 use slog::info;
 use tokio::time::{Instant, timeout_at};
 use wasabipoint_kernel::{
-    CustomerId, EndpointId, ForwardRoute, ModelName, PromptPartId, Refusal, Region, ServiceName,
-    SoftwareVersion,
+    CustomerId, EndpointId, ForwardRoute, ModelName, PromptPartId, Refusal, Region, RunPolicy,
+    ServiceName, SoftwareVersion,
 };
 use wasabipoint_rpc::EndpointView;
 
@@ -238,6 +238,8 @@
             work: self.request_work(),
             homes: self.homes(),
             software_version: self.software_version.as_ref(),
+            begins_stream: self.route.run_policy == RunPolicy::ResumableStream
+                && self.software_version.is_none(),
             random: rand::random(),
         }
     }
--- a/crates/wasabipoint_entry/src/forward/endpoints.rs
+++ b/crates/wasabipoint_entry/src/forward/endpoints.rs
@@ -15,7 +15,7 @@
 };
 use wasabipoint_policy::{
     Announcement, AvailabilityChange, EndpointAvailability, LoadEstimate, RequestAllowance,
-    RequestWork, choose_lowest_cost, mean_load_by_share,
+    RequestWork, add_version_costs, choose_lowest_cost, mean_load_by_share,
 };
 use wasabipoint_rpc::EndpointView;
 
@@ -104,6 +104,8 @@
     /// Software version at which the stream of the request began, if it did. No other version may
     /// continue it.
     pub software_version: Option<&'a SoftwareVersion>,
+    /// Whether the request begins a stream that may have to go on at another endpoint.
+    pub begins_stream: bool,
     /// Random number that breaks ties between endpoints of equal cost.
     pub random: u64,
 }
@@ -235,7 +237,7 @@
         }
         let mean = self.mean_load(criteria.service, now_ms);
         let service = self.active_work(criteria.service);
-        let costs: Vec<f64> = if let Some(service) = service {
+        let mut costs: Vec<f64> = if let Some(service) = service {
             self.work_costs(service, &mut candidates, criteria, mean, now_ms)
         } else {
             let costs = candidates.iter();
@@ -243,6 +245,11 @@
                 .map(|state| self.cost(state, criteria, mean, now_ms))
                 .collect()
         };
+        if criteria.begins_stream {
+            let candidates = candidates.iter().map(|state| &state.view.software_version);
+            let eligible = eligible.iter().map(|state| &state.view.software_version);
+            add_version_costs(&mut costs, candidates, eligible);
+        }
         let state = candidates[choose_lowest_cost(&costs, criteria.random)?];
         Some(SelectedEndpoint {
             endpoint: state.view.clone(),
--- a/crates/wasabipoint_entry/tests/cold_endpoints.rs
+++ b/crates/wasabipoint_entry/tests/cold_endpoints.rs
@@ -92,6 +92,7 @@
         tried: &tried,
         homes: HomeRegions::default(),
         software_version: None,
+        begins_stream: false,
         random: 0,
         work: wasabipoint_policy::RequestWork::default(),
     };
@@ -242,6 +243,7 @@
         tried: &tried,
         homes: HomeRegions::default(),
         software_version: None,
+        begins_stream: false,
         random: 0,
         work: wasabipoint_policy::RequestWork::default(),
     };
--- a/crates/wasabipoint_entry/tests/endpoint_choice.rs
+++ b/crates/wasabipoint_entry/tests/endpoint_choice.rs
@@ -75,6 +75,7 @@
             tried: &self.tried,
             work: self.work,
             software_version: None,
+            begins_stream: false,
             random,
         }
     }
--- a/crates/wasabipoint_entry/tests/forward_policies.rs
+++ b/crates/wasabipoint_entry/tests/forward_policies.rs
@@ -66,6 +66,7 @@
             work: RequestWork::default(),
             homes: HomeRegions::default(),
             software_version: None,
+            begins_stream: false,
             random: 0,
         }
     }
--- a/crates/wasabipoint_entry/tests/home_regions.rs
+++ b/crates/wasabipoint_entry/tests/home_regions.rs
@@ -62,6 +62,7 @@
                 customer: &customer,
             },
             software_version: None,
+            begins_stream: false,
             random: 0,
             work: wasabipoint_policy::RequestWork::default(),
         };
@@ -106,6 +107,7 @@
         tried: &tried,
         homes,
         software_version: None,
+        begins_stream: false,
         random: 0,
         work: wasabipoint_policy::RequestWork::default(),
     };
--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -3,13 +3,15 @@
 //! The number of replicas follows demand. A model whose engines are busy gets another replica. If
 //! they are overloaded, rarely used models may be evicted for it, because they receive far fewer
 //! requests than the overloaded model delays. If requests wait for a model that no engine holds, a
-//! less used model or a surplus replica may be evicted for it.
+//! less used model or a surplus replica may be evicted for it. While engines of several software
+//! versions serve, a used model gets a second replica at one of them where memory is free, so that its
+//! streams can go on after the loss of an engine.
 
 mod planner;
 
 use std::collections::BTreeSet;
 
-use wasabipoint_kernel::{EndpointId, ModelName, plain_data};
+use wasabipoint_kernel::{EndpointId, ModelName, SoftwareVersion, plain_data};
 
 use planner::Planner;
 
@@ -62,6 +64,8 @@
         /// Speed in proportion to the engines of the service; `None` if speeds are not measured, as in
         /// services whose engines do not share their VMs with others.
         pub speed: Option<f64>,
+        /// Version of its software. Streams cannot move to an engine of another one.
+        pub software_version: SoftwareVersion,
     }
 }
 
@@ -135,6 +139,8 @@
         Relief,
         /// No engine holds the model, and there is no demand for it yet.
         Spread,
+        /// No two engines of one software version hold the model, while several versions serve.
+        Pair,
     }
 }
 
@@ -142,7 +148,9 @@
     fn can_load(&self, cause: ChangeCause) -> bool {
         let max_running = match cause {
             ChangeCause::Cold => self.full_speed_loads,
-            ChangeCause::Relief => RELIEF_STORE_LOADS.min(self.full_speed_loads),
+            ChangeCause::Relief | ChangeCause::Pair => {
+                RELIEF_STORE_LOADS.min(self.full_speed_loads)
+            }
             ChangeCause::Spread => SPREAD_STORE_LOADS,
         };
         self.loads_left > 0 && self.loads_running < max_running
--- a/crates/wasabipoint_policy/src/engine_plan/planner.rs
+++ b/crates/wasabipoint_policy/src/engine_plan/planner.rs
@@ -99,6 +99,14 @@
 const SPEED_PREFERENCE: f64 = 0.2;
 const MAX_SPEED_PREFERENCE: f64 = 3.0;
 
+/// Smallest demand, in concurrent requests, for which a model gets a second replica at one software
+/// version. Fewer streams are rarely on an engine when it is lost.
+const MIN_PAIR_LOAD: f64 = 0.5;
+
+/// Cost of leaving a model without two replicas at one software version, and preference for the engine
+/// that makes them two. Less than a load from the store.
+const PAIR_COST: f64 = 2.0;
+
 /// Returns the cost reduction of loading a model with `surplus_load` concurrent requests above the mean
 /// on an engine of a given capacity; 0 for one of usual speed.
 fn speed_preference(surplus_load: f64, capacity: f64) -> f64 {
@@ -186,6 +194,8 @@
     engine_loads: Vec<f64>,
     bounds: LoadBounds,
     store: StoreBudget,
+    /// Whether the engines have several software versions.
+    is_mixed: bool,
     /// Models that get no further replica in this plan.
     pub(super) excluded: BTreeSet<ModelName>,
     pub(super) changes: Vec<EngineChange>,
@@ -222,6 +232,9 @@
             engine_loads: Vec::new(),
             bounds,
             store,
+            is_mixed: engines
+                .windows(2)
+                .any(|pair| pair[0].software_version != pair[1].software_version),
             excluded: BTreeSet::new(),
             changes: Vec::new(),
         };
@@ -233,6 +246,38 @@
         self.holders.get(model).map_or(&[], Vec::as_slice)
     }
 
+    /// Returns the number of engines of the same software version as one of them that hold a model,
+    /// without that engine.
+    fn holders_beside(&self, model: &ModelName, index: usize) -> usize {
+        let version = &self.engines[index].software_version;
+        let holders = self.holders(model).iter();
+        let same = holders.filter(|holder| self.engines[**holder].software_version == *version);
+        same.filter(|holder| **holder != index).count()
+    }
+
+    /// Returns whether two engines of one software version hold a model, not counting `without`.
+    fn has_pair(&self, model: &ModelName, without: Option<usize>) -> bool {
+        let mut versions = BTreeSet::new();
+        let holders = self.holders(model).iter();
+        let mut counted = holders.filter(|holder| Some(**holder) != without);
+        counted.any(|holder| !versions.insert(&self.engines[*holder].software_version))
+    }
+
+    /// Returns whether a load on an engine makes two replicas of a model at its software version, now or
+    /// with a further load on another engine with free memory.
+    fn can_pair(&self, model: &ModelName, index: usize) -> bool {
+        if self.holders_beside(model, index) > 0 {
+            return true;
+        }
+        let weights_mb = self.models[model].weights_mb;
+        let version = &self.engines[index].software_version;
+        let same = (0..self.engines.len())
+            .filter(|other| self.engines[*other].software_version == *version);
+        same.filter(|other| self.free_mb(*other) >= weights_mb)
+            .count()
+            > 1
+    }
+
     fn replicas(&self, model: &ModelName) -> u32 {
         self.holders(model).len() as u32
     }
@@ -296,9 +341,10 @@
             }
             let per_replica = self.mean_replica_load(&model.name);
             let (rank, cause) = match self.replicas(&model.name) {
-                0 if model.waiting > 0 || model.load > UNUSED_LOAD => (1, ChangeCause::Cold),
+                0 if model.waiting > 0 || model.load > UNUSED_LOAD => (2, ChangeCause::Cold),
                 0 => (0, ChangeCause::Spread),
-                _ if self.exceeds_load(&model.name, self.bounds.relief) => (2, ChangeCause::Relief),
+                _ if self.exceeds_load(&model.name, self.bounds.relief) => (3, ChangeCause::Relief),
+                _ if self.needs_pair(model) => (2, ChangeCause::Pair),
                 _ => return None,
             };
             let priority = per_replica + f64::from(model.waiting);
@@ -309,6 +355,12 @@
             .map(|(_, _, cause, name)| (name.clone(), cause))
     }
 
+    /// Returns whether no engine could continue the streams of a used model if the one that they are on
+    /// is lost.
+    fn needs_pair(&self, model: &ModelLoad) -> bool {
+        self.is_mixed && model.load >= MIN_PAIR_LOAD && !self.has_pair(&model.name, None)
+    }
+
     /// Returns whether the mean load of a model's engines exceeds `bound` and the model contributes
     /// a large share of it.
     fn exceeds_load(&self, model: &ModelName, bound: f64) -> bool {
@@ -334,7 +386,9 @@
             ChangeCause::Relief if is_overloaded => EvictionLimit::uniform(
                 (per_replica_before - per_replica_after) * RELIEF_VALUE / EVICTION_DEMAND_RATIO,
             ),
-            ChangeCause::Relief | ChangeCause::Spread => EvictionLimit::uniform(0.0),
+            ChangeCause::Relief | ChangeCause::Spread | ChangeCause::Pair => {
+                EvictionLimit::uniform(0.0)
+            }
         };
         // Loading from another engine's disk is faster than from the store, even if that engine has
         // to complete another change first.
@@ -353,6 +407,9 @@
             if !(is_on_disk || may_load_from_store) {
                 continue;
             }
+            if cause == ChangeCause::Pair && !self.can_pair(model, index) {
+                continue;
+            }
             let per_replica_after = load / (capacity + self.capacities[index]);
             let limit = limit(per_replica_after);
             let limit = if is_on_disk {
@@ -367,12 +424,16 @@
             let is_too_costly = match cause {
                 ChangeCause::Relief => loss * MIN_RELIEF_RATIO >= per_replica_after,
                 ChangeCause::Cold | ChangeCause::Spread => loss > self.bounds.scale_down,
+                ChangeCause::Pair => !victims.is_empty(),
             };
             if is_too_costly {
                 continue;
             }
             let mut cost = eviction.cost + self.engine_loads[index] * ENGINE_LOAD_COST;
             cost -= speed_preference(surplus_load, self.capacities[index]);
+            if self.is_mixed && self.holders_beside(model, index) == 1 {
+                cost -= PAIR_COST;
+            }
             cost += match (is_on_disk, engine.serves_adapters) {
                 (true, false) => 0.0,
                 (true, true) => ADAPTER_DISK_COST,
@@ -415,24 +476,26 @@
         Deferral::NoRoom
     }
 
+    /// Returns the size of a model. That of one which was removed from the configuration is unknown;
+    /// assuming the largest is safe.
+    fn weights_mb(&self, model: &ModelName) -> u64 {
+        let known = self.models.get(model).map(|known| known.weights_mb);
+        let largest = || self.models.values().map(|model| model.weights_mb).max();
+        known.or_else(largest).unwrap_or(0)
+    }
+
+    /// Returns the free memory of an engine in MB.
+    fn free_mb(&self, index: usize) -> u64 {
+        let engine = &self.engines[index];
+        let sizes = engine.models.iter().map(|model| self.weights_mb(model));
+        engine.capacity_mb.saturating_sub(sizes.sum())
+    }
+
     /// Chooses the cheapest models to evict from an engine so that it can hold `weights_mb` more.
     /// Returns `None` if no choice frees enough memory.
     fn choose_victims(&self, index: usize, weights_mb: u64, limit: f64) -> Option<Eviction> {
         let engine = &self.engines[index];
-        // The size of a model that was removed from the configuration is unknown; assuming the
-        // largest is safe.
-        let largest_mb = self
-            .models
-            .values()
-            .map(|m| m.weights_mb)
-            .max()
-            .unwrap_or(0);
-        let size = |model: &ModelName| {
-            let known = self.models.get(model);
-            known.map_or(largest_mb, |known| known.weights_mb)
-        };
-        let used_mb: u64 = engine.models.iter().map(size).sum();
-        let mut free_mb = engine.capacity_mb.saturating_sub(used_mb);
+        let mut free_mb = self.free_mb(index);
         let mut candidates: Vec<(EvictionCost, &ModelName)> = engine
             .models
             .iter()
@@ -453,7 +516,7 @@
             let (eviction_cost, victim) = candidates.next()?;
             eviction.cost = eviction.cost.max(eviction_cost.cost);
             eviction.loss = eviction.loss.max(eviction_cost.loss);
-            free_mb += size(victim);
+            free_mb += self.weights_mb(victim);
             eviction.victims.push(victim.clone());
         }
         Some(eviction)
@@ -480,7 +543,10 @@
                 let moved = self.mean_replica_load(model) * self.capacities[index];
                 let remaining = self.capacity(model) - self.capacities[index];
                 let loss = (loads.sum::<f64>() + moved) / remaining;
-                let cost = (loss - self.bounds.low).max(0.0);
+                let mut cost = (loss - self.bounds.low).max(0.0);
+                if self.is_mixed && load >= MIN_PAIR_LOAD && !self.has_pair(model, Some(index)) {
+                    cost += PAIR_COST;
+                }
                 Some(EvictionCost { cost, loss })
             }
         }
--- a/crates/wasabipoint_policy/src/lib.rs
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -74,5 +74,5 @@
 pub use store_concurrency::StoreConcurrency;
 pub use stream_origin::{
     BASE_RETIREMENT_MS, MAX_BASE_VERSION_AGE_MS, MAX_STREAM_LIFETIME_MS, StreamStart,
-    record_lifetime_ms,
+    add_version_costs, record_lifetime_ms,
 };
--- a/crates/wasabipoint_policy/src/stream_origin.rs
+++ b/crates/wasabipoint_policy/src/stream_origin.rs
@@ -1,9 +1,12 @@
-//! Which streams need a durable record of the software version that began them.
+//! Where streams should begin in a service with several software versions, and which of them need a
+//! durable record of the version that began them.
 //!
 //! What endpoints of two software versions write does not fit together, and a caller may take a stream
 //! up at any entry process, also after all of them were restarted. A stream without a record belongs to
 //! the base version of its service, so that a service with a single version needs no records.
 
+use std::collections::BTreeMap;
+
 use wasabipoint_kernel::SoftwareVersion;
 
 /// Longest time for which a record is kept, in milliseconds. Callers that wait longer for a stream can
@@ -53,3 +56,28 @@
         .saturating_add(LIFETIME_MARGIN_MS)
         .min(MAX_STREAM_LIFETIME_MS)
 }
+
+/// Cost of an endpoint that is the only one of its software version while another version has several,
+/// as a share of its slots. A stream that begins there is lost with the endpoint. High load outweighs it.
+const SINGLE_ENDPOINT_COST: f64 = 0.15;
+
+/// Adds to `costs` what it costs to begin a stream at each of the candidates. Takes the software versions
+/// of the candidates, and of all endpoints that could serve the stream.
+pub fn add_version_costs<'v>(
+    costs: &mut [f64],
+    candidates: impl Iterator<Item = &'v SoftwareVersion>,
+    eligible: impl Iterator<Item = &'v SoftwareVersion>,
+) {
+    let mut counts: BTreeMap<&SoftwareVersion, usize> = BTreeMap::new();
+    for version in eligible {
+        *counts.entry(version).or_default() += 1;
+    }
+    if counts.values().all(|count| *count < 2) {
+        return;
+    }
+    for (cost, version) in costs.iter_mut().zip(candidates) {
+        if counts.get(version).is_none_or(|count| *count < 2) {
+            *cost += SINGLE_ENDPOINT_COST;
+        }
+    }
+}
--- a/crates/wasabipoint_policy/tests/stream_origin.rs
+++ b/crates/wasabipoint_policy/tests/stream_origin.rs
@@ -1,8 +1,9 @@
-//! Which streams need a record of their software version.
+//! Streams in a service with several software versions.
 
 use wasabipoint_kernel::SoftwareVersion;
 use wasabipoint_policy::{
-    MAX_BASE_VERSION_AGE_MS, MAX_STREAM_LIFETIME_MS, StreamStart, record_lifetime_ms,
+    MAX_BASE_VERSION_AGE_MS, MAX_STREAM_LIFETIME_MS, StreamStart, add_version_costs,
+    record_lifetime_ms,
 };
 
 /// Guards against streams without a record that are not streams of the base version for every process.
@@ -52,3 +53,19 @@
     }
     assert_eq!(record_lifetime_ms(u64::MAX), MAX_STREAM_LIFETIME_MS);
 }
+
+/// Guards against streams that begin at the only endpoint of a software version although another version
+/// could continue them after the loss of an endpoint.
+#[test]
+fn versions_with_several_endpoints_are_preferred() {
+    let added = |versions: [&str; 3]| {
+        let versions = versions.map(SoftwareVersion::new);
+        let mut costs = [0.1, 0.1, 0.1];
+        add_version_costs(&mut costs, versions.iter(), versions.iter());
+        costs.map(|cost| cost > 0.1)
+    };
+    assert_eq!(added(["v1", "v1.1", "v1.1"]), [true, false, false]);
+    assert_eq!(added(["v1.1", "v1", "v1.1"]), [false, true, false]);
+    assert_eq!(added(["v1", "v1", "v1"]), [false; 3]);
+    assert_eq!(added(["v1", "v1.1", "v2"]), [false; 3]);
+}
