Find the control leader with concurrent calls

Callers saw: many streams that were taken up at once at an entry process that had just started were refused for over a second ("control does not tell which software version began the stream"), though a leader was there.

Cause: the client of control keeps one choice of member for all calls. Calls that failed at the same member each moved it on; a second call that was told the same leader took the hint for used up and went on to the next member. An even number of calls undid each other, and with a multiple of six and three members they returned to the member that they had asked, for as long as they all were retried together.

Change: a call moves on only from the member that it asked itself.

--- a/crates/wasabipoint_control/tests/cluster/three_members.rs
+++ b/crates/wasabipoint_control/tests/cluster/three_members.rs
@@ -233,6 +233,29 @@
     cluster.stop().await;
 }
 
+/// Guards against concurrent calls of a process that knows no leader yet which undo each other's choice of
+/// a member: callers that took streams up just after a restart were refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn concurrent_calls_find_the_leader() {
+    let cluster = Cluster::start().await;
+    let leader = cluster.wait_for_leader(None).await;
+    let mut members: Vec<u64> = cluster.configs.keys().copied().collect();
+    members.sort_unstable_by_key(|member| *member == leader);
+    let members: Vec<SocketAddr> = members
+        .iter()
+        .map(|member| cluster.configs[member].rpc_listen)
+        .collect();
+    for calls in 1..=24 {
+        let client = ControlClient::new(&members);
+        let calls = (0..calls).map(|digest| find_stream(&client, digest));
+        let found = futures::future::join_all(calls);
+        // Two members are asked in vain at most, with a delay of 50 ms after each.
+        let limit = Duration::from_secs(1);
+        tokio::time::timeout(limit, found).await.unwrap();
+    }
+    cluster.stop().await;
+}
+
 /// Guards against a partitioned leader that still serves reads, or that acknowledges a change which
 /// the other members never receive.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
--- a/crates/wasabipoint_rpc/src/client.rs
+++ b/crates/wasabipoint_rpc/src/client.rs
@@ -78,16 +78,21 @@
     {
         let deadline = tokio::time::Instant::now() + total_timeout;
         loop {
-            let attempt = self.attempt(call_wait, &call);
+            let member = self.next_member();
+            let attempt = self.attempt(member, call_wait, &call);
             match tokio::time::timeout_at(deadline, attempt).await {
                 Ok(Some(Ok(value))) => return Ok(value),
                 Ok(Some(Err(refusal @ ControlRefusal::Refused { .. }))) => {
                     return Err(ControlError::Refused(refusal));
                 }
-                Ok(Some(Err(ControlRefusal::NotLeader { leader }))) => self.follow_leader(leader),
-                Ok(Some(Err(ControlRefusal::Unavailable)) | None) => self.try_next_member(),
+                Ok(Some(Err(ControlRefusal::NotLeader { leader }))) => {
+                    self.leave_member(member, leader);
+                }
+                Ok(Some(Err(ControlRefusal::Unavailable)) | None) => {
+                    self.leave_member(member, None);
+                }
                 Err(_) => {
-                    self.try_next_member();
+                    self.leave_member(member, None);
                     return Err(ControlError::Unavailable);
                 }
             }
@@ -100,6 +105,7 @@
 
     async fn attempt<T, F, Fut>(
         &self,
+        member: SocketAddr,
         call_wait: Duration,
         call: &F,
     ) -> Option<Result<T, ControlRefusal>>
@@ -108,28 +114,22 @@
         Fut: Future<Output = Result<Result<T, ControlRefusal>, tarpc::client::RpcError>>,
     {
         let timeout = call_wait + MEMBER_TIMEOUT;
-        let client = tokio::time::timeout(MEMBER_TIMEOUT, self.connect())
+        let client = tokio::time::timeout(MEMBER_TIMEOUT, self.connect(member))
             .await
             .ok()??;
         let response = call(client, context_with_timeout(timeout));
         tokio::time::timeout(timeout, response).await.ok()?.ok()
     }
 
-    async fn connect(&self) -> Option<ControlRpcClient> {
-        let address = {
-            let connection = self.lock_connection();
-            let address = connection
-                .leader_hint
-                .unwrap_or_else(|| self.member_address(connection.member_index));
-            if let Some((connected, client)) = &connection.client
-                && *connected == address
-            {
-                return Some(client.clone());
-            }
-            address
-        };
-        let client = connect_control(address).await.ok()?;
-        self.lock_connection().client = Some((address, client.clone()));
+    /// Returns the connection to a member, or opens one.
+    async fn connect(&self, member: SocketAddr) -> Option<ControlRpcClient> {
+        if let Some((connected, client)) = &self.lock_connection().client
+            && *connected == member
+        {
+            return Some(client.clone());
+        }
+        let client = connect_control(member).await.ok()?;
+        self.lock_connection().client = Some((member, client.clone()));
         Some(client)
     }
 
@@ -145,29 +145,30 @@
         members[member_index % members.len()]
     }
 
-    fn follow_leader(&self, leader: Option<SocketAddr>) {
-        match leader {
-            Some(address) => {
-                let mut connection = self.lock_connection();
-                // The hint is already in use, for example because a member names itself or a former
-                // leader again. The next member is tried, so that the client does not keep calling
-                // this one.
-                if connection.leader_hint == Some(address) {
-                    connection.leader_hint = None;
-                    connection.member_index += 1;
-                } else {
-                    connection.leader_hint = Some(address);
-                }
-            }
-            None => self.try_next_member(),
-        }
+    /// Returns the member to call next: the leader that another one named, or the next in turn.
+    fn next_member(&self) -> SocketAddr {
+        self.member_to_call(&self.lock_connection())
+    }
+
+    fn member_to_call(&self, connection: &Connection) -> SocketAddr {
+        let hint = connection.leader_hint;
+        hint.unwrap_or_else(|| self.member_address(connection.member_index))
     }
 
-    fn try_next_member(&self) {
+    /// Moves on from a member that did not serve a call, to the leader that it named or to the next
+    /// member. Concurrent calls fail at the same member, and only the first of them moves on: the others
+    /// would undo its choice.
+    fn leave_member(&self, member: SocketAddr, leader: Option<SocketAddr>) {
         let mut connection = self.lock_connection();
-        connection.leader_hint = None;
-        connection.client = None;
-        connection.member_index += 1;
+        if self.member_to_call(&connection) != member {
+            return;
+        }
+        // A member may still name itself just after it lost its leadership.
+        connection.leader_hint = leader.filter(|leader| *leader != member);
+        if connection.leader_hint.is_none() {
+            connection.client = None;
+            connection.member_index += 1;
+        }
     }
 
     fn lock_connection(&self) -> std::sync::MutexGuard<'_, Connection> {
--- a/crates/wasabipoint_testbed/tests/forwarding/versions.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/versions.rs
@@ -112,7 +112,11 @@
 }
 
 /// Takes a stream up and returns it with its new events, or the status of the refusal.
-async fn take_up(fleet: &Fleet, index: usize, begun: &Received) -> Result<Received, StatusCode> {
+async fn take_up(
+    fleet: &Fleet,
+    index: usize,
+    begun: &Received,
+) -> Result<Received, (StatusCode, String)> {
     let headers = vec![
         ("parts", format!("{index:x}:10,b1:10")),
         ("last-event-id", begun.versions.len().to_string()),
@@ -122,14 +126,19 @@
     let id = format!("{}-again", begun.id);
     let response = fleet.open(entry, &id, &headers).await.unwrap();
     if response.status() != StatusCode::OK {
-        return Err(response.status());
+        let status = response.status();
+        let text = response.into_body().read(4_096).await.unwrap();
+        return Err((status, String::from_utf8_lossy(&text).into_owned()));
     }
     let mut received = begun.clone();
     received.read(&mut response.into_body(), usize::MAX).await;
     Ok(received)
 }
 
-async fn take_up_all(fleet: &Fleet, begun: &[Received]) -> Vec<Result<Received, StatusCode>> {
+async fn take_up_all(
+    fleet: &Fleet,
+    begun: &[Received],
+) -> Vec<Result<Received, (StatusCode, String)>> {
     let take_ups = begun.iter().enumerate();
     let take_ups = take_ups.map(|(index, begun)| take_up(fleet, index, begun));
     futures::future::join_all(take_ups).await
@@ -165,7 +174,8 @@
     assert!(begun.iter().any(|begun| begun.has_begun_at(FIRST_VERSION)));
     for (begun, taken_up) in begun.iter().zip(taken_up) {
         if begun.has_begun_at(FIRST_VERSION) {
-            assert_eq!(taken_up.unwrap_err(), StatusCode::SERVICE_UNAVAILABLE);
+            let (status, _) = taken_up.unwrap_err();
+            assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
         } else {
             let taken_up = taken_up.unwrap();
             assert_eq!(taken_up.distinct_versions().len(), 1, "{taken_up:?}");
