--- a/crates/wasabipoint_entry/src/link.rs
+++ b/crates/wasabipoint_entry/src/link.rs
@@ -7,13 +7,14 @@
 use futures::future::BoxFuture;
 use http::{Request, StatusCode};
 use serde_json::Value;
+use tarpc::client::RpcError;
 use wasabipoint_http::{ClientError, HttpClient, ResponseBody};
 use wasabipoint_kernel::{ErrorKind, RunState};
 use wasabipoint_rpc::{
-    AdapterReply, AdapterRequest, ClaimOutcome, ClaimRequest, ControlClient, ControlError,
-    DispatchRequest, EntryDirective, EntryReport, Outcome, OutcomeRequest, QuotaExchange,
-    QuotaGrants, QuotaReply, QuotaRequest, StreamOrigin, StreamQuery, StreamRecord, WatchReply,
-    WatchRequest, decode_message, encode_message,
+    AdapterReply, AdapterRequest, CallContext, ClaimOutcome, ClaimRequest, ControlClient,
+    ControlError, ControlRefusal, ControlRpcClient, DispatchRequest, EntryDirective, EntryReport,
+    Outcome, OutcomeRequest, QuotaExchange, QuotaGrants, QuotaReply, QuotaRequest, StreamOrigin,
+    StreamQuery, StreamRecord, WatchReply, WatchRequest, decode_message, encode_message,
 };
 
 /// Timeout of a call that does not long-poll, over all control members that are tried.
@@ -145,6 +146,27 @@
     }
 }
 
+impl RpcControlLink {
+    /// Sends a request that does not long-poll to the leader. `call` is the call of the RPC service.
+    fn call<'l, R, T, Fut>(
+        &'l self,
+        request: R,
+        call: impl Fn(ControlRpcClient, CallContext, R) -> Fut + Send + Sync + 'l,
+    ) -> BoxFuture<'l, Result<T, ControlError>>
+    where
+        R: Clone + Send + Sync + 'l,
+        T: Send,
+        Fut: Future<Output = Result<Result<T, ControlRefusal>, RpcError>> + Send,
+    {
+        Box::pin(async move {
+            let send = |client, context| call(client, context, request.clone());
+            self.call_client
+                .call(Duration::ZERO, CONTROL_CALL_TIMEOUT, send)
+                .await
+        })
+    }
+}
+
 impl ControlLink for RpcControlLink {
     fn watch(&self, request: WatchRequest) -> BoxFuture<'_, Result<WatchReply, ControlError>> {
         Box::pin(async move {
@@ -159,13 +181,8 @@
     }
 
     fn report(&self, report: EntryReport) -> BoxFuture<'_, Result<EntryDirective, ControlError>> {
-        Box::pin(async move {
-            self.call_client
-                .call(Duration::ZERO, CONTROL_CALL_TIMEOUT, |client, context| {
-                    let report = report.clone();
-                    async move { client.report_entry(context, report).await }
-                })
-                .await
+        self.call(report, |client, context, report| async move {
+            client.report_entry(context, report).await
         })
     }
 
@@ -173,13 +190,8 @@
         &self,
         exchange: QuotaExchange,
     ) -> BoxFuture<'_, Result<QuotaGrants, ControlError>> {
-        Box::pin(async move {
-            self.call_client
-                .call(Duration::ZERO, CONTROL_CALL_TIMEOUT, |client, context| {
-                    let exchange = exchange.clone();
-                    async move { client.exchange_quota(context, exchange).await }
-                })
-                .await
+        self.call(exchange, |client, context, exchange| async move {
+            client.exchange_quota(context, exchange).await
         })
     }
 
@@ -187,24 +199,14 @@
         &self,
         request: QuotaRequest,
     ) -> BoxFuture<'_, Result<QuotaReply, ControlError>> {
-        Box::pin(async move {
-            self.call_client
-                .call(Duration::ZERO, CONTROL_CALL_TIMEOUT, |client, context| {
-                    let request = request.clone();
-                    async move { client.request_quota(context, request).await }
-                })
-                .await
+        self.call(request, |client, context, request| async move {
+            client.request_quota(context, request).await
         })
     }
 
     fn claim(&self, request: ClaimRequest) -> BoxFuture<'_, Result<ClaimOutcome, ControlError>> {
-        Box::pin(async move {
-            self.call_client
-                .call(Duration::ZERO, CONTROL_CALL_TIMEOUT, |client, context| {
-                    let request = request.clone();
-                    async move { client.claim(context, request).await }
-                })
-                .await
+        self.call(request, |client, context, request| async move {
+            client.claim(context, request).await
         })
     }
 
@@ -212,13 +214,8 @@
         &self,
         request: AdapterRequest,
     ) -> BoxFuture<'_, Result<AdapterReply, ControlError>> {
-        Box::pin(async move {
-            self.call_client
-                .call(Duration::ZERO, CONTROL_CALL_TIMEOUT, |client, context| {
-                    let request = request.clone();
-                    async move { client.load_adapter(context, request).await }
-                })
-                .await
+        self.call(request, |client, context, request| async move {
+            client.load_adapter(context, request).await
         })
     }
 
@@ -226,24 +223,14 @@
         &self,
         streams: Vec<StreamRecord>,
     ) -> BoxFuture<'_, Result<(), ControlError>> {
-        Box::pin(async move {
-            self.call_client
-                .call(Duration::ZERO, CONTROL_CALL_TIMEOUT, |client, context| {
-                    let streams = streams.clone();
-                    async move { client.record_streams(context, streams).await }
-                })
-                .await
+        self.call(streams, |client, context, streams| async move {
+            client.record_streams(context, streams).await
         })
     }
 
     fn find_stream(&self, query: StreamQuery) -> BoxFuture<'_, Result<StreamOrigin, ControlError>> {
-        Box::pin(async move {
-            self.call_client
-                .call(Duration::ZERO, CONTROL_CALL_TIMEOUT, |client, context| {
-                    let query = query.clone();
-                    async move { client.find_stream(context, query).await }
-                })
-                .await
+        self.call(query, |client, context, query| async move {
+            client.find_stream(context, query).await
         })
     }
 }
