Give no retry time where the version of a stream has left

Callers saw: a take-up refused with a retry time of 0.5 s although no endpoint of its software version is left, so that it could only be refused again.

Cause: the refusal was that of a service without a free endpoint.

Evidence: a_take_up_is_refused_when_its_software_version_is_gone with the check of the header fails before the change.

Change: no Retry-After in this refusal.

--- a/crates/wasabipoint_entry/src/forward/call/refusals.rs
+++ b/crates/wasabipoint_entry/src/forward/call/refusals.rs
@@ -80,6 +80,7 @@
     }
 
     /// Refuses to continue a stream if no endpoint of the software version that began it is in service.
+    /// Such a version does not return, so that no retry time is given.
     fn check_version(&self) -> Result<(), Refusal> {
         let Some(version) = &self.software_version else {
             return Ok(());
@@ -90,7 +91,10 @@
         }
         drop(state);
         let detail = "no endpoint of the software version that began the stream is in service";
-        Err(self.unavailable_refusal(detail))
+        if self.attempts.executions() > 0 {
+            return Err(outcome_unknown_refusal(detail));
+        }
+        Err(Refusal::new(ErrorKind::NoEndpoint, detail))
     }
 
     /// Returns the refusal of a request that the endpoints turned away, with the end of their pauses if
--- a/crates/wasabipoint_entry/tests/forward_sockets/versions.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/versions.rs
@@ -143,7 +143,7 @@
 }
 
 /// Guards against a take-up at another software version where no endpoint of its own is in service: it is
-/// refused at once, as not run.
+/// refused at once, as not run, and not asked to come back.
 #[tokio::test]
 async fn a_take_up_is_refused_when_its_software_version_is_gone() {
     let origins = StreamOrigins::with_base("v1");
@@ -152,6 +152,7 @@
     let response = fetch(&fixture, take_up(&fixture, "b2", Some("a1"))).await;
     assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert!(String::from_utf8_lossy(response.body()).contains("not run"));
+    assert!(!response.headers().contains_key("retry-after"));
     assert_eq!(other.request_count(), 0);
 }
 
