Record streams of callers without a deadline for the longest time

Callers would see: a stream of another version than the base one, resumed after the route's timeout by a caller that states no deadline, goes on at the base version (ORDER).

Cause: the lifetime of the record was the time until the route's timeout, which ends the response and not the caller's wait.

Evidence: a_stream_without_a_deadline_is_recorded_for_the_longest_time fails before (9,999 ms in place of 600,000).

Change: without a deadline the record lasts for MAX_STREAM_LIFETIME_MS.

--- a/crates/wasabipoint_entry/src/forward/call/relay.rs
+++ b/crates/wasabipoint_entry/src/forward/call/relay.rs
@@ -142,7 +142,7 @@
             customer: self.customer.as_ref(),
             request_id: &self.metadata.request_id,
             endpoint,
-            remaining_ms: self.remaining_ms(),
+            remaining_ms: self.metadata.deadline_ms.map(|_| self.remaining_ms()),
             deadline: self.wait_deadline(),
         };
         let is_recorded = tokio::select! {
--- a/crates/wasabipoint_entry/src/forward/origins.rs
+++ b/crates/wasabipoint_entry/src/forward/origins.rs
@@ -89,8 +89,8 @@
     pub(super) customer: Option<&'a CustomerId>,
     pub(super) request_id: &'a str,
     pub(super) endpoint: &'a EndpointView,
-    /// Time for which the caller still waits, in milliseconds.
-    pub(super) remaining_ms: u64,
+    /// Time for which the caller still waits, in milliseconds, if it states one.
+    pub(super) remaining_ms: Option<u64>,
     /// End of the wait for the record.
     pub(super) deadline: Instant,
 }
--- a/crates/wasabipoint_entry/tests/forward_sockets/control.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/control.rs
@@ -33,6 +33,8 @@
     /// Streams without a record began at this version; without one, nothing tells.
     pub(crate) base: Mutex<Option<SoftwareVersion>>,
     pub(crate) is_unavailable: AtomicBool,
+    /// Digests that were asked for.
+    pub(crate) queried_digests: Mutex<Vec<Option<u64>>>,
 }
 
 impl StreamOrigins {
@@ -58,6 +60,7 @@
 
     fn find(&self, query: &StreamQuery) -> Result<StreamOrigin, ControlError> {
         self.check_available()?;
+        self.queried_digests.lock().unwrap().push(query.digest);
         let records = self.records.lock().unwrap();
         if let Some(stream) = query.digest.and_then(|digest| records.get(&digest)) {
             return Ok(StreamOrigin::Recorded {
--- a/crates/wasabipoint_entry/tests/forward_sockets/versions.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/versions.rs
@@ -7,6 +7,7 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 use slog::{Discard, Logger, o};
 use wasabipoint_http::ClientError;
+use wasabipoint_policy::MAX_STREAM_LIFETIME_MS;
 
 use super::control::{StaticControl, StreamOrigins};
 use super::fixture::{Endpoint, Fixture, ScriptStep, chunked_response, fleet_view_of_versions};
@@ -223,3 +224,16 @@
     assert_eq!(records.len(), 2);
     assert!(records.contains_key(&public));
 }
+
+/// Guards against a record that ends with the route's timeout although its caller states no deadline: it
+/// may resume the stream later, at the base version.
+#[tokio::test]
+async fn a_stream_without_a_deadline_is_recorded_for_the_longest_time() {
+    let origins = StreamOrigins::with_base("v1");
+    let first = start_breaking().await;
+    let fixture = start_entry(&[(&first, "v1.1")], &origins).await;
+    receive(&fixture).await;
+    let records = origins.records.lock().unwrap();
+    let lifetimes: Vec<u64> = records.values().map(|stream| stream.lifetime_ms).collect();
+    assert_eq!(lifetimes, [MAX_STREAM_LIFETIME_MS]);
+}
--- a/crates/wasabipoint_policy/src/stream_origin.rs
+++ b/crates/wasabipoint_policy/src/stream_origin.rs
@@ -50,10 +50,13 @@
     }
 }
 
-/// Returns for how long a stream is recorded whose caller waits for `remaining_ms` more.
-pub fn record_lifetime_ms(remaining_ms: u64) -> u64 {
+/// Returns for how long a stream is recorded whose caller waits for `remaining_ms` more, `None` if it
+/// states no deadline. Such a caller may resume the stream at any time.
+pub fn record_lifetime_ms(remaining_ms: Option<u64>) -> u64 {
     remaining_ms
-        .saturating_add(LIFETIME_MARGIN_MS)
+        .map_or(u64::MAX, |remaining| {
+            remaining.saturating_add(LIFETIME_MARGIN_MS)
+        })
         .min(MAX_STREAM_LIFETIME_MS)
 }
 
--- a/crates/wasabipoint_policy/tests/stream_origin.rs
+++ b/crates/wasabipoint_policy/tests/stream_origin.rs
@@ -49,9 +49,11 @@
 #[test]
 fn a_record_lasts_longer_than_its_caller_waits() {
     for remaining_ms in [0, 4_000, 25_000] {
-        assert!(record_lifetime_ms(remaining_ms) > remaining_ms);
+        assert!(record_lifetime_ms(Some(remaining_ms)) > remaining_ms);
+    }
+    for unbounded in [None, Some(u64::MAX)] {
+        assert_eq!(record_lifetime_ms(unbounded), MAX_STREAM_LIFETIME_MS);
     }
-    assert_eq!(record_lifetime_ms(u64::MAX), MAX_STREAM_LIFETIME_MS);
 }
 
 /// Guards against streams that begin at the only endpoint of a software version although another version
