Continue streams of routes without resumption only with one version

Cause: only routes that allow resumption asked where a stream began.

Evidence: a_route_without_resumption_continues_streams_only_with_one_version fails before (200 in place of 503 where control knows no single version).

Change: every stream route asks. Streams of routes without resumption are not recorded, so that control answers only if one version served; otherwise the request is refused, as not run.

--- a/crates/wasabipoint_entry/src/forward/origins.rs
+++ b/crates/wasabipoint_entry/src/forward/origins.rs
@@ -154,13 +154,15 @@
         deadline: Instant,
     ) -> Result<StreamBinding, Refusal> {
         let is_taken_up = metadata.last_event_id.is_some() || metadata.resumes.is_some();
-        if !is_taken_up || route.run_policy != RunPolicy::ResumableStream {
+        if !is_taken_up || !route.run_policy.is_stream() {
             return Ok(StreamBinding {
                 service,
                 software_version: None,
             });
         }
-        let resumed_id = metadata.resumes.as_deref();
+        // Streams of other routes are not recorded, so that the id of one tells nothing.
+        let is_recorded = route.run_policy == RunPolicy::ResumableStream;
+        let resumed_id = metadata.resumes.as_deref().filter(|_| is_recorded);
         let query = StreamQuery {
             digest: resumed_id.map(|id| self.stream_digest(customer, id)),
             service: service.clone(),
--- a/crates/wasabipoint_entry/tests/forward_sockets/versions.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/versions.rs
@@ -237,3 +237,20 @@
     let lifetimes: Vec<u64> = records.values().map(|stream| stream.lifetime_ms).collect();
     assert_eq!(lifetimes, [MAX_STREAM_LIFETIME_MS]);
 }
+
+/// Guards against a stream of a route that allows no resumption, and whose origin is therefore not
+/// recorded, that goes on at another software version.
+#[tokio::test]
+async fn a_route_without_resumption_continues_streams_only_with_one_version() {
+    for (base, status) in [(None, 503), (Some("v1"), 200)] {
+        let origins = base.map_or_else(Arc::default, StreamOrigins::with_base);
+        let endpoint = Endpoint::start(rest_for("b2")).await;
+        let fixture = start_entry(&[(&endpoint, "v1")], &origins).await;
+        let mut request = take_up(&fixture, "b2", Some("a1"));
+        let target = format!("http://{}/stream/x", fixture.address);
+        *request.uri_mut() = target.parse().unwrap();
+        assert_eq!(fetch(&fixture, request).await.status(), status);
+        // Without the id of the first attempt, control answers only if one version served.
+        assert_eq!(*origins.queried_digests.lock().unwrap(), [None]);
+    }
+}
