Leave room for bodies that wait for their receiver

Cause: the bound on bytes that belong to no response was two read buffers. A part of a body that waits for its receiver and the buffer behind it can fill both, so that a sound large body was within a few bytes of the bound.

Change: 256 KiB.

--- a/crates/wasabipoint_http/src/metered.rs
+++ b/crates/wasabipoint_http/src/metered.rs
@@ -16,8 +16,9 @@
 pub const MAX_READ_BUFFER_BYTES: usize = 64 * 1_024;
 
 /// Maximum number of bytes that are read and belong neither to a response head nor to a body that was
-/// passed on. More than a read buffer, which may be full of a body.
-const MAX_UNCLAIMED_BYTES: usize = 2 * MAX_READ_BUFFER_BYTES;
+/// passed on. A part of a body that waits for its receiver and the read buffer behind it may both be
+/// full, and a buffer that grows may take up to twice its size.
+const MAX_UNCLAIMED_BYTES: usize = 4 * MAX_READ_BUFFER_BYTES;
 
 /// Framing of a chunk that counts as part of its data, in bytes. Long chunk extensions exceed it.
 const CHUNK_FRAMING_BYTES: usize = 64;
