Move the rule on base versions to policy, and use the field's words for resumption

Read as a newcomer: the decision when a base version is replaced stood in control, the reason why a stream is not recorded or its origin not found was dropped, the number of records could not be seen, and "take-up" and "pair" are not terms of the field.

The planner finds the versions with two places once per model and not once per engine, and streams of services with one version compare versions without counting them. No change of decisions.

--- a/crates/wasabipoint_control/src/context.rs
+++ b/crates/wasabipoint_control/src/context.rs
@@ -93,14 +93,16 @@
     }
 
     pub(crate) fn update_gauges(&self) {
-        let (revision, grants, out_of_service) = self.member.read(|state| {
+        let (revision, grants, out_of_service, recorded_streams) = self.member.read(|state| {
             let out_of_service = state.view.out_of_service.len();
             (
                 state.view.revision,
                 state.fleet.grants.len(),
                 out_of_service,
+                state.streams.records(),
             )
         });
+        self.metrics.set_recorded_streams(recorded_streams as u64);
         self.metrics
             .set_state_gauges(revision, grants as u64, out_of_service as u64);
     }
--- a/crates/wasabipoint_control/src/metrics.rs
+++ b/crates/wasabipoint_control/src/metrics.rs
@@ -24,6 +24,7 @@
     revision: Arc<AtomicU64>,
     grants: Arc<AtomicU64>,
     domains_out_of_service: Arc<AtomicU64>,
+    recorded_streams: Arc<AtomicU64>,
     cold_endpoints: Arc<AtomicU64>,
     received: Arc<AtomicU64>,
     sent: Arc<AtomicU64>,
@@ -87,6 +88,10 @@
                 "Revision of the fleet view that this member has applied.",
             ),
             grants: gauge("wasabipoint_grants", "Grants that count."),
+            recorded_streams: gauge(
+                "wasabipoint_recorded_streams",
+                "Streams whose software version is recorded.",
+            ),
             domains_out_of_service: gauge(
                 "wasabipoint_domains_out_of_service",
                 "Failure domains that an operator took out of service.",
@@ -139,6 +144,10 @@
         self.grants.store(grants, Ordering::Relaxed);
     }
 
+    pub(crate) fn set_recorded_streams(&self, count: u64) {
+        self.recorded_streams.store(count, Ordering::Relaxed);
+    }
+
     pub(crate) fn set_cold_endpoints(&self, count: u64) {
         self.cold_endpoints.store(count, Ordering::Relaxed);
     }
--- a/crates/wasabipoint_control/src/state.rs
+++ b/crates/wasabipoint_control/src/state.rs
@@ -1,5 +1,5 @@
 //! The replicated state machine of control. Its state depends only on the committed commands, and
-//! its code only on the kernel, the RPC messages and constants of policies.
+//! its code only on the kernel, the RPC messages and the pure rules of `wasabipoint_policy` on streams.
 
 mod claims;
 mod config;
--- a/crates/wasabipoint_control/src/state/streams.rs
+++ b/crates/wasabipoint_control/src/state/streams.rs
@@ -1,12 +1,14 @@
-//! The software versions that began the streams which callers may still take up.
+//! The software versions that began the streams which callers may still resume.
 //!
 //! A stream without a record belongs to the base version of its service. The base version changes only
-//! when no such stream of the old one can be taken up any more.
+//! when no such stream of the old one can be resumed any more.
 
 use std::collections::BTreeMap;
 
 use wasabipoint_kernel::{ErrorKind, ServiceName, SoftwareVersion, plain_data};
-use wasabipoint_policy::{BASE_RETIREMENT_MS, MAX_STREAM_LIFETIME_MS};
+use wasabipoint_policy::{
+    BASE_RETIREMENT_MS, BaseVersionStep, BaseVersionView, MAX_STREAM_LIFETIME_MS, next_base_version,
+};
 use wasabipoint_rpc::{EndpointView, FleetChange, StreamOrigin, StreamQuery, StreamRecord};
 
 use super::{CommandOutcome, ControlState};
@@ -168,34 +170,21 @@
     }
 
     fn update_base_version(&mut self, service: &ServiceName) {
-        let base = self.view.base_versions.get(service);
-        let has_base = base.is_some_and(|base| {
-            self.service_endpoints(service)
-                .any(|endpoint| endpoint.software_version == *base)
-        });
-        if has_base {
-            self.streams.base_absent_since_ms.remove(service);
-            return;
-        }
-        if base.is_some() {
+        let view = BaseVersionView {
+            base: self.view.base_versions.get(service),
+            absent_since_ms: self.streams.base_absent_since_ms.get(service).copied(),
+            now_ms: self.time_ms,
+        };
+        let endpoints = self.service_endpoints(service);
+        let step = next_base_version(view, endpoints.map(|one| &one.software_version));
+        if let BaseVersionStep::AbsentSince(since_ms) = step {
             let absent = &mut self.streams.base_absent_since_ms;
-            let since_ms = *absent.entry(service.clone()).or_insert(self.time_ms);
-            if self.time_ms < since_ms + BASE_RETIREMENT_MS {
-                return;
-            }
+            absent.insert(service.clone(), since_ms);
+            return;
         }
-        if let Some(version) = self.most_common_version(service) {
-            self.streams.base_absent_since_ms.remove(service);
+        self.streams.base_absent_since_ms.remove(service);
+        if let BaseVersionStep::Set(version) = step {
             self.publish_change(FleetChange::SetBaseVersion(service.clone(), version));
         }
     }
-
-    fn most_common_version(&self, service: &ServiceName) -> Option<SoftwareVersion> {
-        let mut counts: BTreeMap<&SoftwareVersion, usize> = BTreeMap::new();
-        for endpoint in self.service_endpoints(service) {
-            *counts.entry(&endpoint.software_version).or_default() += 1;
-        }
-        let most_common = counts.into_iter().max_by_key(|(_, count)| *count);
-        most_common.map(|(version, _)| version.clone())
-    }
 }
--- a/crates/wasabipoint_control/tests/cluster/three_members.rs
+++ b/crates/wasabipoint_control/tests/cluster/three_members.rs
@@ -198,7 +198,7 @@
 }
 
 /// Guards against the loss of a stream's software version with the leader or with all members: its
-/// caller would take it up at another version.
+/// caller would resume it at another version.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn recorded_streams_survive_the_leader_and_a_stop_of_all_members() {
     let mut cluster = Cluster::start().await;
@@ -234,7 +234,7 @@
 }
 
 /// Guards against concurrent calls of a process that knows no leader yet which undo each other's choice of
-/// a member: callers that took streams up just after a restart were refused.
+/// a member: callers that resumed streams just after a restart were refused.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn concurrent_calls_find_the_leader() {
     let cluster = Cluster::start().await;
--- a/crates/wasabipoint_control/tests/state_machine/streams.rs
+++ b/crates/wasabipoint_control/tests/state_machine/streams.rs
@@ -113,7 +113,7 @@
     assert_eq!(find(&state, Some(7)), base(0));
 }
 
-/// Guards against a record that is lost before its stream can no longer be taken up, and against records
+/// Guards against a record that is lost before its stream can no longer be resumed, and against records
 /// that are kept for good.
 #[test]
 fn a_stream_is_recorded_for_its_lifetime() {
@@ -200,7 +200,7 @@
     (pause_ms, step)
 }
 
-/// A stream that its caller may take up until `ends_ms`.
+/// A stream that its caller may resume until `ends_ms`.
 struct Stream {
     digest: u64,
     version: SoftwareVersion,
--- a/crates/wasabipoint_entry/src/forward/call/records.rs
+++ b/crates/wasabipoint_entry/src/forward/call/records.rs
@@ -61,7 +61,7 @@
             "endpoint" => %selected.endpoint.id,
             "incarnation" => selected.endpoint.incarnation.0,
             "software_version" => %selected.endpoint.software_version,
-            "resumes" => self.metadata.resumes_for_log(),
+            "resumed_request" => self.metadata.resumed_id_for_log(),
             "last_event_id" => self.metadata.last_event_id,
             "connection" => connection, "is_not_run_stated" => is_stated,
             "load" => selected.load, "candidates" => selected.candidates,
--- a/crates/wasabipoint_entry/src/forward/dialect.rs
+++ b/crates/wasabipoint_entry/src/forward/dialect.rs
@@ -21,8 +21,8 @@
     pub prompt_parts: Vec<(u64, u64)>,
     /// Id of the last event that the caller received.
     pub last_event_id: Option<u64>,
-    /// Request id of the caller's attempt that brought the first event of the stream that it takes up.
-    pub resumes: Option<String>,
+    /// Request id of the caller's attempt that brought the first event of the stream that it resumes.
+    pub resumed_request_id: Option<String>,
 }
 
 /// Maximum length of the id of another request in a record, in characters.
@@ -30,8 +30,8 @@
 
 impl RequestMetadata {
     /// Returns the id of the attempt that the caller resumes, cut to a bounded length.
-    pub(crate) fn resumes_for_log(&self) -> Option<String> {
-        let id = self.resumes.as_deref()?;
+    pub(crate) fn resumed_id_for_log(&self) -> Option<String> {
+        let id = self.resumed_request_id.as_deref()?;
         Some(id.chars().take(MAX_LOGGED_ID_CHARS).collect())
     }
 
--- a/crates/wasabipoint_entry/src/forward/metrics.rs
+++ b/crates/wasabipoint_entry/src/forward/metrics.rs
@@ -29,7 +29,7 @@
     longest_pause: Histogram<f64>,
     endpoint_speed: Histogram<f64>,
     late_streams: Counter<u64>,
-    take_ups: Counter<u64>,
+    resumptions: Counter<u64>,
     stream_record: Histogram<f64>,
     token_wait: Histogram<f64>,
     waiting: UpDownCounter<i64>,
@@ -113,9 +113,9 @@
                 .u64_counter("wasabipoint_forward_late_streams")
                 .with_description("Complete streams beyond an objective of their route, by cause.")
                 .build(),
-            take_ups: meter
-                .u64_counter("wasabipoint_forward_take_ups")
-                .with_description("Streams that callers took up, by how their origin was found.")
+            resumptions: meter
+                .u64_counter("wasabipoint_forward_resumptions")
+                .with_description("Streams that callers resumed, by how their origin was found.")
                 .build(),
             stream_record: histogram(
                 "wasabipoint_forward_stream_record",
@@ -145,9 +145,9 @@
         self.announcements.add(1, &[KeyValue::new("kind", kind)]);
     }
 
-    /// Counts a stream that its caller takes up. `origin` tells how its software version was found.
-    pub(crate) fn count_take_up(&self, origin: &'static str) {
-        self.take_ups.add(1, &[KeyValue::new("origin", origin)]);
+    /// Counts a stream that its caller resumes. `origin` tells how its software version was found.
+    pub(crate) fn count_resumption(&self, origin: &'static str) {
+        self.resumptions.add(1, &[KeyValue::new("origin", origin)]);
     }
 
     pub(crate) fn record_stream_record(&self, wait: Duration, is_recorded: bool) {
--- a/crates/wasabipoint_entry/src/forward/origins.rs
+++ b/crates/wasabipoint_entry/src/forward/origins.rs
@@ -1,7 +1,7 @@
-//! Where streams began: records for those that begin, and the origin of those that callers take up.
+//! Where streams began: records for those that begin, and the origin of those that callers resume.
 
 use std::mem;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use slog::{info, warn};
@@ -13,7 +13,7 @@
 };
 use wasabipoint_policy::{StreamStart, record_lifetime_ms};
 use wasabipoint_rpc::{
-    EndpointView, MAX_STREAMS_PER_CALL, StreamOrigin, StreamQuery, StreamRecord,
+    ControlError, EndpointView, MAX_STREAMS_PER_CALL, StreamOrigin, StreamQuery, StreamRecord,
 };
 
 use super::{Forwarder, RequestMetadata};
@@ -29,20 +29,23 @@
 /// milliseconds. A new leader is elected within this time.
 const ORIGIN_RETRY_AFTER_MS: u64 = 1_000;
 
+/// A stream that waits to be recorded, and where its result goes.
+type PendingRecord = (StreamRecord, oneshot::Sender<Result<(), ControlError>>);
+
 /// Streams that wait to be recorded.
 #[derive(Default)]
 pub(super) struct StreamRecorder {
-    pending: Mutex<Vec<(StreamRecord, oneshot::Sender<bool>)>>,
+    pending: Mutex<Vec<PendingRecord>>,
     has_pending: Notify,
 }
 
 impl StreamRecorder {
-    /// Records a stream and returns whether the record is durable. After a failure it may be as well.
-    async fn record(&self, stream: StreamRecord) -> bool {
+    /// Records a stream durably. After a failure the record may be durable as well.
+    async fn record(&self, stream: StreamRecord) -> Result<(), ControlError> {
         let (sender, recorded) = oneshot::channel();
         self.lock().push((stream, sender));
         self.has_pending.notify_one();
-        recorded.await.unwrap_or(false)
+        recorded.await.unwrap_or(Err(ControlError::Unavailable))
     }
 
     /// Sends the streams that wait to control, until the task is aborted.
@@ -62,17 +65,17 @@
                 // A call that hangs must not hold up the streams that begin after it.
                 calls.spawn(async move {
                     let (streams, senders): (Vec<_>, Vec<_>) = batch.into_iter().unzip();
-                    let is_recorded = control.record_streams(streams).await.is_ok();
+                    let recorded = control.record_streams(streams).await;
                     for sender in senders {
                         // The caller of the stream may be gone.
-                        let _ = sender.send(is_recorded);
+                        let _ = sender.send(recorded.clone());
                     }
                 });
             }
         }
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(StreamRecord, oneshot::Sender<bool>)>> {
+    fn lock(&self) -> MutexGuard<'_, Vec<PendingRecord>> {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -110,16 +113,17 @@
             lifetime_ms: record_lifetime_ms(stream.remaining_ms),
         };
         let recorded = timeout_at(stream.deadline, self.recorder.record(record)).await;
-        let is_recorded = matches!(recorded, Ok(true));
+        // On timeout nothing is known.
+        let recorded = recorded.unwrap_or(Err(ControlError::Unavailable));
         self.metrics
-            .record_stream_record(asked_at.elapsed(), is_recorded);
-        if !is_recorded {
+            .record_stream_record(asked_at.elapsed(), recorded.is_ok());
+        if let Err(error) = &recorded {
             warn!(self.logger, "routing: the software version of a stream is not recorded";
                 "request" => stream.request_id, "endpoint" => %stream.endpoint.id,
-                "software_version" => %stream.endpoint.software_version,
+                "software_version" => %stream.endpoint.software_version, "error" => ?error,
                 "waited_ms" => asked_at.elapsed().as_millis() as u64);
         }
-        is_recorded
+        recorded.is_ok()
     }
 
     fn needs_record(&self, stream: &BeginningStream<'_>) -> bool {
@@ -143,7 +147,7 @@
         self.request_digester.digest(&fields)
     }
 
-    /// Returns which service and software version may serve a request. A stream that the caller takes up
+    /// Returns which service and software version may serve a request. A stream that the caller resumes
     /// goes on only at those that began it. `service` is the one that the route selected.
     pub(super) async fn bind_stream(
         &self,
@@ -153,8 +157,9 @@
         metadata: &RequestMetadata,
         deadline: Instant,
     ) -> Result<StreamBinding, Refusal> {
-        let is_taken_up = metadata.last_event_id.is_some() || metadata.resumes.is_some();
-        if !is_taken_up || !route.run_policy.is_stream() {
+        let is_resumption =
+            metadata.last_event_id.is_some() || metadata.resumed_request_id.is_some();
+        if !is_resumption || !route.run_policy.is_stream() {
             return Ok(StreamBinding {
                 service,
                 software_version: None,
@@ -162,19 +167,23 @@
         }
         // Streams of other routes are not recorded, so that the id of one tells nothing.
         let is_recorded = route.run_policy == RunPolicy::ResumableStream;
-        let resumed_id = metadata.resumes.as_deref().filter(|_| is_recorded);
+        let resumed_id = metadata
+            .resumed_request_id
+            .as_deref()
+            .filter(|_| is_recorded);
         let query = StreamQuery {
             digest: resumed_id.map(|id| self.stream_digest(customer, id)),
             service: service.clone(),
         };
         let limit = deadline.min(Instant::now() + MAX_ORIGIN_WAIT);
-        let Ok(Ok(origin)) = timeout_at(limit, self.control.find_stream(query)).await else {
-            self.metrics.count_take_up("unavailable");
+        let found = timeout_at(limit, self.control.find_stream(query)).await;
+        let found = found.unwrap_or(Err(ControlError::Unavailable));
+        self.log_origin(metadata, &service, found.as_ref());
+        let Ok(origin) = found else {
             let detail = "control does not tell which software version began the stream";
             return Err(Refusal::new(ErrorKind::Unavailable, detail)
                 .with_retry_after_ms(ORIGIN_RETRY_AFTER_MS));
         };
-        self.log_origin(metadata, &service, &origin);
         let (service, software_version) = match origin {
             StreamOrigin::Recorded {
                 service,
@@ -196,19 +205,27 @@
         })
     }
 
-    fn log_origin(&self, metadata: &RequestMetadata, service: &ServiceName, origin: &StreamOrigin) {
+    /// Logs where a stream began that its caller resumes. `service` is the one that the route selected.
+    fn log_origin(
+        &self,
+        metadata: &RequestMetadata,
+        service: &ServiceName,
+        origin: Result<&StreamOrigin, &ControlError>,
+    ) {
         let (source, service, version) = match origin {
-            StreamOrigin::Recorded {
+            Ok(StreamOrigin::Recorded {
                 service,
                 software_version,
-            } => ("recorded", service, Some(software_version)),
-            StreamOrigin::Base(version) => ("base", service, Some(version)),
-            StreamOrigin::Unknown => ("unknown", service, None),
+            }) => ("recorded", service, Some(software_version)),
+            Ok(StreamOrigin::Base(version)) => ("base", service, Some(version)),
+            Ok(StreamOrigin::Unknown) => ("unknown", service, None),
+            Err(_) => ("unavailable", service, None),
         };
-        self.metrics.count_take_up(source);
-        info!(self.logger, "routing: caller takes up a stream";
-            "request" => &metadata.request_id, "resumes" => metadata.resumes_for_log(),
+        self.metrics.count_resumption(source);
+        info!(self.logger, "routing: caller resumes a stream";
+            "request" => &metadata.request_id, "resumed_request" => metadata.resumed_id_for_log(),
             "last_event_id" => metadata.last_event_id, "origin" => source,
-            "service" => %service, "software_version" => version.map(SoftwareVersion::as_str));
+            "service" => %service, "software_version" => version.map(SoftwareVersion::as_str),
+            "error" => origin.err().map(|error| format!("{error:?}")));
     }
 }
--- a/crates/wasabipoint_entry/src/link.rs
+++ b/crates/wasabipoint_entry/src/link.rs
@@ -73,7 +73,7 @@
     ) -> BoxFuture<'_, Result<(), ControlError>> {
         Box::pin(async { Err(ControlError::Unavailable) })
     }
-    /// Returns where a stream began that a caller takes up.
+    /// Returns where a stream began that a caller resumes.
     fn find_stream(
         &self,
         _query: StreamQuery,
--- a/crates/wasabipoint_entry/tests/forward_sockets/versions.rs
+++ b/crates/wasabipoint_entry/tests/forward_sockets/versions.rs
@@ -37,8 +37,8 @@
     Fixture::start_with(control, Logger::root(Discard, o!())).await
 }
 
-/// Builds a request that takes a stream up after its second event.
-fn take_up(fixture: &Fixture, id: &str, resumes: Option<&str>) -> Request<Bytes> {
+/// Builds a request that resumes a stream after its second event.
+fn resume(fixture: &Fixture, id: &str, resumes: Option<&str>) -> Request<Bytes> {
     let mut request = fixture.build_request("resumable", id);
     let headers = request.headers_mut();
     headers.insert("last-event-id", HeaderValue::from_static("2"));
@@ -113,10 +113,10 @@
     assert!(is_complete);
 }
 
-/// Guards against a take-up that goes on at another software version: it comes to an entry process that
+/// Guards against a resumption that goes on at another software version: it comes to an entry process that
 /// has just started and that prefers an endpoint of the other version.
 #[tokio::test]
-async fn a_stream_is_taken_up_at_its_own_software_version() {
+async fn a_stream_is_resumed_by_its_caller_at_its_own_software_version() {
     for (first_version, other_version) in [("v1.1", "v1"), ("v1", "v1.1")] {
         let origins = StreamOrigins::with_base("v1");
         let first = start_breaking().await;
@@ -131,7 +131,7 @@
         );
         let endpoints = [(&other, other_version), (&same, first_version)];
         let after = start_entry(&endpoints, &origins).await;
-        let response = fetch(&after, take_up(&after, "b2", Some("a1"))).await;
+        let response = fetch(&after, resume(&after, "b2", Some("a1"))).await;
         assert_eq!(response.status(), StatusCode::OK);
         assert_eq!(response.body(), LAST_EVENTS[0].as_bytes());
         assert_eq!((other.request_count(), same.request_count()), (0, 1));
@@ -143,35 +143,35 @@
     vec![ScriptStep::Send(rest)]
 }
 
-/// Guards against a take-up at another software version where no endpoint of its own is in service: it is
+/// Guards against a resumption at another software version where no endpoint of its own is in service: it is
 /// refused at once, as not run, and not asked to come back.
 #[tokio::test]
-async fn a_take_up_is_refused_when_its_software_version_is_gone() {
+async fn a_resumption_is_refused_when_its_software_version_is_gone() {
     let origins = StreamOrigins::with_base("v1");
     let other = Endpoint::start(rest_for("b2")).await;
     let fixture = start_entry(&[(&other, "v1.1")], &origins).await;
-    let response = fetch(&fixture, take_up(&fixture, "b2", Some("a1"))).await;
+    let response = fetch(&fixture, resume(&fixture, "b2", Some("a1"))).await;
     assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert!(String::from_utf8_lossy(response.body()).contains("not run"));
     assert!(!response.headers().contains_key("retry-after"));
     assert_eq!(other.request_count(), 0);
 }
 
-/// Guards against a take-up that is sent somewhere although nothing tells where its stream began.
+/// Guards against a resumption that is sent somewhere although nothing tells where its stream began.
 #[tokio::test]
-async fn a_take_up_of_unknown_origin_is_refused() {
+async fn a_resumption_of_unknown_origin_is_refused() {
     let endpoint = Endpoint::start(rest_for("b2")).await;
     let origins = Arc::new(StreamOrigins::default());
     let fixture = start_entry(&[(&endpoint, "v1")], &origins).await;
     let long = "x".repeat(10_000);
     for resumes in [None, Some("b2"), Some(long.as_str())] {
-        let response = fetch(&fixture, take_up(&fixture, "b2", resumes)).await;
+        let response = fetch(&fixture, resume(&fixture, "b2", resumes)).await;
         assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
     }
     let unavailable = StreamOrigins::with_base("v1");
     unavailable.is_unavailable.store(true, Ordering::Relaxed);
     let fixture = start_entry(&[(&endpoint, "v1")], &unavailable).await;
-    let response = fetch(&fixture, take_up(&fixture, "b2", Some("a1"))).await;
+    let response = fetch(&fixture, resume(&fixture, "b2", Some("a1"))).await;
     assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
     assert!(response.headers().contains_key("retry-after"));
     assert_eq!(endpoint.request_count(), 0);
@@ -246,7 +246,7 @@
         let origins = base.map_or_else(Arc::default, StreamOrigins::with_base);
         let endpoint = Endpoint::start(rest_for("b2")).await;
         let fixture = start_entry(&[(&endpoint, "v1")], &origins).await;
-        let mut request = take_up(&fixture, "b2", Some("a1"));
+        let mut request = resume(&fixture, "b2", Some("a1"));
         let target = format!("http://{}/stream/x", fixture.address);
         *request.uri_mut() = target.parse().unwrap();
         assert_eq!(fetch(&fixture, request).await.status(), status);
--- a/crates/wasabipoint_policy/src/engine_plan.rs
+++ b/crates/wasabipoint_policy/src/engine_plan.rs
@@ -140,7 +140,7 @@
         /// No engine holds the model, and there is no demand for it yet.
         Spread,
         /// No two engines of one software version hold the model, while several versions serve.
-        Pair,
+        Redundancy,
     }
 }
 
@@ -148,7 +148,7 @@
     fn can_load(&self, cause: ChangeCause) -> bool {
         let max_running = match cause {
             ChangeCause::Cold => self.full_speed_loads,
-            ChangeCause::Relief | ChangeCause::Pair => {
+            ChangeCause::Relief | ChangeCause::Redundancy => {
                 RELIEF_STORE_LOADS.min(self.full_speed_loads)
             }
             ChangeCause::Spread => SPREAD_STORE_LOADS,
--- a/crates/wasabipoint_policy/src/engine_plan/planner.rs
+++ b/crates/wasabipoint_policy/src/engine_plan/planner.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use wasabipoint_kernel::ModelName;
+use wasabipoint_kernel::{ModelName, SoftwareVersion};
 
 use super::{ChangeCause, Deferral, EngineChange, EngineView, ModelLoad, StoreBudget};
 
@@ -101,11 +101,11 @@
 
 /// Smallest demand, in concurrent requests, for which a model gets a second replica at one software
 /// version. Fewer streams are rarely on an engine when it is lost.
-const MIN_PAIR_LOAD: f64 = 0.5;
+const MIN_REDUNDANT_LOAD: f64 = 0.5;
 
 /// Cost of leaving a model without two replicas at one software version, and preference for the engine
-/// that makes them two. Less than a load from the store.
-const PAIR_COST: f64 = 2.0;
+/// that makes them two, in concurrent requests. Less than `STORE_COST`.
+const NO_REDUNDANCY_COST: f64 = 2.0;
 
 /// Returns the cost reduction of loading a model with `surplus_load` concurrent requests above the mean
 /// on an engine of a given capacity; 0 for one of usual speed.
@@ -256,26 +256,24 @@
     }
 
     /// Returns whether two engines of one software version hold a model, not counting `without`.
-    fn has_pair(&self, model: &ModelName, without: Option<usize>) -> bool {
+    fn has_redundancy(&self, model: &ModelName, without: Option<usize>) -> bool {
         let mut versions = BTreeSet::new();
         let holders = self.holders(model).iter();
         let mut counted = holders.filter(|holder| Some(**holder) != without);
         counted.any(|holder| !versions.insert(&self.engines[*holder].software_version))
     }
 
-    /// Returns whether a load on an engine makes two replicas of a model at its software version, now or
-    /// with a further load on another engine with free memory.
-    fn can_pair(&self, model: &ModelName, index: usize) -> bool {
-        if self.holders_beside(model, index) > 0 {
-            return true;
-        }
+    /// Returns the software versions at which a further load gives a model two replicas, now or with one
+    /// more load on another engine with free memory.
+    fn redundant_versions(&self, model: &ModelName) -> BTreeSet<SoftwareVersion> {
         let weights_mb = self.models[model].weights_mb;
-        let version = &self.engines[index].software_version;
-        let same = (0..self.engines.len())
-            .filter(|other| self.engines[*other].software_version == *version);
-        same.filter(|other| self.free_mb(*other) >= weights_mb)
-            .count()
-            > 1
+        let mut places: BTreeMap<&SoftwareVersion, usize> = BTreeMap::new();
+        for (index, engine) in self.engines.iter().enumerate() {
+            let is_place = engine.models.contains(model) || self.free_mb(index) >= weights_mb;
+            *places.entry(&engine.software_version).or_default() += usize::from(is_place);
+        }
+        let several = places.into_iter().filter(|(_, count)| *count > 1);
+        several.map(|(version, _)| version.clone()).collect()
     }
 
     fn replicas(&self, model: &ModelName) -> u32 {
@@ -344,7 +342,7 @@
                 0 if model.waiting > 0 || model.load > UNUSED_LOAD => (2, ChangeCause::Cold),
                 0 => (0, ChangeCause::Spread),
                 _ if self.exceeds_load(&model.name, self.bounds.relief) => (3, ChangeCause::Relief),
-                _ if self.needs_pair(model) => (2, ChangeCause::Pair),
+                _ if self.needs_redundancy(model) => (2, ChangeCause::Redundancy),
                 _ => return None,
             };
             let priority = per_replica + f64::from(model.waiting);
@@ -357,8 +355,8 @@
 
     /// Returns whether no engine could continue the streams of a used model if the one that they are on
     /// is lost.
-    fn needs_pair(&self, model: &ModelLoad) -> bool {
-        self.is_mixed && model.load >= MIN_PAIR_LOAD && !self.has_pair(&model.name, None)
+    fn needs_redundancy(&self, model: &ModelLoad) -> bool {
+        self.is_mixed && model.load >= MIN_REDUNDANT_LOAD && !self.has_redundancy(&model.name, None)
     }
 
     /// Returns whether the mean load of a model's engines exceeds `bound` and the model contributes
@@ -386,7 +384,7 @@
             ChangeCause::Relief if is_overloaded => EvictionLimit::uniform(
                 (per_replica_before - per_replica_after) * RELIEF_VALUE / EVICTION_DEMAND_RATIO,
             ),
-            ChangeCause::Relief | ChangeCause::Spread | ChangeCause::Pair => {
+            ChangeCause::Relief | ChangeCause::Spread | ChangeCause::Redundancy => {
                 EvictionLimit::uniform(0.0)
             }
         };
@@ -397,6 +395,8 @@
                 .engines
                 .iter()
                 .any(|engine| engine.on_disk.contains(model));
+        let is_redundancy = cause == ChangeCause::Redundancy;
+        let versions = is_redundancy.then(|| self.redundant_versions(model));
         let mut best: Option<(f64, usize, f64, Vec<ModelName>)> = None;
         for (index, engine) in self.engines.iter().enumerate() {
             if !engine.is_changeable || engine.models.contains(model) {
@@ -407,7 +407,9 @@
             if !(is_on_disk || may_load_from_store) {
                 continue;
             }
-            if cause == ChangeCause::Pair && !self.can_pair(model, index) {
+            if let Some(versions) = &versions
+                && !versions.contains(&engine.software_version)
+            {
                 continue;
             }
             let per_replica_after = load / (capacity + self.capacities[index]);
@@ -424,7 +426,7 @@
             let is_too_costly = match cause {
                 ChangeCause::Relief => loss * MIN_RELIEF_RATIO >= per_replica_after,
                 ChangeCause::Cold | ChangeCause::Spread => loss > self.bounds.scale_down,
-                ChangeCause::Pair => !victims.is_empty(),
+                ChangeCause::Redundancy => !victims.is_empty(),
             };
             if is_too_costly {
                 continue;
@@ -432,7 +434,7 @@
             let mut cost = eviction.cost + self.engine_loads[index] * ENGINE_LOAD_COST;
             cost -= speed_preference(surplus_load, self.capacities[index]);
             if self.is_mixed && self.holders_beside(model, index) == 1 {
-                cost -= PAIR_COST;
+                cost -= NO_REDUNDANCY_COST;
             }
             cost += match (is_on_disk, engine.serves_adapters) {
                 (true, false) => 0.0,
@@ -544,8 +546,11 @@
                 let remaining = self.capacity(model) - self.capacities[index];
                 let loss = (loads.sum::<f64>() + moved) / remaining;
                 let mut cost = (loss - self.bounds.low).max(0.0);
-                if self.is_mixed && load >= MIN_PAIR_LOAD && !self.has_pair(model, Some(index)) {
-                    cost += PAIR_COST;
+                if self.is_mixed
+                    && load >= MIN_REDUNDANT_LOAD
+                    && !self.has_redundancy(model, Some(index))
+                {
+                    cost += NO_REDUNDANCY_COST;
                 }
                 Some(EvictionCost { cost, loss })
             }
--- a/crates/wasabipoint_policy/src/lib.rs
+++ b/crates/wasabipoint_policy/src/lib.rs
@@ -73,6 +73,6 @@
 pub use shared_speed::{MAX_SPEEDS, SharedSpeeds, StatedSpeed};
 pub use store_concurrency::StoreConcurrency;
 pub use stream_origin::{
-    BASE_RETIREMENT_MS, MAX_BASE_VERSION_AGE_MS, MAX_STREAM_LIFETIME_MS, StreamStart,
-    add_version_costs, record_lifetime_ms,
+    BASE_RETIREMENT_MS, BaseVersionStep, BaseVersionView, MAX_BASE_VERSION_AGE_MS,
+    MAX_STREAM_LIFETIME_MS, StreamStart, add_version_costs, next_base_version, record_lifetime_ms,
 };
--- a/crates/wasabipoint_policy/src/stream_origin.rs
+++ b/crates/wasabipoint_policy/src/stream_origin.rs
@@ -10,14 +10,14 @@
 use wasabipoint_kernel::SoftwareVersion;
 
 /// Longest time for which a record is kept, in milliseconds. Callers that wait longer for a stream can
-/// take it up only within this time.
+/// resume it only within this time.
 pub const MAX_STREAM_LIFETIME_MS: u64 = 600_000;
 
 /// Greatest age at which a fleet view tells the base version, in milliseconds.
 pub const MAX_BASE_VERSION_AGE_MS: u64 = 300_000;
 
 /// Time after which the base version of a service is replaced, counted from the moment at which its last
-/// endpoint is gone, in milliseconds. By then no caller takes up a stream without a record that the old
+/// endpoint is gone, in milliseconds. By then no caller resumes a stream without a record that the old
 /// base version began, and no entry process begins one.
 pub const BASE_RETIREMENT_MS: u64 = 1_200_000;
 
@@ -60,6 +60,54 @@
         .min(MAX_STREAM_LIFETIME_MS)
 }
 
+/// What control knows of a service when its endpoints change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BaseVersionView<'a> {
+    /// Base version, if the service has one.
+    pub base: Option<&'a SoftwareVersion>,
+    /// Time at which the last endpoint of the base version was found gone, in milliseconds.
+    pub absent_since_ms: Option<u64>,
+    /// The present in milliseconds.
+    pub now_ms: u64,
+}
+
+/// What becomes of the base version of a service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum BaseVersionStep {
+    /// It stays, and has endpoints.
+    Present,
+    /// It stays, without an endpoint since this time in milliseconds.
+    AbsentSince(u64),
+    /// It is set or replaced.
+    Set(SoftwareVersion),
+    /// The service has neither a base version nor endpoints.
+    None,
+}
+
+/// Decides about the base version of a service whose endpoints have these software versions.
+pub fn next_base_version<'v>(
+    view: BaseVersionView<'_>,
+    versions: impl Iterator<Item = &'v SoftwareVersion>,
+) -> BaseVersionStep {
+    let mut counts: BTreeMap<&SoftwareVersion, usize> = BTreeMap::new();
+    for version in versions {
+        *counts.entry(version).or_default() += 1;
+    }
+    if let Some(base) = view.base {
+        if counts.contains_key(base) {
+            return BaseVersionStep::Present;
+        }
+        let since_ms = view.absent_since_ms.unwrap_or(view.now_ms);
+        if counts.is_empty() || view.now_ms < since_ms + BASE_RETIREMENT_MS {
+            return BaseVersionStep::AbsentSince(since_ms);
+        }
+    }
+    let most_common = counts.into_iter().max_by_key(|(_, count)| *count);
+    most_common.map_or(BaseVersionStep::None, |(version, _)| {
+        BaseVersionStep::Set(version.clone())
+    })
+}
+
 /// Cost of an endpoint that is the only one of its software version while another version has several,
 /// as a share of its slots. A stream that begins there is lost with the endpoint. High load outweighs it.
 const SINGLE_ENDPOINT_COST: f64 = 0.15;
@@ -69,10 +117,14 @@
 pub fn add_version_costs<'v>(
     costs: &mut [f64],
     candidates: impl Iterator<Item = &'v SoftwareVersion>,
-    eligible: impl Iterator<Item = &'v SoftwareVersion>,
+    mut eligible: impl Iterator<Item = &'v SoftwareVersion> + Clone,
 ) {
+    let first = eligible.clone().next();
+    if eligible.clone().all(|version| Some(version) == first) {
+        return;
+    }
     let mut counts: BTreeMap<&SoftwareVersion, usize> = BTreeMap::new();
-    for version in eligible {
+    for version in eligible.by_ref() {
         *counts.entry(version).or_default() += 1;
     }
     if counts.values().all(|count| *count < 2) {
--- a/crates/wasabipoint_policy/tests/engine_plan_versions.rs
+++ b/crates/wasabipoint_policy/tests/engine_plan_versions.rs
@@ -40,7 +40,7 @@
     ];
     let changes = plan(&models, &alone);
     assert_eq!(changes.len(), 1);
-    assert_eq!(changes[0].cause, ChangeCause::Pair);
+    assert_eq!(changes[0].cause, ChangeCause::Redundancy);
     assert_eq!(changes[0].load, ModelName::new("busy"));
     assert!(changes[0].unload.is_empty());
     let one_each = [
--- a/crates/wasabipoint_rpc/src/service.rs
+++ b/crates/wasabipoint_rpc/src/service.rs
@@ -128,7 +128,7 @@
     async fn request_quota(request: QuotaRequest) -> Result<QuotaReply, ControlRefusal>;
     /// Commits which software versions began streams, before their callers get an event.
     async fn record_streams(streams: Vec<StreamRecord>) -> Result<(), ControlRefusal>;
-    /// Returns where a stream began that a caller takes up, as confirmed by a quorum.
+    /// Returns where a stream began that a caller resumes, as confirmed by a quorum.
     async fn find_stream(query: StreamQuery) -> Result<StreamOrigin, ControlRefusal>;
 }
 
--- a/crates/wasabipoint_rpc/src/stream.rs
+++ b/crates/wasabipoint_rpc/src/stream.rs
@@ -15,14 +15,14 @@
         pub service: ServiceName,
         /// Software version of that endpoint.
         pub software_version: SoftwareVersion,
-        /// Time for which the caller may take the stream up, in milliseconds.
+        /// Time for which the caller may resume the stream, in milliseconds.
         pub lifetime_ms: u64,
     }
 }
 
 plain_data! {
     data
-    /// A question where a stream began that a caller takes up.
+    /// A question where a stream began that a caller resumes.
     pub struct StreamQuery {
         /// Digest of the customer and the id of the request that brought the first event, `None` if the
         /// caller does not name one.
--- a/crates/wasabipoint_testbed/tests/forwarding/versions.rs
+++ b/crates/wasabipoint_testbed/tests/forwarding/versions.rs
@@ -1,4 +1,4 @@
-//! Callers that take up streams after all entry processes were restarted, while engines of two software
+//! Callers that resume streams after all entry processes were restarted, while engines of two software
 //! versions are in service or those of the first one have just left.
 
 use std::collections::BTreeSet;
@@ -110,8 +110,8 @@
     begun
 }
 
-/// Takes a stream up and returns it with its new events, or the status of the refusal.
-async fn take_up(
+/// Resumes a stream and returns it with its new events, or the status of the refusal.
+async fn resume(
     fleet: &Fleet,
     index: usize,
     begun: &Received,
@@ -134,33 +134,33 @@
     Ok(received)
 }
 
-async fn take_up_all(
+async fn resume_all(
     fleet: &Fleet,
     begun: &[Received],
 ) -> Vec<Result<Received, (StatusCode, String)>> {
-    let take_ups = begun.iter().enumerate();
-    let take_ups = take_ups.map(|(index, begun)| take_up(fleet, index, begun));
-    futures::future::join_all(take_ups).await
+    let resumptions = begun.iter().enumerate();
+    let resumptions = resumptions.map(|(index, begun)| resume(fleet, index, begun));
+    futures::future::join_all(resumptions).await
 }
 
 /// Guards against streams that are joined from two software versions, and against streams that are given
 /// up, after all entry processes were restarted at once: no process remembers where they began.
 #[tokio::test]
-async fn take_ups_after_a_restart_of_all_entry_processes_stay_at_their_version() {
+async fn resumptions_after_a_restart_of_all_entry_processes_stay_at_their_version() {
     let mut fleet = start_with_two_versions().await;
     let begun = restart_entries_amid_streams(&mut fleet).await;
-    for taken_up in take_up_all(&fleet, &begun).await {
-        let taken_up = taken_up.unwrap();
-        assert_eq!(taken_up.distinct_versions().len(), 1, "{taken_up:?}");
-        assert!(taken_up.is_complete);
-        assert_eq!(taken_up.versions.len(), 12);
+    for resumed in resume_all(&fleet, &begun).await {
+        let resumed = resumed.unwrap();
+        assert_eq!(resumed.distinct_versions().len(), 1, "{resumed:?}");
+        assert!(resumed.is_complete);
+        assert_eq!(resumed.versions.len(), 12);
     }
 }
 
 /// Guards against streams of a software version whose last engines have left that are continued by the
 /// version which is left: there only seems to be one.
 #[tokio::test]
-async fn take_ups_of_a_version_that_has_left_are_refused() {
+async fn resumptions_of_a_version_that_has_left_are_refused() {
     let mut fleet = start_with_two_versions().await;
     let begun = restart_entries_amid_streams(&mut fleet).await;
     fleet.delist(0);
@@ -169,15 +169,15 @@
     tokio::time::timeout(STEP_TIMEOUT, has_left).await.unwrap();
     fleet.entries.clear();
     fleet.add_entry().await;
-    let taken_up = take_up_all(&fleet, &begun).await;
+    let resumed = resume_all(&fleet, &begun).await;
     assert!(begun.iter().any(|begun| begun.has_begun_at(FIRST_VERSION)));
-    for (begun, taken_up) in begun.iter().zip(taken_up) {
+    for (begun, resumed) in begun.iter().zip(resumed) {
         if begun.has_begun_at(FIRST_VERSION) {
-            let (status, _) = taken_up.unwrap_err();
+            let (status, _) = resumed.unwrap_err();
             assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
         } else {
-            let taken_up = taken_up.unwrap();
-            assert_eq!(taken_up.distinct_versions().len(), 1, "{taken_up:?}");
+            let resumed = resumed.unwrap();
+            assert_eq!(resumed.distinct_versions().len(), 1, "{resumed:?}");
         }
     }
 }
